--- /dev/null
+++ b/primroseyoke/agent.py
@@ -0,0 +1,178 @@
+"""The agent: the only way to one upstream."""
+
+import dataclasses
+import logging
+import threading
+import time
+import uuid
+from typing import Annotated, Any, cast
+
+import msgspec
+import pykka
+
+from .attempts import (
+    AskLoad,
+    AskRemaining,
+    AttemptsActor,
+    Drain,
+    DumpState,
+    PeerLost,
+    Received,
+    Tick,
+)
+from .distribution import ANNOUNCE, ConfigurationActor, LogReader, PeerMessage
+from .exceptions import ServiceUnavailable
+from .handovers import Handover
+from .links import LinkServer, Peer
+from .messages import (
+    Announce,
+    Hello,
+    Load,
+    LoadReport,
+    Message,
+    Pull,
+    Snapshot,
+    Welcome,
+)
+from .programs import repeat, run_program
+from .records import LogService
+from .services import UpstreamClient
+from .settings import Address
+
+__all__ = ('Agent', 'AgentSettings', 'main')
+
+log = logging.getLogger(__name__)
+
+_TICK = 0.1
+_ANNOUNCE_INTERVAL = 2.0
+_LOAD_INTERVAL = 0.5
+_DRAIN_GRACE = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentSettings:
+    """Section ``[agent]``."""
+
+    name: str
+    availability_zone: str
+    listen: Address
+    upstream: Address
+    log_service: Address
+    threads: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 64
+    drain_timeout: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 300
+    log_level: str = 'INFO'
+
+
+class Agent:
+    """The threads and actors of one agent process."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        """Prepare; ``run`` starts and ends it all."""
+        self.settings = settings
+        self.stopped = threading.Event()
+        self.finished = threading.Event()
+        self.incarnation = uuid.uuid4().hex
+        self.actor = AttemptsActor.start(
+            settings.name,
+            str(settings.upstream),
+            settings.threads,
+        )
+        self.upstream = UpstreamClient(str(settings.upstream), connections=1)
+        self.server = LinkServer(
+            settings.listen,
+            self._welcome,
+            self._receive,
+            lambda peer: self.actor.tell(PeerLost(peer)),
+            self._dump,
+        )
+        self.configuration = ConfigurationActor.start(
+            self.actor.tell,
+            self.server.broadcast,
+        )
+        log_service = LogService(str(settings.log_service))
+        self.reader = LogReader(
+            log_service,
+            self.configuration,
+            lambda: not self.server.peers,
+        )
+        self.handover = Handover(log_service, settings.name, self.incarnation)
+
+    def run(self) -> None:
+        """Serve until a signal, then drain."""
+        self.server.start()
+        self.reader.start()
+        repeat(_TICK, self._tick, self.finished)
+        repeat(_LOAD_INTERVAL, self._poll_load, self.finished)
+        repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
+        threading.Thread(target=self._open_keys, daemon=True).start()
+        log.info('agent listens on %s', self.settings.listen)
+        self.stopped.wait()
+        self._drain()
+
+    def stop(self, *_unused: Any) -> None:
+        """End ``run``; used as a signal handler."""
+        self.stopped.set()
+
+    def _welcome(self) -> Welcome:
+        return Welcome(
+            self.settings.name,
+            self.incarnation,
+            self._load(),
+        )
+
+    def _receive(self, peer: Peer, message: Message) -> None:
+        if isinstance(message, Announce | Hello | Pull | Snapshot):
+            self.configuration.tell(PeerMessage(message, peer.send))
+        else:
+            self.actor.tell(Received(peer, message))
+
+    def _dump(self) -> Any:
+        return self.actor.ask(DumpState(), timeout=2)
+
+    def _tick(self) -> None:
+        self.actor.tell(Tick())
+
+    def _announce(self) -> None:
+        self.configuration.tell(ANNOUNCE)
+
+    def _poll_load(self) -> None:
+        try:
+            self.actor.tell(self.upstream.load())
+        except ServiceUnavailable as error:
+            log.debug('%s', error)
+        self.server.broadcast(LoadReport(self._load()))
+
+    def _load(self) -> Load:
+        return cast(Load, self.actor.ask(AskLoad()))
+
+    def _open_keys(self) -> None:
+        opened = self.handover.open(self.stopped)
+        if opened is not None:
+            self.actor.tell(opened)
+
+    def _drain(self) -> None:
+        self.actor.tell(Drain())
+        self.server.broadcast(LoadReport(self._load()))
+        deadline = time.monotonic() + self.settings.drain_timeout
+        remaining: Any = self.actor.ask(AskRemaining())
+        while remaining.attempts and time.monotonic() < deadline:
+            time.sleep(_TICK)
+            remaining = self.actor.ask(AskRemaining())
+        if not remaining.attempts:
+            self.handover.close(remaining.rows, time.time())
+        # The last replies are still on their way to the entries.
+        time.sleep(_DRAIN_GRACE)
+        self.finished.set()
+        self.server.stop()
+        self.reader.stop()
+        pykka.ActorRegistry.stop_all(timeout=2)
+        log.info('agent stopped')
+
+
+def main() -> None:
+    """Run the program."""
+    run_program('agent', AgentSettings, Agent)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/primroseyoke/balancing.py
@@ -0,0 +1,144 @@
+"""The actor that owns an entry's routing state and retry budgets."""
+
+import dataclasses
+import functools
+import random
+import time
+from typing import Any
+
+import pykka
+
+from .configuration import Configuration
+from .distribution import ConfigurationChanged
+from .messages import Load
+from .retries import RetryBudget
+from .routing import Router
+
+__all__ = (
+    'Choose',
+    'DumpRouting',
+    'Ended',
+    'Linked',
+    'LoadSeen',
+    'RoutingActor',
+    'SpendRetry',
+    'Unlinked',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Linked:
+    """An agent is connected."""
+
+    upstream: str
+    load: Load
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unlinked:
+    """The link to an agent has ended."""
+
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSeen:
+    """Load that arrived from an agent."""
+
+    upstream: str
+    load: Load
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choose:
+    """Ask for an upstream and count the request there."""
+
+    service: str
+    excluded: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A request at an upstream has ended.
+
+    ``chosen`` is false for an upstream that was not chosen by the actor.
+    """
+
+    upstream: str
+    chosen: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpendRetry:
+    """Ask for a retry of a client."""
+
+    client: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DumpRouting:
+    """Ask for the load that the entry knows of each upstream."""
+
+
+class RoutingActor(pykka.ThreadingActor):
+    """Owns what the entry knows of upstreams, and the retry budgets."""
+
+    def __init__(self, availability_zone: str) -> None:
+        """Start without any upstream."""
+        super().__init__()
+        self.router = Router(availability_zone, random.Random())  # noqa: S311
+        self.budget = RetryBudget()
+        self.configuration: Configuration | None = None
+
+    @functools.singledispatchmethod
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message; each type has its own method."""
+        raise TypeError(f'unexpected message {message!r}')
+
+    @on_receive.register
+    def _(self, message: ConfigurationChanged) -> None:
+        self.configuration = message.configuration
+        defaults = message.configuration.defaults
+        self.budget.rate = defaults.retry_rate
+        self.budget.burst = defaults.retry_burst
+
+    @on_receive.register
+    def _(self, message: Linked) -> None:
+        self.router.connect(message.upstream, message.load)
+
+    @on_receive.register
+    def _(self, message: Unlinked) -> None:
+        self.router.disconnect(message.upstream)
+
+    @on_receive.register
+    def _(self, message: LoadSeen) -> None:
+        self.router.observe(message.upstream, message.load)
+
+    @on_receive.register
+    def _(self, message: Ended) -> None:
+        if message.chosen:
+            self.router.end(message.upstream)
+
+    @on_receive.register
+    def _(self, message: SpendRetry) -> bool:
+        return self.budget.spend(message.client, time.monotonic())
+
+    @on_receive.register
+    def _(self, message: DumpRouting) -> dict[str, Any]:
+        return {
+            name: dataclasses.asdict(known)
+            for name, known in sorted(self.router.known.items())
+        }
+
+    @on_receive.register
+    def _(self, message: Choose) -> str | None:
+        if self.configuration is None:
+            return None
+        choice = self.router.choose(
+            self.configuration,
+            message.service,
+            message.excluded,
+        )
+        if choice is not None:
+            self.router.begin(choice)
+        return choice
--- /dev/null
+++ b/primroseyoke/callers.py
@@ -0,0 +1,231 @@
+"""HTTP towards callers: parsing of requests, answers and problems."""
+
+import dataclasses
+import json
+import re
+import types
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import xxhash
+
+from .exceptions import RequestFailed, RequestInvalid
+from .keys import creation_time
+from .services import HOP_HEADERS
+from .verdicts import Verdict
+
+__all__ = ('CallerRequest', 'issued_key', 'parse_request', 'problem')
+
+CHAT_PATH = '/v1/chat/completions'
+SERVICES_PREFIX = '/services/'
+KEYS_PREFIX = '/keys/'
+MAX_BODY_BYTES = 2**20
+ANONYMOUS = 'anonymous'
+
+_KEY = re.compile('[!-~]{1,128}')
+_NAME = re.compile('[a-zA-Z0-9._-]{1,64}')
+# Headers that this process reads or sets are not passed to the upstream.
+_OWN_HEADERS = HOP_HEADERS | frozenset(
+    (
+        'content-length',
+        'expect',
+        'host',
+        'request-timeout',
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request of a caller.
+
+    ``timeout`` is the time in seconds that the caller gives it, 0 for the
+    default. ``key`` is empty if there is none.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    client: str
+    key: str
+    key_time: float
+    timeout: float
+    fingerprint: int
+    chat: bool
+
+
+def issued_key(
+    environ: Mapping[str, Any],
+    start_response: Callable[..., Any],
+    issue: Callable[[str, str], str],
+) -> Iterable[bytes]:
+    """Answer ``POST /keys/<service>`` with a new idempotency key."""
+    if environ['REQUEST_METHOD'] != 'POST':
+        raise RequestInvalid('keys are issued on POST', 405)
+    service = environ['PATH_INFO'].removeprefix(KEYS_PREFIX)
+    key = issue(service, _client(environ))
+    body = json.dumps({'key': key}).encode()
+    start_response(
+        '201 Created',
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ],
+    )
+    return [body]
+
+
+_TITLES = types.MappingProxyType(
+    {
+        400: 'Bad request',
+        404: 'Not found',
+        409: 'Conflict',
+        413: 'Request too large',
+        422: 'Key used for another request',
+        502: 'Upstream failed',
+        503: 'Service unavailable',
+        504: 'Deadline passed',
+    }
+)
+
+
+def parse_request(environ: Mapping[str, Any]) -> CallerRequest:
+    """Return the request in a WSGI environment.
+
+    Raises:
+        RequestInvalid: the request breaks the protocol.
+    """
+    method = environ['REQUEST_METHOD']
+    path = environ['PATH_INFO']
+    body = _read_body(environ)
+    chat = path == CHAT_PATH
+    if chat:
+        service, upstream_path = _chat_service(method, body), path
+    else:
+        service, upstream_path = _plain_service(path)
+    if environ.get('QUERY_STRING'):
+        query = environ['QUERY_STRING']
+        upstream_path = f'{upstream_path}?{query}'
+    key = _key(environ)
+    return CallerRequest(
+        service=service,
+        method=method,
+        path=upstream_path,
+        headers=_passed_headers(environ),
+        body=body,
+        client=_client(environ),
+        key=key,
+        key_time=creation_time(key),
+        timeout=_timeout(environ),
+        fingerprint=_fingerprint(service, method, upstream_path, body),
+        chat=chat,
+    )
+
+
+def problem(
+    start_response: Callable[..., Any],
+    error: RequestInvalid | RequestFailed,
+) -> Iterable[bytes]:
+    """Answer with a problem document (RFC 9457) that carries the verdict."""
+    verdict = Verdict.NOT_RUN
+    headers = [('Content-Type', 'application/problem+json')]
+    if isinstance(error, RequestFailed):
+        verdict = error.verdict
+        if error.retry_after:
+            seconds = max(round(error.retry_after), 1)
+            headers.append(('Retry-After', str(seconds)))
+    body = json.dumps(
+        {
+            'title': _TITLES.get(error.status, 'Request failed'),
+            'status': error.status,
+            'detail': str(error),
+            'verdict': verdict.value,
+        }
+    ).encode()
+    headers.append(('Content-Length', str(len(body))))
+    start_response(f'{error.status} Problem', headers)
+    return [body]
+
+
+def _read_body(environ: Mapping[str, Any]) -> bytes:
+    declared = environ.get('CONTENT_LENGTH') or ''
+    if declared and int(declared) > MAX_BODY_BYTES:
+        raise RequestInvalid(f'body over {MAX_BODY_BYTES} bytes', 413)
+    body: bytes = environ['wsgi.input'].read(MAX_BODY_BYTES + 1)
+    if len(body) > MAX_BODY_BYTES:
+        raise RequestInvalid(f'body over {MAX_BODY_BYTES} bytes', 413)
+    if declared and len(body) < int(declared):
+        raise RequestInvalid('the body is shorter than Content-Length')
+    return body
+
+
+def _chat_service(method: str, body: bytes) -> str:
+    if method != 'POST':
+        raise RequestInvalid('chat completions take POST', 405)
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise RequestInvalid(f'the body is not JSON: {error}') from error
+    model = document.get('model') if isinstance(document, dict) else None
+    if not isinstance(model, str) or not _NAME.fullmatch(model):
+        raise RequestInvalid('"model" must name a model service')
+    return model
+
+
+def _plain_service(path: str) -> tuple[str, str]:
+    if not path.startswith(SERVICES_PREFIX):
+        raise RequestInvalid(f'no such path: {path}', 404)
+    name, _, rest = path.removeprefix(SERVICES_PREFIX).partition('/')
+    if not _NAME.fullmatch(name):
+        raise RequestInvalid('the path must name a service', 404)
+    return name, f'/{rest}'
+
+
+def _key(environ: Mapping[str, Any]) -> str:
+    key: str = environ.get('HTTP_IDEMPOTENCY_KEY', '').strip().strip('"')
+    if 'HTTP_IDEMPOTENCY_KEY' in environ and not _KEY.fullmatch(key):
+        raise RequestInvalid('Idempotency-Key: 1 to 128 visible characters')
+    return key
+
+
+def _client(environ: Mapping[str, Any]) -> str:
+    client: str = environ.get('HTTP_CLIENT_ACCOUNT', ANONYMOUS)
+    if not _NAME.fullmatch(client):
+        raise RequestInvalid('Client-Account: 1 to 64 of a-z A-Z 0-9 . _ -')
+    return client
+
+
+def _timeout(environ: Mapping[str, Any]) -> float:
+    text = environ.get('HTTP_REQUEST_TIMEOUT', '0')
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise RequestInvalid('Request-Timeout: a number of seconds') from error
+    if not 0 <= seconds <= 3600:
+        raise RequestInvalid('Request-Timeout: 0 to 3600 seconds')
+    return seconds
+
+
+def _passed_headers(
+    environ: Mapping[str, Any],
+) -> tuple[tuple[str, str], ...]:
+    headers = [
+        (name.removeprefix('HTTP_').replace('_', '-').title(), text)
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    ]
+    if environ.get('CONTENT_TYPE'):
+        headers.append(('Content-Type', environ['CONTENT_TYPE']))
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name.lower() not in _OWN_HEADERS
+    )
+
+
+def _fingerprint(service: str, method: str, path: str, body: bytes) -> int:
+    hasher = xxhash.xxh3_64(f'{service}\0{method}\0{path}\0'.encode())
+    hasher.update(body)
+    return hasher.intdigest()
--- /dev/null
+++ b/primroseyoke/distribution.py
@@ -0,0 +1,226 @@
+"""How configuration reaches each process: from the log, and from peers."""
+
+import dataclasses
+import logging
+import random
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from .configuration import Configuration, Fold, Outcome, parse_record
+from .exceptions import ConfigurationInvalid, ServiceUnavailable
+from .messages import Announce, Hello, Message, Pull, Snapshot, Welcome
+from .records import LogPage, LogService
+
+__all__ = (
+    'CONFIGURATION_STREAM',
+    'ConfigurationActor',
+    'ConfigurationChanged',
+    'LogReader',
+    'PeerMessage',
+)
+
+log = logging.getLogger(__name__)
+
+CONFIGURATION_STREAM = 'configuration'
+#: Asks the actor for its announcement.
+ASK_OFFSET = 'ask-offset'
+#: Tells the actor to send its announcement to all peers.
+ANNOUNCE = 'announce'
+# Half of the bound of 13 s is left for hosts that learn from peers.
+READ_INTERVAL = 2.0
+_LONGEST_INTERVAL = 6.0
+_BACK_OFF = 1.5
+_JITTER = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """What is in force now; ``confirmed_at`` is the log's time."""
+
+    configuration: Configuration
+    confirmed_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message about configuration and where to send the answer."""
+
+    message: Announce | Hello | Pull | Snapshot | Welcome
+    answer: Callable[[Message], None]
+
+
+class ConfigurationActor(pykka.ThreadingActor):
+    """Owns the fold and tells a subscriber and the peers of each change."""
+
+    def __init__(
+        self,
+        subscriber: Callable[[ConfigurationChanged], None],
+        broadcast: Callable[[Message], None],
+    ) -> None:
+        """Tell changes to ``subscriber`` and announce them to the peers."""
+        super().__init__()
+        self.subscriber = subscriber
+        self.broadcast = broadcast
+        self.fold = Fold()
+        self.confirmed_at = 0.0
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle a page of the log or a message of a peer."""
+        if isinstance(message, LogPage):
+            return self._read_page(message)
+        if isinstance(message, PeerMessage):
+            return self._read_peer(message)
+        if message == ANNOUNCE:
+            return self.broadcast(self._announcement())
+        return self._announcement()
+
+    def _announcement(self) -> Announce:
+        return Announce(self.fold.offset, self.confirmed_at)
+
+    def _read_page(self, page: LogPage) -> None:
+        before = self.fold.offset
+        if page.first > before + 1:
+            # The records between are gone; a peer's snapshot covers them.
+            log.warning('records before offset %d have expired', page.first)
+        for entry in page.records:
+            self._apply(entry.offset, entry.appended_at, entry.content)
+        if self.fold.offset >= page.next - 1:
+            self._confirm(page.now)
+        if self.fold.offset > before:
+            self._publish()
+
+    def _apply(self, offset: int, appended_at: float, content: Any) -> None:
+        try:
+            record = parse_record(offset, appended_at, content)
+        except ConfigurationInvalid as error:
+            log.warning('record %d skipped: %s', offset, error)
+            self.fold.skip(offset)
+            return
+        decision = self.fold.apply(record)
+        if decision.outcome is not Outcome.ACCEPTED:
+            log.info(
+                'record %d is %s: %s',
+                offset,
+                decision.outcome.value,
+                decision.detail,
+            )
+
+    def _read_peer(self, received: PeerMessage) -> None:
+        message = received.message
+        if isinstance(message, Snapshot):
+            self._take_snapshot(message)
+        elif isinstance(message, Announce):
+            self._compare(message, received.answer)
+        elif not isinstance(message, Pull):
+            received.answer(self._announcement())
+        elif self.fold.offset > message.offset:
+            received.answer(self._snapshot())
+
+    def _compare(
+        self,
+        message: Announce,
+        answer: Callable[[Message], None],
+    ) -> None:
+        if message.offset > self.fold.offset:
+            answer(Pull(self.fold.offset))
+        elif message.offset == self.fold.offset:
+            self._confirm(message.confirmed_at)
+
+    def _take_snapshot(self, message: Snapshot) -> None:
+        try:
+            newer = self.fold.restore(message.content)
+        except ConfigurationInvalid as error:
+            log.warning('snapshot of a peer refused: %s', error)
+            return
+        if newer:
+            self._confirm(message.confirmed_at)
+            self._publish()
+
+    def _snapshot(self) -> Snapshot:
+        return Snapshot(
+            self.fold.offset,
+            self.confirmed_at,
+            self.fold.snapshot(),
+        )
+
+    def _confirm(self, confirmed_at: float) -> None:
+        if confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+            self._notify()
+
+    def _publish(self) -> None:
+        log.info('configuration offset %d in force', self.fold.offset)
+        self._notify()
+        self.broadcast(self._announcement())
+
+    def _notify(self) -> None:
+        if self.fold.current is not None:
+            current = dataclasses.replace(
+                self.fold.current,
+                offset=self.fold.offset,
+            )
+            self.subscriber(ConfigurationChanged(current, self.confirmed_at))
+
+
+class LogReader:
+    """Reads the configuration stream in a thread of its own."""
+
+    def __init__(
+        self,
+        service: LogService,
+        actor: pykka.ActorRef[ConfigurationActor],
+        wanted: Callable[[], bool],
+    ) -> None:
+        """Read while ``wanted`` says so, and pass the pages to ``actor``."""
+        self.service = service
+        self.actor = actor
+        self.wanted = wanted
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(
+            target=self._run,
+            name='log-reader',
+            daemon=True,
+        )
+        self.reachable = False
+
+    def start(self) -> None:
+        """Start reading."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """End the thread after the current read."""
+        self.stopped.set()
+
+    def _run(self) -> None:
+        interval = READ_INTERVAL
+        while not self.stopped.is_set():
+            if self.wanted():
+                interval = self._read(interval)
+            pause = interval * random.uniform(1 - _JITTER, 1 + _JITTER)  # noqa: S311
+            self.stopped.wait(pause)
+
+    def _read(self, interval: float) -> float:
+        try:
+            self._read_to_end()
+        except ServiceUnavailable as error:
+            if self.reachable:
+                log.warning('%s', error)
+            self.reachable = False
+            return min(interval * _BACK_OFF, _LONGEST_INTERVAL)
+        self.reachable = True
+        return READ_INTERVAL
+
+    def _read_to_end(self) -> None:
+        announcement: Any = self.actor.ask(ASK_OFFSET)
+        offset = announcement.offset + 1
+        while True:
+            page = self.service.read(CONFIGURATION_STREAM, offset)
+            self.actor.tell(page)
+            if not page.records:
+                return
+            offset = page.records[-1].offset + 1
+            if offset >= page.next:
+                return
--- /dev/null
+++ b/primroseyoke/entry.py
@@ -0,0 +1,252 @@
+"""The entry: takes callers' requests, routes them and relays the answers."""
+
+import dataclasses
+import logging
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Annotated, Any
+
+import msgspec
+import pykka
+from cheroot import wsgi
+
+from . import __version__
+from .balancing import Linked, LoadSeen, RoutingActor, Unlinked
+from .callers import KEYS_PREFIX, issued_key, parse_request, problem
+from .configuration import Configuration
+from .dispatch import Answer, Dispatcher
+from .distribution import (
+    ANNOUNCE,
+    ConfigurationActor,
+    ConfigurationChanged,
+    LogReader,
+    PeerMessage,
+)
+from .exceptions import RequestFailed, RequestInvalid
+from .links import Link, LinkPool
+from .messages import Announce, Hello, Message, Pull, Snapshot, Welcome
+from .metrics import Metrics
+from .programs import repeat, run_program
+from .records import LogService
+from .routing import choose_links
+from .settings import Address
+from .states import entry_state
+
+__all__ = ('Entry', 'EntrySettings', 'main')
+
+log = logging.getLogger(__name__)
+
+_ANNOUNCE_INTERVAL = 2.0
+READY_PATH = '/ready'
+
+
+@dataclasses.dataclass(frozen=True)
+class EntrySettings:
+    """Section ``[entry]``; times in seconds."""
+
+    name: str
+    availability_zone: str
+    listen: Address
+    admin: Address
+    log_service: Address
+    threads: Annotated[int, msgspec.Meta(ge=1, le=2048)] = 64
+    links_per_service: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 24
+    reader_timeout: Annotated[int, msgspec.Meta(ge=1, le=3600)] = 120
+    balancer_delay: Annotated[float, msgspec.Meta(ge=0, le=600)] = 5
+    drain_timeout: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 300
+    statsd: Address = Address('127.0.0.1', 0)
+    log_level: str = 'INFO'
+
+
+class Entry:
+    """The threads and actors of one entry process."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Prepare; ``run`` starts and ends it all."""
+        self.settings = settings
+        self.stopped = threading.Event()
+        self.finished = threading.Event()
+        self.metrics = Metrics(settings.statsd, f'entry.{settings.name}')
+        self.routing = RoutingActor.start(settings.availability_zone)
+        self.pool = LinkPool(
+            Hello(settings.name, settings.availability_zone, __version__),
+            self._receive,
+            lambda link: self.routing.tell(Unlinked(link.upstream)),
+        )
+        self.dispatcher = Dispatcher(self.pool, self.routing)
+        self.configuration = ConfigurationActor.start(
+            self._reconfigure,
+            self.pool.broadcast,
+        )
+        self.reader = LogReader(
+            LogService(str(settings.log_service)),
+            self.configuration,
+            lambda: True,
+        )
+        self.callers = _server(settings.listen, self._answer, settings)
+        self.admin = _server(settings.admin, self._answer_admin, settings, 2)
+
+    def run(self) -> None:
+        """Serve until a signal, then drain."""
+        self.pool.events.start()
+        self.reader.start()
+        repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
+        for server in (self.callers, self.admin):
+            server.prepare()
+            threading.Thread(target=server.serve, daemon=True).start()
+        log.info('entry listens on %s', self.settings.listen)
+        self.stopped.wait()
+        self._drain()
+
+    def stop(self, *_unused: Any) -> None:
+        """End ``run``; used as a signal handler."""
+        self.stopped.set()
+
+    def _drain(self) -> None:
+        # The balancer still sends new connections until it has noticed.
+        time.sleep(self.settings.balancer_delay)
+        self.callers.shutdown_timeout = self.settings.drain_timeout
+        self.callers.stop()
+        self.finished.set()
+        self.reader.stop()
+        self.admin.stop()
+        pykka.ActorRegistry.stop_all(timeout=2)
+        log.info('entry stopped')
+
+    def _announce(self) -> None:
+        self.configuration.tell(ANNOUNCE)
+
+    def _reconfigure(self, changed: ConfigurationChanged) -> None:
+        self.dispatcher.configuration = changed.configuration
+        self.routing.tell(changed)
+        self.pool.want(self._link_addresses(changed.configuration))
+
+    def _link_addresses(self, configuration: Configuration) -> dict[str, str]:
+        return choose_links(
+            configuration,
+            self.settings.name,
+            self.settings.availability_zone,
+            self.settings.links_per_service,
+        )
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if isinstance(message, Announce | Pull | Snapshot):
+            self.configuration.tell(PeerMessage(message, link.send))
+            return
+        if isinstance(message, Welcome):
+            self.routing.tell(Linked(link.upstream, message.load))
+            self.configuration.tell(PeerMessage(message, link.send))
+            return
+        load = getattr(message, 'load', None)
+        if load is not None:
+            self.routing.tell(LoadSeen(link.upstream, load))
+
+    def _answer(
+        self,
+        environ: Mapping[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        if environ['PATH_INFO'] == READY_PATH:
+            return self._answer_ready(start_response)
+        started = time.monotonic()
+        try:
+            answer = self._execute(environ, start_response)
+        except (RequestInvalid, RequestFailed) as error:
+            self.metrics.count(f'refused.{error.status}')
+            return problem(start_response, error)
+        self.metrics.time('head', time.monotonic() - started)
+        return answer
+
+    def _execute(
+        self,
+        environ: Mapping[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        if environ['PATH_INFO'].startswith(KEYS_PREFIX):
+            return issued_key(
+                environ, start_response, self.dispatcher.issue_key
+            )
+        answer = self.dispatcher.execute(parse_request(environ))
+        headers = list(answer.headers)
+        if answer.replayed:
+            headers.append(('Idempotent-Replayed', 'true'))
+        start_response(f'{answer.status} Status', headers)
+        return _AnswerBody(answer)
+
+    def _answer_ready(
+        self,
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        ready = not self.stopped.is_set()
+        ready = ready and self.dispatcher.configuration is not None
+        status = '200 OK' if ready else '503 Service Unavailable'
+        start_response(status, [('Content-Length', '0')])
+        return []
+
+    def _answer_admin(
+        self,
+        environ: Mapping[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        if environ['PATH_INFO'] != '/state':
+            start_response('404 Not Found', [('Content-Length', '0')])
+            return []
+        body = msgspec.json.encode(entry_state(self))
+        start_response(
+            '200 OK',
+            [
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return [body]
+
+
+class _AnswerBody:
+    """Body of an answer for the HTTP server, which closes it at the end."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self.answer.chunks()
+
+    def close(self) -> None:
+        self.answer.close()
+
+
+def _server(
+    listen: Address,
+    application: Callable[..., Any],
+    settings: EntrySettings,
+    threads: int = 0,
+) -> wsgi.Server:
+    server = wsgi.Server(
+        (listen.host, listen.port),
+        application,
+        numthreads=threads or settings.threads,
+        request_queue_size=128,
+        timeout=settings.reader_timeout,
+        server_name='primroseyoke',
+    )
+    server.error_log = _log_server_error  # type: ignore[method-assign]
+    return server
+
+
+def _log_server_error(
+    msg: str = '',
+    level: int = logging.INFO,
+    traceback: bool = False,
+) -> None:
+    """Log a fault of the HTTP server, such as a caller that went away."""
+    log.log(level, 'HTTP server: %s', msg.strip(), exc_info=traceback)
+
+
+def main() -> None:
+    """Run the program."""
+    run_program('entry', EntrySettings, Entry)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/primroseyoke/journal.py
@@ -0,0 +1,35 @@
+"""JSON-line logs on standard error."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ('configure_logging',)
+
+_FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
+
+
+def configure_logging(program: str, name: str, level: str = 'INFO') -> None:
+    """Write each log record as one JSON line that names the process.
+
+    Args:
+        program: ``entry``, ``agent`` or ``ctl``.
+        name: name of the host or upstream.
+        level: lowest level that is written.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            _FIELDS,
+            rename_fields={'levelname': 'level', 'asctime': 'time'},
+            static_fields={'program': program, 'process': name},
+        ),
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
+    # The library logs each connection; one line per link is ours to write.
+    logging.getLogger('websockets').setLevel(logging.WARNING)
+    logging.getLogger('urllib3').setLevel(logging.ERROR)
+    logging.getLogger('pykka').setLevel(logging.WARNING)
--- /dev/null
+++ b/primroseyoke/keys.py
@@ -0,0 +1,350 @@
+"""At-most-once execution of calls that carry an idempotency key.
+
+The home upstream of a key executes it; its agent keeps one row for each key.
+The rule on creation times is the synchronized-clock method of Liskov, Shrira
+and Wroclawski, "Efficient at-most-once messages based on synchronized clocks"
+(1991). Times are Unix seconds.
+"""
+
+import dataclasses
+import enum
+import math
+import types
+import uuid
+from collections.abc import Mapping, Sequence
+
+import xxhash
+
+from .configuration import Homes
+from .verdicts import Verdict
+
+__all__ = (
+    'Claim',
+    'Execute',
+    'KeyTable',
+    'KeyedCall',
+    'Reject',
+    'Replay',
+    'Row',
+    'RowState',
+    'StoredAnswer',
+    'creation_time',
+    'home_upstream',
+    'home_upstreams',
+)
+
+# Bounds the difference between the clocks of two hosts, in seconds.
+SKEW = 1.0
+# How far the clock of a caller may be ahead of the home's, in seconds.
+AHEAD = 2.0
+# A larger answer is not kept for replay; a resend is told that it ran.
+MAX_STORED_ANSWER = 4096
+_MILLISECONDS = 1000
+_UUID_TIME_SHIFT = 80
+_UUID_TIMED_VERSION = 7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """One call under a key; ``key_time`` is 0 for a key without a time."""
+
+    service: str
+    client: str
+    key: str
+    key_time: float
+    fingerprint: int
+
+    @property
+    def identity(self) -> tuple[str, str, str]:
+        """Return what makes the key unique."""
+        return (self.service, self.client, self.key)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """A whole answer that is kept for replay."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class RowState(enum.Enum):
+    """What is known of the execution of a key."""
+
+    RUNNING = 'running'
+    RAN = 'ran'
+    MAY_HAVE_RUN = 'may_have_run'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """State of one key until ``expires_at`` (Unix seconds)."""
+
+    fingerprint: int
+    state: RowState
+    expires_at: float
+    answer: StoredAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Execute:
+    """The call is to be executed now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The call was executed before; this was its answer."""
+
+    answer: StoredAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reject:
+    """The call is not executed; the verdict is about its key."""
+
+    verdict: Verdict
+    status: int
+    reason: str
+    retry_after: float = 0
+
+
+Claim = Execute | Replay | Reject
+
+
+def creation_time(key: str) -> float:
+    """Return the time in a UUIDv7 key in Unix seconds, 0 for other keys."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return 0
+    if parsed.version != _UUID_TIMED_VERSION:
+        return 0
+    return (parsed.int >> _UUID_TIME_SHIFT) / _MILLISECONDS
+
+
+def home_upstream(
+    members: Sequence[str],
+    identity: tuple[str, str, str],
+) -> str:
+    """Return the member with the highest rendezvous hash for a key."""
+    text = '\0'.join(identity)
+    return max(
+        members,
+        key=lambda member: (
+            xxhash.xxh3_64_intdigest(f'{member}\0{text}'.encode()),
+            member,
+        ),
+    )
+
+
+def home_upstreams(
+    homes: Homes,
+    identity: tuple[str, str, str],
+) -> tuple[str, str]:
+    """Return the home before and from the time ``homes.since``."""
+    current = home_upstream(homes.members, identity)
+    if not homes.previous:
+        return (current, current)
+    return (home_upstream(homes.previous, identity), current)
+
+
+def route_home(
+    homes: Homes,
+    identity: tuple[str, str, str],
+    key_time: float,
+    now: float,
+    lifetime: float,
+) -> str:
+    """Return the upstream that an entry asks about a key."""
+    before, after = home_upstreams(homes, identity)
+    decisive = key_time or now - lifetime
+    return after if decisive >= homes.since else before
+
+
+class KeyTable:
+    """Rows of the keys whose home is one upstream.
+
+    Starts closed: until ``open`` is called each new key is answered with
+    ``may_have_run``, since an earlier process may have executed it.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        start: float,
+        lifetime: float,
+        max_rows: int = 50000,
+    ) -> None:
+        """Start at ``start``; rows live for ``lifetime`` seconds."""
+        self.upstream = upstream
+        self.start = start
+        self.lifetime = lifetime
+        self.max_rows = max_rows
+        self.floor = math.inf
+        self.rows: dict[tuple[str, str, str], Row] = {}
+
+    def open(
+        self,
+        rows: Mapping[tuple[str, str, str], Row] | None,
+    ) -> None:
+        """Accept keys from now on.
+
+        Args:
+            rows: the rows of the process before this one, empty if there was
+                none, None if they are lost.
+        """
+        if rows is None:
+            self.floor = self.start + SKEW + AHEAD
+        else:
+            self.floor = -math.inf
+            self.rows = {**rows, **self.rows}
+
+    def claim(
+        self,
+        call: KeyedCall,
+        homes: Homes | None,
+        fresh: bool,
+        now: float,
+    ) -> Claim:
+        """Decide about a call.
+
+        Args:
+            call: the call and its key.
+            homes: homes of the service in the configuration of this process.
+            fresh: whether that configuration was confirmed recently enough.
+            now: Unix seconds.
+        """
+        row = self.rows.get(call.identity)
+        if row is not None:
+            return _answer_from_row(row, call)
+        fault = self._fault(call, homes, fresh, now)
+        if fault:
+            return Reject(Verdict.MAY_HAVE_RUN, 409, fault)
+        self._store(call, RowState.RUNNING, now)
+        return Execute()
+
+    def void(
+        self,
+        call: KeyedCall,
+        homes: Homes | None,
+        fresh: bool,
+        now: float,
+    ) -> Claim:
+        """Make sure that a new key never runs, or answer from its row."""
+        claim = self.claim(call, homes, fresh, now)
+        if isinstance(claim, Execute):
+            return self.refuse(call, 'the key was given up')
+        return claim
+
+    def refuse(self, call: KeyedCall, reason: str) -> Reject:
+        """Record that a claimed call was not executed and never will be."""
+        self._replace(call, RowState.REFUSED)
+        return Reject(Verdict.NOT_RUN, 503, reason)
+
+    def finish(self, call: KeyedCall, answer: StoredAnswer | None) -> None:
+        """Record that a call was executed, with its answer if it is small."""
+        if answer is not None and len(answer.body) > MAX_STORED_ANSWER:
+            answer = None
+        self._replace(call, RowState.RAN, answer)
+
+    def lose(self, call: KeyedCall) -> None:
+        """Record that it is unknown whether a call was executed."""
+        self._replace(call, RowState.MAY_HAVE_RUN)
+
+    def expire(self, now: float) -> None:
+        """Drop rows whose keys can no longer be accepted."""
+        self.rows = {
+            identity: row
+            for identity, row in self.rows.items()
+            if row.expires_at > now or row.state is RowState.RUNNING
+        }
+
+    def _fault(
+        self,
+        call: KeyedCall,
+        homes: Homes | None,
+        fresh: bool,
+        now: float,
+    ) -> str:
+        key_time = call.key_time or now - self.lifetime
+        if homes is None or not self._is_home(call, homes, now):
+            return 'this upstream is not the home of the key'
+        if not fresh:
+            return 'the configuration was not confirmed for too long'
+        if key_time > now + AHEAD:
+            return 'the key was created in the future'
+        if key_time < now - self.lifetime:
+            return 'the key is too old'
+        if key_time <= self.floor:
+            return 'the key may have been used before this process started'
+        if len(self.rows) >= self.max_rows:
+            return 'too many keys are in use'
+        return ''
+
+    def _is_home(self, call: KeyedCall, homes: Homes, now: float) -> bool:
+        before, after = home_upstreams(homes, call.identity)
+        if before == after:
+            return after == self.upstream
+        if call.key_time:
+            home = after if call.key_time >= homes.since else before
+            return home == self.upstream
+        if now < homes.since:
+            return before == self.upstream
+        moved = now - self.lifetime > homes.since + SKEW
+        return moved and after == self.upstream
+
+    def _store(self, call: KeyedCall, state: RowState, now: float) -> None:
+        first_use = max(call.key_time, now)
+        expires_at = first_use + self.lifetime + SKEW + AHEAD
+        self.rows[call.identity] = Row(call.fingerprint, state, expires_at)
+
+    def _replace(
+        self,
+        call: KeyedCall,
+        state: RowState,
+        answer: StoredAnswer | None = None,
+    ) -> None:
+        row = self.rows[call.identity]
+        self.rows[call.identity] = dataclasses.replace(
+            row,
+            state=state,
+            answer=answer,
+        )
+
+
+def _answer_from_row(row: Row, call: KeyedCall) -> Claim:
+    verdict, status, reason = _ROW_ANSWERS[row.state]
+    if row.fingerprint != call.fingerprint:
+        return Reject(verdict, 422, 'the key was used for another request')
+    if row.answer is not None:
+        return Replay(row.answer)
+    retry_after = 1 if row.state is RowState.RUNNING else 0
+    return Reject(verdict, status, reason, retry_after)
+
+
+_ROW_ANSWERS = types.MappingProxyType(
+    {
+        RowState.RUNNING: (
+            Verdict.MAY_HAVE_RUN,
+            409,
+            'the call is being executed',
+        ),
+        RowState.RAN: (
+            Verdict.RAN,
+            409,
+            'the call was executed; its answer was too large to keep',
+        ),
+        RowState.MAY_HAVE_RUN: (
+            Verdict.MAY_HAVE_RUN,
+            409,
+            'the call was started and its answer was lost',
+        ),
+        RowState.REFUSED: (
+            Verdict.NOT_RUN,
+            409,
+            'the key was refused before; use a new key',
+        ),
+    }
+)
--- /dev/null
+++ b/primroseyoke/links.py
@@ -0,0 +1,402 @@
+"""Links between entries and agents: one websocket for each pair.
+
+Each side runs one event loop in a thread that owns the sockets. Other threads
+hand messages over and get messages through callbacks.
+"""
+
+import asyncio
+import dataclasses
+import http
+import itertools
+import json
+import logging
+import queue
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import WebSocketException
+from websockets.http11 import Request, Response
+
+from .exceptions import LinkClosed, MessageInvalid
+from .messages import (
+    Body,
+    Cancel,
+    Credit,
+    End,
+    Failed,
+    Head,
+    Hello,
+    Message,
+    Refused,
+    Start,
+    Welcome,
+    decode,
+    encode,
+)
+from .settings import Address
+
+__all__ = ('Attempt', 'EventLoop', 'Link', 'LinkPool', 'LinkServer', 'LinkLost')
+
+log = logging.getLogger(__name__)
+
+# A frozen peer is noticed after the interval and the timeout, in seconds.
+HEARTBEAT_INTERVAL = 2
+HEARTBEAT_TIMEOUT = 3
+MAX_MESSAGE_BYTES = 2**22
+_FIRST_RETRY = 0.1
+_LAST_RETRY = 2.0
+
+#: Messages of an agent about one attempt.
+Reply = Refused | Head | Body | End | Failed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkLost:
+    """The link has ended; ``sent`` tells whether the request was sent."""
+
+    sent: bool
+
+
+class EventLoop:
+    """An event loop in its own thread."""
+
+    def __init__(self, name: str) -> None:
+        """Prepare the loop; ``start`` runs it."""
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(
+            target=self.loop.run_forever,
+            name=name,
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Run the loop in its thread."""
+        self.thread.start()
+
+    def call(self, function: Callable[..., Any], *args: Any) -> None:
+        """Run a function in the loop's thread, soon."""
+        self.loop.call_soon_threadsafe(function, *args)
+
+    def wait(self, coroutine: Any, timeout: float = 10) -> Any:
+        """Run a coroutine in the loop and return its result."""
+        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return future.result(timeout)
+
+    def stop(self) -> None:
+        """End the loop and wait for its thread."""
+        self.call(self.loop.stop)
+        self.thread.join(timeout=2)
+
+
+class Attempt:
+    """One request at one upstream, as its entry sees it."""
+
+    def __init__(self, number: int, link: 'Link') -> None:
+        """Wait for replies to attempt ``number`` of a link."""
+        self.number = number
+        self.link = link
+        self.replies: queue.SimpleQueue[Reply | LinkLost] = queue.SimpleQueue()
+        self.sent = False
+
+    def next_reply(self, timeout: float) -> Reply | LinkLost:
+        """Return the next reply.
+
+        Raises:
+            queue.Empty: none came within ``timeout`` seconds.
+        """
+        return self.replies.get(timeout=timeout)
+
+    def grant(self, size: int) -> None:
+        """Allow the agent to send ``size`` more bytes."""
+        self.link.send(Credit(self.number, size))
+
+    def cancel(self) -> None:
+        """Tell the agent that the answer is no longer wanted."""
+        self.link.forget(self)
+        self.link.send(Cancel(self.number))
+
+
+class Link:
+    """Connection of an entry to one agent, kept up until it is closed."""
+
+    def __init__(self, pool: 'LinkPool', upstream: str, address: str) -> None:
+        """Connect to the agent of ``upstream``."""
+        self.pool = pool
+        self.upstream = upstream
+        self.address = address
+        self.attempts: dict[int, Attempt] = {}
+        self.outgoing: asyncio.Queue[Message] | None = None
+        self.task = pool.events.loop.create_task(self._run())
+
+    def send(self, message: Message) -> None:
+        """Send a message if the link is up; called from any thread."""
+        self.pool.events.call(self._enqueue, message)
+
+    def start(self, attempt: Attempt, message: Start) -> None:
+        """Send a request; called in the loop."""
+        if self.outgoing is None:
+            attempt.replies.put(LinkLost(sent=False))
+            return
+        self.attempts[attempt.number] = attempt
+        self._enqueue(message)
+
+    def forget(self, attempt: Attempt) -> None:
+        """Drop later replies to an attempt; called from any thread."""
+        self.pool.events.call(self.attempts.pop, attempt.number, None)
+
+    def _enqueue(self, message: Message) -> None:
+        if self.outgoing is not None:
+            self.outgoing.put_nowait(message)
+
+    async def _run(self) -> None:
+        delay = _FIRST_RETRY
+        while True:
+            try:
+                await self._connect()
+            except (OSError, WebSocketException, MessageInvalid) as error:
+                log.debug('link to %s failed: %s', self.upstream, error)
+            else:
+                delay = _FIRST_RETRY
+            await asyncio.sleep(delay)
+            delay = min(delay * 2, _LAST_RETRY)
+
+    async def _connect(self) -> None:
+        async with connect(
+            f'ws://{self.address}/',
+            compression=None,
+            proxy=None,
+            open_timeout=HEARTBEAT_TIMEOUT,
+            close_timeout=1,
+            ping_interval=HEARTBEAT_INTERVAL,
+            ping_timeout=HEARTBEAT_TIMEOUT,
+            max_size=MAX_MESSAGE_BYTES,
+        ) as websocket:
+            await websocket.send(encode(self.pool.hello))
+            welcome = decode(await websocket.recv())
+            if not isinstance(welcome, Welcome):
+                raise MessageInvalid('the agent did not send Welcome')
+            if welcome.upstream != self.upstream:
+                raise MessageInvalid(f'agent of {welcome.upstream}')
+            await self._exchange(websocket, welcome)
+
+    async def _exchange(self, websocket: Any, welcome: Welcome) -> None:
+        self.outgoing = asyncio.Queue()
+        self.pool.on_message(self, welcome)
+        writer = asyncio.create_task(self._write(websocket))
+        try:
+            async for frame in websocket:
+                self._receive(decode(frame))
+        finally:
+            self.outgoing = None
+            writer.cancel()
+            self._lose_attempts()
+            self.pool.on_lost(self)
+
+    async def _write(self, websocket: Any) -> None:
+        assert self.outgoing is not None  # noqa: S101
+        while True:
+            message = await self.outgoing.get()
+            if isinstance(message, Start):
+                self._mark_sent(message.attempt)
+            await websocket.send(encode(message))
+
+    def _mark_sent(self, number: int) -> None:
+        attempt = self.attempts.get(number)
+        if attempt is not None:
+            attempt.sent = True
+
+    def _receive(self, message: Message) -> None:
+        if not isinstance(message, Reply):
+            self.pool.on_message(self, message)
+            return
+        attempt = self.attempts.get(message.attempt)
+        if attempt is None:
+            return
+        if isinstance(message, Refused | End | Failed):
+            self.attempts.pop(message.attempt)
+        if not isinstance(message, Body):
+            self.pool.on_message(self, message)
+        attempt.replies.put(message)
+
+    def _lose_attempts(self) -> None:
+        for attempt in self.attempts.values():
+            attempt.replies.put(LinkLost(attempt.sent))
+        self.attempts.clear()
+
+
+class LinkPool:
+    """Links of an entry to the agents that it uses."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        on_message: Callable[[Link, Message], None],
+        on_lost: Callable[[Link], None],
+    ) -> None:
+        """Report messages outside attempts and lost links to callbacks."""
+        self.hello = hello
+        self.on_message = on_message
+        self.on_lost = on_lost
+        self.events = EventLoop('links')
+        self.links: dict[str, Link] = {}
+        self.numbers = itertools.count(1)
+
+    def want(self, addresses: Mapping[str, str]) -> None:
+        """Keep links to these agents (``ip:port`` by upstream), no others."""
+        self.events.call(self._adjust, dict(addresses))
+
+    def start(self, upstream: str, message: Start) -> Attempt:
+        """Send a request to an upstream; replies arrive at the attempt.
+
+        Raises:
+            LinkClosed: there is no link to the upstream.
+        """
+        link = self.links.get(upstream)
+        if link is None:
+            raise LinkClosed(f'no link to {upstream}')
+        number = next(self.numbers)
+        attempt = Attempt(number, link)
+        numbered = dataclasses.replace(message, attempt=number)
+        self.events.call(link.start, attempt, numbered)
+        return attempt
+
+    def is_linked(self, upstream: str) -> bool:
+        """Tell whether the link to an upstream is up."""
+        link = self.links.get(upstream)
+        return link is not None and link.outgoing is not None
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message over each link."""
+        for link in tuple(self.links.values()):
+            link.send(message)
+
+    def _adjust(self, addresses: Mapping[str, str]) -> None:
+        for upstream, link in tuple(self.links.items()):
+            if addresses.get(upstream) != link.address:
+                link.task.cancel()
+                self.links.pop(upstream)
+        for upstream, address in addresses.items():
+            if upstream not in self.links:
+                self.links[upstream] = Link(self, upstream, address)
+
+
+class Peer:
+    """An entry that is connected to this agent."""
+
+    def __init__(self, server: 'LinkServer', websocket: Any) -> None:
+        """Send over ``websocket``."""
+        self.server = server
+        self.websocket = websocket
+        self.host = ''
+        self.outgoing: asyncio.Queue[Message] = asyncio.Queue()
+
+    def send(self, message: Message) -> None:
+        """Send a message; called from any thread."""
+        self.server.events.call(self.outgoing.put_nowait, message)
+
+    async def write(self) -> None:
+        """Send queued messages until cancelled."""
+        while True:
+            message = await self.outgoing.get()
+            await self.websocket.send(encode(message))
+
+
+class LinkServer:
+    """Accepts links of entries at an agent, and state requests over HTTP."""
+
+    def __init__(
+        self,
+        listen: Address,
+        welcome: Callable[[], Welcome],
+        on_message: Callable[[Peer, Message], None],
+        on_lost: Callable[[Peer], None],
+        dump: Callable[[], Any],
+    ) -> None:
+        """Answer ``GET /state`` with the JSON form of what ``dump`` returns."""
+        self.listen = listen
+        self.welcome = welcome
+        self.on_message = on_message
+        self.on_lost = on_lost
+        self.dump = dump
+        self.events = EventLoop('links')
+        self.peers: set[Peer] = set()
+        self.server: Any = None
+
+    def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: the address cannot be used.
+        """
+        self.events.start()
+        self.server = self.events.wait(self._listen())
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to each connected entry."""
+        for peer in tuple(self.peers):
+            peer.send(message)
+
+    def stop(self) -> None:
+        """Close the links and the listening socket."""
+        self.events.wait(self._close())
+        self.events.stop()
+
+    async def _listen(self) -> Any:
+        return await serve(
+            self._handle,
+            self.listen.host,
+            self.listen.port,
+            process_request=self._answer_http,
+            compression=None,
+            close_timeout=1,
+            ping_interval=HEARTBEAT_INTERVAL,
+            ping_timeout=HEARTBEAT_TIMEOUT,
+            max_size=MAX_MESSAGE_BYTES,
+        )
+
+    async def _close(self) -> None:
+        for peer in tuple(self.peers):
+            while not peer.outgoing.empty():
+                await asyncio.sleep(0)
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def _handle(self, websocket: ServerConnection) -> None:
+        peer = Peer(self, websocket)
+        try:
+            hello = decode(await websocket.recv())
+            if not isinstance(hello, Hello):
+                raise MessageInvalid('the entry did not send Hello')
+            peer.host = hello.host
+            await websocket.send(encode(self.welcome()))
+            await self._exchange(peer, hello)
+        except (WebSocketException, MessageInvalid) as error:
+            log.debug('link from %s ended: %s', peer.host, error)
+
+    async def _exchange(self, peer: Peer, hello: Hello) -> None:
+        writer = asyncio.create_task(peer.write())
+        self.peers.add(peer)
+        self.on_message(peer, hello)
+        try:
+            async for frame in peer.websocket:
+                self.on_message(peer, decode(frame))
+        finally:
+            self.peers.discard(peer)
+            writer.cancel()
+            self.on_lost(peer)
+
+    async def _answer_http(
+        self,
+        connection: ServerConnection,
+        request: Request,
+    ) -> Response | None:
+        if 'Upgrade' in request.headers:
+            return None
+        if request.path != '/state':
+            return connection.respond(http.HTTPStatus.NOT_FOUND, 'not found\n')
+        loop = asyncio.get_running_loop()
+        state = await loop.run_in_executor(None, self.dump)
+        return connection.respond(http.HTTPStatus.OK, json.dumps(state))
--- /dev/null
+++ b/primroseyoke/programs.py
@@ -0,0 +1,98 @@
+"""What the daemons have in common: flags, settings, logs and signals."""
+
+import logging
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from absl import app, flags
+
+from . import __version__
+from .exceptions import PrimroseyokeError, SettingsInvalid
+from .journal import configure_logging
+from .settings import load_settings
+
+__all__ = ('Daemon', 'repeat', 'run_program')
+
+log = logging.getLogger(__name__)
+
+_EXIT_BAD_SETTINGS = 2
+
+
+class Daemon(Protocol):
+    """A program that serves until it is told to stop."""
+
+    def run(self) -> None:
+        """Serve, then drain."""
+
+    def stop(self, *unused: Any) -> None:
+        """Make ``run`` drain and return; used as a signal handler."""
+
+
+def run_program(
+    program: str,
+    settings_class: type[Any],
+    daemon_class: Callable[[Any], Daemon],
+) -> None:
+    """Run a daemon from the command line.
+
+    Args:
+        program: name of the program and of its settings section.
+        settings_class: dataclass of the section.
+        daemon_class: makes the daemon from the settings.
+    """
+    flags.DEFINE_string('settings', '', f'INI settings file of the {program}')
+    flags.DEFINE_bool('version', False, 'print the version and exit')  # noqa: WPS425
+
+    def start(_arguments: list[str]) -> None:  # noqa: WPS430 - run by absl
+        if flags.FLAGS.version:
+            sys.stdout.write(f'primroseyoke-{program} {__version__}\n')
+            return
+        settings = _checked_settings(program, settings_class)
+        configure_logging(program, settings.name, settings.log_level)
+        daemon = daemon_class(settings)
+        signal.signal(signal.SIGTERM, daemon.stop)
+        signal.signal(signal.SIGINT, daemon.stop)
+        daemon.run()
+
+    app.run(start)
+
+
+def repeat(
+    interval: float,
+    function: Callable[[], None],
+    finished: threading.Event,
+) -> None:
+    """Call a function every ``interval`` seconds until ``finished``."""
+    thread = threading.Thread(
+        target=_repeat,
+        args=(interval, function, finished),
+        daemon=True,
+    )
+    thread.start()
+
+
+def _repeat(
+    interval: float,
+    function: Callable[[], None],
+    finished: threading.Event,
+) -> None:
+    while not finished.wait(interval):
+        try:
+            function()
+        except PrimroseyokeError:
+            log.exception('periodic work failed')
+
+
+def _checked_settings(program: str, settings_class: type[Any]) -> Any:
+    try:
+        sections = load_settings(
+            flags.FLAGS.settings,
+            {program: settings_class},
+        )
+    except SettingsInvalid as error:
+        sys.stderr.write(f'primroseyoke-{program}: {error}\n')
+        sys.exit(_EXIT_BAD_SETTINGS)
+    return getattr(sections, program)
--- /dev/null
+++ b/primroseyoke/routing.py
@@ -0,0 +1,170 @@
+"""Choice of an upstream by an entry.
+
+What an entry knows of an upstream is a hint; the agent has the last word.
+"""
+
+import dataclasses
+import random
+from collections.abc import Collection, Mapping
+
+import xxhash
+
+from .configuration import Configuration, Upstream
+from .messages import Load
+
+__all__ = ('Router', 'choose_links')
+
+# A request is spilled to another availability zone when the own one's better
+# choice is filled beyond this share of its limit.
+_SPILL_SHARE = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    load: Load
+    in_flight: int = 0
+
+    def share(self) -> float:
+        """Return the expected use of the limit; above 1 it queues."""
+        waiting = max(self.load.running + self.load.waiting, self.in_flight)
+        return (waiting + 1) / max(self.load.limit, 1)
+
+
+class Router:
+    """Chooses upstreams from load that arrives with answers."""
+
+    def __init__(
+        self, availability_zone: str, generator: random.Random
+    ) -> None:
+        """Prefer upstreams of ``availability_zone``."""
+        self.availability_zone = availability_zone
+        self.generator = generator
+        self.known: dict[str, _Known] = {}
+
+    def connect(self, upstream: str, load: Load) -> None:
+        """Add an upstream that is linked."""
+        self.known[upstream] = _Known(load)
+
+    def disconnect(self, upstream: str) -> None:
+        """Remove an upstream whose link has ended."""
+        self.known.pop(upstream, None)
+
+    def observe(self, upstream: str, load: Load) -> None:
+        """Take load that arrived with an answer or a report."""
+        if upstream in self.known:
+            self.known[upstream].load = load
+
+    def begin(self, upstream: str) -> None:
+        """Count a request that this entry sends to an upstream."""
+        if upstream in self.known:
+            self.known[upstream].in_flight += 1
+
+    def end(self, upstream: str) -> None:
+        """Count a request of this entry as ended."""
+        known = self.known.get(upstream)
+        if known is not None and known.in_flight:
+            known.in_flight -= 1
+
+    def choose(
+        self,
+        configuration: Configuration,
+        service: str,
+        excluded: Collection[str] = (),
+    ) -> str | None:
+        """Return an upstream for a request, None if there is no candidate."""
+        candidates = [
+            name
+            for name in sorted(self.known)
+            if self._is_candidate(configuration, service, name)
+            and name not in excluded
+        ]
+        local = [
+            name for name in candidates if self._is_local(configuration, name)
+        ]
+        choice = self._better_of_two(local)
+        if choice and self.known[choice].share() <= _SPILL_SHARE:
+            return choice
+        remote = self._better_of_two(candidates)
+        if choice is None or remote is None:
+            return remote
+        return min(choice, remote, key=self._share)
+
+    def _is_candidate(
+        self,
+        configuration: Configuration,
+        service: str,
+        name: str,
+    ) -> bool:
+        upstream = configuration.upstream(name)
+        if upstream is None or upstream.service != service:
+            return False
+        if not self.known[name].load.accepting:
+            return False
+        return configuration.takes_work(name)
+
+    def _is_local(self, configuration: Configuration, name: str) -> bool:
+        upstream = configuration.upstream(name)
+        if upstream is None:
+            return False
+        return upstream.availability_zone == self.availability_zone
+
+    def _better_of_two(self, names: list[str]) -> str | None:
+        if not names:
+            return None
+        pair = self.generator.sample(names, min(len(names), 2))
+        return min(pair, key=self._share)
+
+    def _share(self, name: str) -> float:
+        return self.known[name].share()
+
+
+def choose_links(
+    configuration: Configuration,
+    host: str,
+    availability_zone: str,
+    per_service: int,
+) -> dict[str, str]:
+    """Return the agents (``ip:port`` by upstream) that an entry links to.
+
+    Of each service the entry takes all homes and ``per_service`` upstreams by
+    rendezvous hash, at least half of them from its own availability zone if
+    there are enough. So all entries together spread evenly, and a change of
+    one upstream changes few links.
+    """
+    upstreams = configuration.group('upstream')
+    chosen: set[str] = set()
+    for service in configuration.group('service'):
+        homes = configuration.homes(service)
+        if homes is not None:
+            chosen.update(homes.members, homes.previous)
+        ranked = _rank_upstreams(upstreams, service, host)
+        local = [
+            name
+            for name in ranked
+            if upstreams[name].availability_zone == availability_zone
+        ]
+        picked = local[: (per_service + 1) // 2]
+        others = [name for name in ranked if name not in picked]
+        chosen.update(picked, others[: per_service - len(picked)])
+    return {
+        name: upstreams[name].agent
+        for name in sorted(chosen)
+        if name in upstreams
+    }
+
+
+def _rank_upstreams(
+    upstreams: Mapping[str, Upstream],
+    service: str,
+    host: str,
+) -> list[str]:
+    names = (
+        name
+        for name, upstream in upstreams.items()
+        if upstream.service == service
+    )
+    return sorted(names, key=lambda name: _rendezvous_weight(host, name))
+
+
+def _rendezvous_weight(host: str, upstream: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{host}\0{upstream}'.encode())
--- /dev/null
+++ b/primroseyoke/services.py
@@ -0,0 +1,153 @@
+"""Client of an upstream: a model engine or a plain service.
+
+Requests go over HTTP. The load report is ``GET /load``: ``{"incarnation",
+"uptime", "running"}`` with the uptime in seconds.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from .admission import UpstreamLoad
+from .exceptions import RequestFailed, ServiceUnavailable
+from .verdicts import Verdict
+
+__all__ = ('UpstreamAnswer', 'UpstreamClient', 'UpstreamRequest')
+
+_CHUNK_BYTES = 16384
+_LOAD_TIMEOUT = 2.0
+_CONNECT_TIMEOUT = 2.0
+
+# A connection that has ended, or was released, cannot be shut down.
+_CLOSE_ERRORS = (HTTPError, OSError, ValueError, RuntimeError)
+
+# Headers that belong to one connection are not passed on (RFC 9110, 7.6.1).
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """A request as the upstream gets it; ``timeout`` in seconds."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout: float
+
+
+class UpstreamAnswer:
+    """Status, headers and body of an answer that is being received."""
+
+    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Read from ``response``."""
+        self.response = response
+        self.status = response.status
+        self.headers = tuple(
+            (name, text)
+            for name, text in response.headers.items()
+            if name.lower() not in HOP_HEADERS
+        )
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            RequestFailed: the body ended early.
+        """
+        try:
+            yield from self.response.stream(_CHUNK_BYTES, decode_content=False)
+        except (HTTPError, OSError) as error:
+            raise RequestFailed(
+                f'the upstream broke off its answer: {error}',
+                Verdict.MAY_HAVE_RUN,
+                502,
+            ) from error
+
+    def close(self) -> None:
+        """Stop receiving; called from any thread."""
+        try:
+            self.response.shutdown()
+        except _CLOSE_ERRORS:
+            # The answer is complete or the connection has ended already.
+            return
+
+
+class UpstreamClient:
+    """Sends requests to one upstream."""
+
+    def __init__(self, address: str, connections: int) -> None:
+        """Use up to ``connections`` connections to ``address``."""
+        host, _, port = address.rpartition(':')
+        self.pool = urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=connections,
+            retries=False,
+        )
+
+    def open_answer(self, request: UpstreamRequest) -> UpstreamAnswer:
+        """Send a request and return when the head of the answer is there.
+
+        Raises:
+            RequestFailed: no answer; ``not_run`` if the upstream refused the
+                connection, else ``may_have_run``.
+        """
+        try:
+            response = self.pool.urlopen(
+                request.method,
+                request.path,
+                body=request.body or None,
+                headers=dict(request.headers),
+                timeout=urllib3.Timeout(
+                    connect=_CONNECT_TIMEOUT,
+                    read=request.timeout,
+                ),
+                preload_content=False,
+                redirect=False,
+                retries=False,
+            )
+        except NewConnectionError as error:
+            raise RequestFailed(
+                'the upstream refused the connection',
+                Verdict.NOT_RUN,
+            ) from error
+        except (HTTPError, OSError) as error:
+            raise RequestFailed(
+                f'the upstream gave no answer: {error}',
+                Verdict.MAY_HAVE_RUN,
+                502,
+            ) from error
+        return UpstreamAnswer(response)
+
+    def load(self) -> UpstreamLoad:
+        """Return the load that the upstream reports.
+
+        Raises:
+            ServiceUnavailable: no report, or one that cannot be understood.
+        """
+        try:
+            response = self.pool.request('GET', '/load', timeout=_LOAD_TIMEOUT)
+            return _parse_load(response.data)
+        except (HTTPError, OSError, msgspec.MsgspecError) as error:
+            raise ServiceUnavailable(f'no load report: {error}') from error
+
+
+def _parse_load(content: bytes) -> UpstreamLoad:
+    decoded: Any = msgspec.json.decode(content)
+    return msgspec.convert(decoded, UpstreamLoad)
--- /dev/null
+++ b/primroseyoke/settings.py
@@ -0,0 +1,123 @@
+"""INI settings, checked in full before a program starts."""
+
+import configparser
+import dataclasses
+import ipaddress
+import types
+from typing import Any, get_type_hints
+
+import msgspec
+
+from .exceptions import SettingsInvalid
+
+__all__ = ('Address', 'load_settings')
+
+_HIGHEST_PORT = 65535
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port, written ``ip:port``."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Return the address in ``text``.
+
+        Raises:
+            ValueError: the text is not an IP number and a port.
+        """
+        host, _, port = text.rpartition(':')
+        host = host.strip('[]')
+        ipaddress.ip_address(host)
+        if not 0 <= int(port) <= _HIGHEST_PORT:
+            raise ValueError(text)
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        """Return the form that ``parse`` accepts."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+def load_settings(path: str, sections: dict[str, type[Any]]) -> Any:
+    """Read a settings file into one object per section.
+
+    Args:
+        path: an INI file.
+        sections: the dataclass of each accepted section; ranges are
+            ``msgspec.Meta`` annotations.
+
+    Returns:
+        A namespace with one attribute per section.
+
+    Raises:
+        SettingsInvalid: the first fault, with file, section, key, what was
+            found and what is accepted.
+    """
+    parser = _read_file(path)
+    unknown = sorted(set(parser.sections()) - set(sections))
+    if unknown:
+        accepted = ', '.join(sorted(sections))
+        raise SettingsInvalid(
+            f'{path}: [{unknown[0]}]: unknown section; accepted: {accepted}',
+        )
+    return types.SimpleNamespace(
+        **{
+            name: _read_section(
+                f'{path}: [{name}]', section_class, parser, name
+            )
+            for name, section_class in sections.items()
+        }
+    )
+
+
+def _read_file(path: str) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding='utf-8') as stream:
+            parser.read_file(stream)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        reason = ' '.join(str(error).split())
+        raise SettingsInvalid(f'{path}: unreadable: {reason}') from error
+    return parser
+
+
+def _read_section(
+    place: str,
+    section_class: type[Any],
+    parser: configparser.ConfigParser,
+    name: str,
+) -> Any:
+    found = dict(parser[name]) if parser.has_section(name) else {}
+    hints = get_type_hints(section_class, include_extras=True)
+    unknown = sorted(set(found) - set(hints))
+    if unknown:
+        accepted = ', '.join(sorted(hints))
+        raise SettingsInvalid(
+            f'{place} {unknown[0]}: unknown key; accepted: {accepted}',
+        )
+    for field in dataclasses.fields(section_class):
+        if field.name not in found and field.default is dataclasses.MISSING:
+            raise SettingsInvalid(f'{place} {field.name}: missing')
+    return section_class(
+        **{
+            key: _convert(f'{place} {key}', hints[key], text)
+            for key, text in found.items()
+        }
+    )
+
+
+def _convert(place: str, kind: Any, text: str) -> Any:
+    try:
+        if kind is Address:
+            return Address.parse(text)
+        return msgspec.convert(text, kind, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsInvalid(f'{place}: found {text!r}: {error}') from error
+    except ValueError as error:
+        raise SettingsInvalid(
+            f'{place}: found {text!r}: expected ip:port',
+        ) from error
--- /dev/null
+++ b/primroseyoke/verdicts.py
@@ -0,0 +1,16 @@
+"""Whether the work of a request was carried out."""
+
+import enum
+
+__all__ = ('Verdict',)
+
+
+class Verdict(enum.Enum):
+    """What is known about the execution of one request."""
+
+    #: The request was not executed, and never will be.
+    NOT_RUN = 'not_run'
+    #: It is unknown whether the request was executed.
+    MAY_HAVE_RUN = 'may_have_run'
+    #: The request was executed.
+    RAN = 'ran'
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,43 @@
+"""Fixtures and settings that all tests share."""
+
+import hypothesis
+import pytest
+
+from tests.fleet import Fleet, wait_for
+
+# The same examples in each run, so that the verdict does not depend on luck.
+hypothesis.settings.register_profile(
+    'fixed',
+    derandomize=True,
+    deadline=None,
+    print_blob=True,
+)
+hypothesis.settings.load_profile('fixed')
+
+ZONES = ('zone-a', 'zone-b')
+
+
+@pytest.fixture
+def fleet():
+    with Fleet() as started:
+        yield started
+
+
+@pytest.fixture(scope='module')
+def small_fleet():
+    """Two zones with a model service and a plain service, ready to serve."""
+    with Fleet() as started:
+        started.service('draft', 'model', ZONES, tokens=20)
+        started.service('app', 'plain', ZONES, ['POST /invoices'])
+        started.entries = [
+            started.entry(f'entry-{zone}', zone) for zone in ZONES
+        ]
+        assert started.publish().returncode == 0
+        for entry in started.entries:
+            wait_for(lambda entry=entry: is_linked(entry), 10, 'links')
+        yield started
+
+
+def is_linked(entry):
+    links = entry.state()['links']
+    return links and all(link['up'] for link in links.values())
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,254 @@
+"""Starts stand-ins, agents and entries as separate processes on loopback."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import urllib3
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HTTP = urllib3.PoolManager(maxsize=64, retries=False, timeout=15)
+
+
+@dataclasses.dataclass
+class Process:
+    """One started process and its addresses."""
+
+    name: str
+    popen: subprocess.Popen
+    address: str
+    admin: str = ''
+
+    def send(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        self.popen.wait()
+
+    def stop(self, timeout=20):
+        self.send(signal.SIGTERM)
+        return self.popen.wait(timeout)
+
+    def fault(self, **faults):
+        HTTP.request('POST', f'http://{self.address}/fault', json=faults)
+
+    def get(self, path):
+        return HTTP.request('GET', f'http://{self.address}{path}').json()
+
+    def state(self):
+        return HTTP.request('GET', f'http://{self.admin}/state').json()
+
+
+class Fleet:
+    """A small deployment; use as a context manager."""
+
+    def __init__(self, defaults=None):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='primroseyoke-'))
+        self.processes = {}
+        self.parts = {'defaults': defaults or {}}
+
+    def __enter__(self):
+        self.log = self.standin('log', 'logservice')
+        self.host_list = self.standin('hosts', 'hostlist')
+        self.write(
+            'ctl',
+            {
+                'log_service': self.log.address,
+                'host_list': self.host_list.address,
+                'author': 'fleet',
+            },
+        )
+        return self
+
+    def __exit__(self, *unused):
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+            process.popen.wait()
+
+    def standin(self, name, kind, port=None, **faults):
+        port = port or free_port()
+        return self._spawn(
+            name,
+            ['-m', 'tests.standins', kind, str(port), json.dumps(faults)],
+            f'127.0.0.1:{port}',
+        )
+
+    def service(self, name, kind, zones, non_idempotent=(), **faults):
+        """Add a service with one upstream in each of ``zones``."""
+        self.parts[f'service/{name}'] = {
+            'kind': kind,
+            'non_idempotent': list(non_idempotent),
+        }
+        members = []
+        for number, zone in enumerate(zones, 1):
+            upstream = f'{name}-{number}'
+            members.append(upstream)
+            standin = 'engine' if kind == 'model' else 'plain'
+            self.standin(f'{upstream}-upstream', standin, **faults)
+            agent = self.agent(upstream, zone)
+            self.parts[f'upstream/{upstream}'] = {
+                'service': name,
+                'availability_zone': zone,
+                'agent': agent.address,
+            }
+        if non_idempotent:
+            self.parts[f'homes/{name}'] = {'members': members}
+
+    def agent(self, name, zone, address=None, **settings):
+        address = address or f'127.0.0.1:{free_port()}'
+        path = self.write(
+            'agent',
+            {
+                'name': name,
+                'availability_zone': zone,
+                'listen': address,
+                'upstream': self.processes[f'{name}-upstream'].address,
+                'log_service': self.log.address,
+                **settings,
+            },
+            name,
+        )
+        command = ['-m', 'primroseyoke.agent', f'--settings={path}']
+        return self._spawn(name, command, address, address)
+
+    def entry(self, name, zone, address=None, **settings):
+        address = address or f'127.0.0.1:{free_port()}'
+        admin = f'127.0.0.1:{free_port()}'
+        path = self.write(
+            'entry',
+            {
+                'name': name,
+                'availability_zone': zone,
+                'listen': address,
+                'admin': admin,
+                'log_service': self.log.address,
+                'balancer_delay': 0.5,
+                **settings,
+            },
+            name,
+        )
+        command = ['-m', 'primroseyoke.entry', f'--settings={path}']
+        return self._spawn(name, command, address, admin)
+
+    def restart_agent(self, name, **settings):
+        zone = self.parts[f'upstream/{name}']['availability_zone']
+        return self.agent(name, zone, self.processes[name].address, **settings)
+
+    def publish(self, parts=None, reason='fleet start', *arguments):
+        path = self.folder / 'change.json'
+        path.write_text(json.dumps(parts or self.parts))
+        return self.ctl('publish', str(path), f'--reason={reason}', *arguments)
+
+    def ctl(self, *arguments):
+        self.list_hosts()
+        return subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'primroseyoke.ctl',
+                *arguments,
+                f'--settings={self.folder}/ctl.ini',
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def list_hosts(self):
+        self.host_list.fault(
+            hosts=[
+                {
+                    'name': process.name,
+                    'role': 'entry'
+                    if process.admin != process.address
+                    else 'agent',
+                    'availability_zone': 'zone',
+                    'address': process.admin,
+                }
+                for process in self.processes.values()
+                if process.admin and process.popen.poll() is None
+            ]
+        )
+
+    def write(self, program, settings, name=''):
+        path = self.folder / f'{name or program}.ini'
+        lines = [f'{key} = {value}' for key, value in settings.items()]
+        path.write_text('\n'.join([f'[{program}]', *lines, '']))
+        return path
+
+    def _spawn(self, name, command, address, admin=''):
+        with open(self.folder / f'{name}.log', 'ab') as output:
+            popen = subprocess.Popen(
+                [sys.executable, *command],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            )
+        process = Process(name, popen, address, admin)
+        self.processes[name] = process
+        wait_for(lambda: is_listening(address), 15, f'{name} to listen')
+        return process
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def is_listening(address):
+    host, _, port = address.partition(':')
+    with contextlib.closing(socket.socket()) as probe:
+        probe.settimeout(0.5)
+        return probe.connect_ex((host, int(port))) == 0
+
+
+def wait_for(condition, timeout=10, what='the condition'):
+    """Wait until a condition holds; return the seconds that it took."""
+    started = time.monotonic()
+    while time.monotonic() - started < timeout:
+        with contextlib.suppress(urllib3.exceptions.HTTPError, ConnectionError):
+            if condition():
+                return time.monotonic() - started
+        time.sleep(0.05)
+    raise TimeoutError(f'waited {timeout} s for {what}')
+
+
+def call(entry, method, path, **options):
+    """Send a request to an entry; return the whole response."""
+    return HTTP.request(method, f'http://{entry.address}{path}', **options)
+
+
+def chat(entry, service, text, stream=True, **headers):
+    """Send a chat request; return the response with its body."""
+    document = {
+        'model': service,
+        'stream': stream,
+        'messages': [{'role': 'user', 'content': text}],
+    }
+    path = '/v1/chat/completions'
+    return call(entry, 'POST', path, json=document, headers=headers or None)
+
+
+def chat_text(response):
+    """Return the text of a streamed chat answer."""
+    pieces = []
+    for line in response.data.decode().splitlines():
+        if line.startswith('data: ') and line != 'data: [DONE]':
+            document = json.loads(line.removeprefix('data: '))
+            delta = document['choices'][0]['delta']
+            pieces.append(delta.get('content', ''))
+    return ''.join(pieces)
--- /dev/null
+++ b/tests/standins/servers.py
@@ -0,0 +1,91 @@
+"""Small HTTP servers for the stand-ins, and the faults that they can show."""
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Passes requests to the stand-in; ``POST /fault`` sets its faults."""
+
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def handle_one_request(self):
+        try:
+            super().handle_one_request()
+        except ConnectionError:
+            self.close_connection = True
+
+    def log_message(self, *arguments):
+        """Keep quiet."""
+
+    def body(self):
+        if self.headers.get('Transfer-Encoding', '') == 'chunked':
+            return self._chunked_body()
+        return self.rfile.read(int(self.headers.get('Content-Length', 0)))
+
+    def _chunked_body(self):
+        content = b''
+        while size := int(self.rfile.readline(), 16):
+            content += self.rfile.read(size)
+            self.rfile.readline()
+        self.rfile.readline()
+        return content
+
+    def reply(self, status, document, headers=()):
+        content = json.dumps(document).encode()
+        self.send_response(status)
+        for name, text in headers:
+            self.send_header(name, text)
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(content)))
+        self.end_headers()
+        self.wfile.write(content)
+
+    def chunk(self, content):
+        self.wfile.write(b'%x\r\n%s\r\n' % (len(content), content))
+
+    def _handle(self):
+        if self.path == '/fault':
+            self.server.standin.faults.update(json.loads(self.body()))
+            self.reply(200, self.server.standin.faults)
+        else:
+            self.server.standin.handle(self)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _handle  # noqa: N815
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request, client_address):
+        """A caller that went away is no fault of the stand-in."""
+
+
+class Standin:
+    """Base class; ``faults`` can be changed at any time."""
+
+    def __init__(self, port=0, **faults):
+        self.faults = faults
+        self.lock = threading.Lock()
+        self.server = Server(('127.0.0.1', port), Handler)
+        self.server.standin = self
+        self.address = '127.0.0.1:{0}'.format(self.server.server_port)
+
+    def start(self):
+        threading.Thread(
+            target=self.server.serve_forever,
+            args=(0.05,),
+            daemon=True,
+        ).start()
+        return self
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def delay(self):
+        time.sleep(self.faults.get('delay', 0))
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,70 @@
+"""The whole path through separate processes, as a caller sees it."""
+
+import json
+
+import pytest
+
+from tests.fleet import call, chat, chat_text
+
+KEYED = '/services/app/invoices'
+
+
+def test_streamed_draft_is_whole(small_fleet):
+    """Guards against lost or reordered pieces of a stream."""
+    response = chat(small_fleet.entries[0], 'draft', 'the end')
+    assert response.status == 200
+    expected = ''.join(f'{word} ' for word in range(20))
+    assert chat_text(response) == f'{expected}the end'
+
+
+def test_key_sent_twice_runs_once(small_fleet):
+    """Guards against a second run when a resend comes through another entry."""
+    first, second = small_fleet.entries
+    key = call(first, 'POST', '/keys/app').json()['key']
+    answers = [
+        call(
+            entry,
+            'POST',
+            KEYED,
+            body=b'once',
+            headers={'Idempotency-Key': key},
+        )
+        for entry in (first, second)
+    ]
+    assert [answer.status for answer in answers] == [200, 200]
+    assert answers[0].data == answers[1].data
+    assert answers[1].headers['Idempotent-Replayed'] == 'true'
+
+
+def test_key_for_another_request_is_refused(small_fleet):
+    """Guards against one key being used for two postings."""
+    entry = small_fleet.entries[0]
+    headers = {'Idempotency-Key': 'reused-key'}
+    call(entry, 'POST', KEYED, body=b'one', headers=headers)
+    refused = call(entry, 'POST', KEYED, body=b'two', headers=headers)
+    assert refused.status == 422
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'headers', 'status'),
+    [
+        ('GET', '/nowhere', None, {}, 404),
+        ('GET', '/services/unknown/x', None, {}, 404),
+        ('GET', '/services/draft/x', None, {}, 400),
+        ('POST', '/v1/chat/completions', b'{', {}, 400),
+        ('POST', '/v1/chat/completions', b'{"model": 5}', {}, 400),
+        ('GET', '/v1/chat/completions', None, {}, 405),
+        ('POST', KEYED, b'x', {}, 400),
+        ('POST', KEYED, b'x', {'Idempotency-Key': 'a b'}, 400),
+        ('POST', KEYED, b'x' * (2**20 + 1), {'Idempotency-Key': 'k'}, 413),
+        ('GET', '/services/app/x', None, {'Request-Timeout': 'soon'}, 400),
+        ('GET', '/services/app/x', None, {'Client-Account': '?'}, 400),
+    ],
+)
+def test_bad_input_is_refused(small_fleet, method, path, body, headers, status):
+    """Guards against bad input that runs, or that gets an unclear answer."""
+    entry = small_fleet.entries[0]
+    response = call(entry, method, path, body=body, headers=headers)
+    assert response.status == status
+    assert response.headers['Content-Type'] == 'application/problem+json'
+    assert json.loads(response.data)['verdict'] == 'not_run'
