Measure control work against the number of links; report load on change

Cause: at 128 links, a load report at each 0.5 s poll is 256 messages/s, about 19 KB/s by calculation, above the budget of 17 KB/s for control.

Change: an agent reports load when it has changed by a quarter of its limit and every 5 s; announcements repeat every 10 s (changes go out at once). bench/capacity.py measures entry and agent against 3 sizes each. The link pool closes its connections when an entry stops.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,173 @@
+"""Slopes of the control work of an entry and an agent against their peers.
+
+Each size runs a real process with stand-in peers on loopback. Bytes are those
+of messages and websocket frames, without TCP and IP headers.
+"""
+
+import collections
+import threading
+import time
+
+import psutil
+
+from bench.figures import report
+from primroseyoke.links import LinkPool, LinkServer
+from primroseyoke.messages import Hello, Load, LoadReport, Welcome, encode
+from primroseyoke.settings import Address
+from tests.fleet import Fleet, free_port, wait_for
+
+SIZES = (16, 64, 128)
+IDLE_SECONDS = 12
+_FRAME_OVERHEAD = 8
+_REPORT_INTERVAL = 5.0
+
+
+class Traffic:
+    """Counts messages and bytes in both directions."""
+
+    def __init__(self):
+        self.counts = collections.Counter()
+
+    def add(self, direction, message):
+        self.counts[f'{direction}_messages'] += 1
+        size = len(encode(message)) + _FRAME_OVERHEAD
+        self.counts[f'{direction}_bytes'] += size
+
+
+class Agents:
+    """Stand-in agents that report load as real ones do."""
+
+    def __init__(self, count, traffic):
+        self.traffic = traffic
+        self.stopped = threading.Event()
+        self.servers = {
+            f'draft-{number}': self._serve(f'draft-{number}')
+            for number in range(count)
+        }
+        threading.Thread(target=self._report, daemon=True).start()
+
+    def _serve(self, name):
+        server = LinkServer(
+            Address('127.0.0.1', free_port()),
+            lambda: Welcome(name, 'incarnation', Load(1, 0, 8)),
+            lambda peer, message: self.traffic.add('sent', message),
+            lambda peer: None,
+            dict,
+        )
+        server.start()
+        return server
+
+    def _report(self):
+        message = LoadReport(Load(1, 0, 8))
+        while not self.stopped.wait(_REPORT_INTERVAL):
+            for server in self.servers.values():
+                self.traffic.add('received', message)
+                server.broadcast(message)
+
+    def linked(self):
+        return sum(bool(server.peers) for server in self.servers.values())
+
+    def stop(self):
+        self.stopped.set()
+        for server in self.servers.values():
+            server.stop()
+
+
+def measure(process, traffic):
+    """Return processor share, resident bytes and traffic while idle."""
+    watched = psutil.Process(process.popen.pid)
+    before = watched.cpu_times()
+    traffic.counts.clear()
+    time.sleep(IDLE_SECONDS)
+    after = watched.cpu_times()
+    used = after.user + after.system - before.user - before.system
+    rates = {
+        name: count / IDLE_SECONDS for name, count in traffic.counts.items()
+    }
+    return {
+        'cpu_share': used / IDLE_SECONDS,
+        'resident_bytes': watched.memory_info().rss,
+        'threads': watched.num_threads(),
+        **rates,
+    }
+
+
+def entry_with(count):
+    traffic = Traffic()
+    agents = Agents(count, traffic)
+    with Fleet() as fleet:
+        fleet.parts['service/draft'] = {'kind': 'model'}
+        for name, server in agents.servers.items():
+            fleet.parts[f'upstream/{name}'] = {
+                'service': 'draft',
+                'availability_zone': 'zone-a',
+                'agent': str(server.listen),
+            }
+        entry = fleet.entry('entry', 'zone-a', links_per_service=count)
+        fleet.publish()
+        wait_for(lambda: agents.linked() == count, 20, 'links')
+        time.sleep(1)
+        figures = measure(entry, traffic)
+    agents.stop()
+    return figures
+
+
+def agent_with(count):
+    traffic = Traffic()
+    with Fleet() as fleet:
+        fleet.service('draft', 'model', ['zone-a'])
+        fleet.publish({**fleet.parts})
+        agent = fleet.processes['draft-1']
+        pools = [_entry_pool(number, agent, traffic) for number in range(count)]
+        wait_for(
+            lambda: all(pool.is_linked('draft-1') for pool in pools),
+            20,
+            'links',
+        )
+        time.sleep(1)
+        figures = measure(agent, traffic)
+        for pool in pools:
+            pool.stop()
+    return figures
+
+
+def _entry_pool(number, agent, traffic):
+    pool = LinkPool(
+        Hello(f'entry-{number}', 'zone-a', '0'),
+        lambda link, message: traffic.add('sent', message),
+        lambda link: None,
+    )
+    pool.events.start()
+    pool.want({'draft-1': agent.address})
+    return pool
+
+
+def slope(sizes, values):
+    """Return the slope and the level at zero of a least-squares line."""
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    rise = sum(
+        (size - mean_size) * (value - mean_value)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return rise / spread, mean_value - rise / spread * mean_size
+
+
+def main():
+    for role, run, sizes in (
+        ('entry', entry_with, SIZES),
+        ('agent', agent_with, (4, 16, 64)),
+    ):
+        measured = {size: run(size) for size in sizes}
+        for name in sorted(measured[sizes[-1]]):
+            values = [measured[size].get(name, 0) for size in sizes]
+            for size, value in zip(sizes, values, strict=True):
+                report(f'{role}_{name}_{size}_links', value, 'each')
+            per_link, level = slope(sizes, values)
+            report(f'{role}_{name}_per_link', per_link, 'slope')
+            report(f'{role}_{name}_at_0_links', level, 'each')
+
+
+if __name__ == '__main__':
+    main()
--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -44,8 +44,14 @@
 log = logging.getLogger(__name__)
 
 _TICK = 0.1
-_ANNOUNCE_INTERVAL = 2.0
+# Changes are announced at once; this repairs what was lost, and renews the
+# time at which the configuration was confirmed.
+_ANNOUNCE_INTERVAL = 10.0
 _LOAD_INTERVAL = 0.5
+# Load travels on answers as well, so an unchanged report is rarely news: with
+# 128 links, reports at each poll alone would take 19 KB/s of an entry.
+_LOAD_REPORT_INTERVAL = 5.0
+_NEWS_SHARE = 0.25
 _DRAIN_GRACE = 1.0
 
 
@@ -72,6 +78,8 @@
         self.stopped = threading.Event()
         self.finished = threading.Event()
         self.incarnation = uuid.uuid4().hex
+        self.reported = Load()
+        self.reported_at = 0.0
         self.actor = AttemptsActor.start(
             settings.name,
             str(settings.upstream),
@@ -140,7 +148,13 @@
             self.actor.tell(self.upstream.load())
         except ServiceUnavailable as error:
             log.debug('%s', error)
-        self.server.broadcast(LoadReport(self._load()))
+        load = self._load()
+        now = time.monotonic()
+        overdue = now - self.reported_at >= _LOAD_REPORT_INTERVAL
+        if overdue or _is_news(self.reported, load):
+            self.reported = load
+            self.reported_at = now
+            self.server.broadcast(LoadReport(load))
 
     def _load(self) -> Load:
         return cast(Load, self.actor.ask(AskLoad()))
@@ -169,6 +183,18 @@
         log.info('agent stopped')
 
 
+def _is_news(before: Load, after: Load) -> bool:
+    """Tell whether entries should hear of a load before the next interval."""
+    if before.accepting != after.accepting:
+        return True
+    step = max(before.limit, 1) * _NEWS_SHARE
+    if abs(after.limit - before.limit) >= step:
+        return True
+    occupied_before = before.running + before.waiting
+    occupied_after = after.running + after.waiting
+    return abs(occupied_after - occupied_before) >= max(step, 1)
+
+
 def main() -> None:
     """Run the program."""
     run_program('agent', AgentSettings, Agent)
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -37,7 +37,9 @@
 
 log = logging.getLogger(__name__)
 
-_ANNOUNCE_INTERVAL = 2.0
+# Changes are announced at once; this repairs what was lost, and renews the
+# time at which the configuration was confirmed.
+_ANNOUNCE_INTERVAL = 10.0
 READY_PATH = '/ready'
 
 
@@ -110,6 +112,7 @@
         self.callers.stop()
         self.finished.set()
         self.reader.stop()
+        self.pool.stop()
         self.admin.stop()
         pykka.ActorRegistry.stop_all(timeout=2)
         log.info('entry stopped')
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -89,6 +89,7 @@
         """End the loop and wait for its thread."""
         self.call(self.loop.stop)
         self.thread.join(timeout=2)
+        self.loop.close()
 
 
 class Attempt:
@@ -273,6 +274,18 @@
         for link in tuple(self.links.values()):
             link.send(message)
 
+    def stop(self) -> None:
+        """Close all links and end the event loop."""
+        self.events.wait(self._close())
+        self.events.stop()
+
+    async def _close(self) -> None:
+        tasks = [link.task for link in self.links.values()]
+        self.links.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _adjust(self, addresses: Mapping[str, str]) -> None:
         for upstream, link in tuple(self.links.items()):
             if addresses.get(upstream) != link.address:
