Retry in another zone first, and let requests earn retries

Change: Router.choose avoids the zones of excluded upstreams while there is another candidate; a client earns 0.2 retries with each request.

--- a/primroseyoke/balancing.py
+++ b/primroseyoke/balancing.py
@@ -54,6 +54,7 @@
     """Ask for an upstream and count the request there."""
 
     service: str
+    client: str
     excluded: tuple[str, ...]
 
 
@@ -139,6 +140,8 @@
             message.service,
             message.excluded,
         )
+        if not message.excluded:
+            self.budget.earn(message.client, time.monotonic())
         if choice is not None:
             self.router.begin(choice)
         return choice
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -232,9 +232,8 @@
         request: CallerRequest,
         tried: tuple[str, ...],
     ) -> str | None:
-        choice: Any = self.routing.ask(Choose(request.service, tried))
-        if choice is None and tried:
-            choice = self.routing.ask(Choose(request.service, ()))
+        ask = Choose(request.service, request.client, tried)
+        choice: Any = self.routing.ask(ask)
         return str(choice) if choice else None
 
     def _may_retry(self, request: CallerRequest, deadline: float) -> bool:
--- a/primroseyoke/retries.py
+++ b/primroseyoke/retries.py
@@ -7,6 +7,9 @@
 __all__ = ('RetryBudget',)
 
 _MAX_CLIENTS = 8192
+# Retries that requests can earn, enough for what a large account has in
+# progress at one entry when a zone is lost.
+_MAX_EARNED = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,27 +22,51 @@
     """Limits the retries of each client.
 
     Without a budget, a slow availability zone turns each request into several
-    and keeps itself slow.
+    and keeps itself slow. A client earns retries with its requests, so a large
+    account survives the loss of a zone as a small one does.
     """
 
-    def __init__(self, rate: float = 2, burst: float = 10) -> None:
-        """Allow ``rate`` retries a second and ``burst`` at once."""
+    def __init__(
+        self,
+        rate: float = 1,
+        burst: float = 10,
+        share: float = 0.2,
+    ) -> None:
+        """Allow some retries, and more to a client with many requests.
+
+        Args:
+            rate: retries a second for each client.
+            burst: retries at once for each client.
+            share: retries earned by each request.
+        """
         self.rate = rate
         self.burst = burst
+        self.share = share
         self.buckets: cachetools.LRUCache[str, _Bucket] = cachetools.LRUCache(
             _MAX_CLIENTS,
         )
 
     def spend(self, client: str, now: float) -> bool:
         """Take one token of a client; return False if there is none."""
+        bucket = self._refill(client, now)
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
+
+    def earn(self, client: str, now: float) -> None:
+        """Count one request of a client, which is not a retry."""
+        bucket = self._refill(client, now)
+        earned = min(bucket.tokens + self.share, _MAX_EARNED)
+        bucket.tokens = max(bucket.tokens, earned)
+
+    def _refill(self, client: str, now: float) -> _Bucket:
         bucket = self.buckets.get(client)
         if bucket is None:
             bucket = _Bucket(self.burst, now)
             self.buckets[client] = bucket
         elapsed = max(now - bucket.updated_at, 0)
-        bucket.tokens = min(bucket.tokens + elapsed * self.rate, self.burst)
+        refilled = min(bucket.tokens + elapsed * self.rate, self.burst)
+        bucket.tokens = max(bucket.tokens, refilled)
         bucket.updated_at = now
-        if bucket.tokens < 1:
-            return False
-        bucket.tokens -= 1
-        return True
+        return bucket
--- a/primroseyoke/routing.py
+++ b/primroseyoke/routing.py
@@ -71,13 +71,18 @@
         service: str,
         excluded: Collection[str] = (),
     ) -> str | None:
-        """Return an upstream for a request, None if there is no candidate."""
+        """Return an upstream for a request, None if there is no candidate.
+
+        An excluded upstream, or another in its availability zone, is chosen
+        only if there is no other: a zone that is cut off loses its links one
+        after the other.
+        """
         candidates = [
             name
             for name in sorted(self.known)
             if self._is_candidate(configuration, service, name)
-            and name not in excluded
         ]
+        candidates = _avoid(configuration, candidates, excluded)
         local = [
             name for name in candidates if self._is_local(configuration, name)
         ]
@@ -103,10 +108,7 @@
         return configuration.takes_work(name)
 
     def _is_local(self, configuration: Configuration, name: str) -> bool:
-        upstream = configuration.upstream(name)
-        if upstream is None:
-            return False
-        return upstream.availability_zone == self.availability_zone
+        return _zone(configuration, name) == self.availability_zone
 
     def _better_of_two(self, names: list[str]) -> str | None:
         if not names:
@@ -118,6 +120,26 @@
         return self.known[name].share()
 
 
+def _avoid(
+    configuration: Configuration,
+    candidates: list[str],
+    excluded: Collection[str],
+) -> list[str]:
+    if not excluded:
+        return candidates
+    zones = {_zone(configuration, name) for name in excluded}
+    elsewhere = [
+        name for name in candidates if _zone(configuration, name) not in zones
+    ]
+    fresh = [name for name in candidates if name not in excluded]
+    return elsewhere or fresh or candidates
+
+
+def _zone(configuration: Configuration, name: str) -> str:
+    upstream = configuration.upstream(name)
+    return upstream.availability_zone if upstream else ''
+
+
 def choose_links(
     configuration: Configuration,
     host: str,
