Route by prompt prefix under a load bound; verdicts of bad input tell of keys

Cause: (1) engines cache prompt prefixes and the router ignored them; its load estimate forgot requests begun since the last report. (2) A resend that was refused as malformed said not_run although an earlier request under the same key may have run. (3) Deeply nested JSON raised RecursionError (500).

Change: Router.choose takes a prefix hash and keeps equal prefixes together up to 0.9 of the limit, at 3 upstreams at most; the estimate adds what the entry has begun since the report. JSON is decoded with msgspec.

--- a/primroseyoke/balancing.py
+++ b/primroseyoke/balancing.py
@@ -56,6 +56,7 @@
     service: str
     client: str
     excluded: tuple[str, ...]
+    prefix: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +140,7 @@
             self.configuration,
             message.service,
             message.excluded,
+            message.prefix,
         )
         if not message.excluded:
             self.budget.earn(message.client, time.monotonic())
--- a/primroseyoke/callers.py
+++ b/primroseyoke/callers.py
@@ -1,12 +1,12 @@
 """HTTP towards callers: parsing of requests, answers and problems."""
 
 import dataclasses
-import json
 import re
 import types
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+import msgspec
 import xxhash
 
 from .exceptions import RequestFailed, RequestInvalid
@@ -21,6 +21,8 @@
 KEYS_PREFIX = '/keys/'
 MAX_BODY_BYTES = 2**20
 ANONYMOUS = 'anonymous'
+# Engines cache prompts in blocks; a shorter start would join unlike prompts.
+_PREFIX_BYTES = 512
 
 _KEY = re.compile('[!-~]{1,128}')
 _NAME = re.compile('[a-zA-Z0-9._-]{1,64}')
@@ -40,7 +42,8 @@
     """One request of a caller.
 
     ``timeout`` is the time in seconds that the caller gives it, 0 for the
-    default. ``key`` is empty if there is none.
+    default. ``key`` is empty if there is none. ``prefix`` is the hash of the start
+    of a prompt, 0 for other requests.
     """
 
     service: str
@@ -54,6 +57,7 @@
     timeout: float
     fingerprint: int
     chat: bool
+    prefix: int
 
 
 def issued_key(
@@ -66,7 +70,7 @@
         raise RequestInvalid('keys are issued on POST', 405)
     service = environ['PATH_INFO'].removeprefix(KEYS_PREFIX)
     key = issue(service, _client(environ))
-    body = json.dumps({'key': key}).encode()
+    body = msgspec.json.encode({'key': key})
     start_response(
         '201 Created',
         [
@@ -101,8 +105,11 @@
     path = environ['PATH_INFO']
     body = _read_body(environ)
     chat = path == CHAT_PATH
+    prefix = 0
     if chat:
-        service, upstream_path = _chat_service(method, body), path
+        document = _chat_document(method, body)
+        service, upstream_path = document['model'], path
+        prefix = _prefix(document)
     else:
         service, upstream_path = _plain_service(path)
     if environ.get('QUERY_STRING'):
@@ -121,29 +128,37 @@
         timeout=_timeout(environ),
         fingerprint=_fingerprint(service, method, upstream_path, body),
         chat=chat,
+        prefix=prefix,
     )
 
 
 def problem(
+    environ: Mapping[str, Any],
     start_response: Callable[..., Any],
     error: RequestInvalid | RequestFailed,
 ) -> Iterable[bytes]:
-    """Answer with a problem document (RFC 9457) that carries the verdict."""
+    """Answer with a problem document (RFC 9457) that carries the verdict.
+
+    A request that is refused as invalid was not executed, but an earlier one
+    under the same key may have been, and the verdict is about the key.
+    """
     verdict = Verdict.NOT_RUN
+    if _KEY.fullmatch(environ.get('HTTP_IDEMPOTENCY_KEY', '')):
+        verdict = Verdict.MAY_HAVE_RUN
     headers = [('Content-Type', 'application/problem+json')]
     if isinstance(error, RequestFailed):
         verdict = error.verdict
         if error.retry_after:
             seconds = max(round(error.retry_after), 1)
             headers.append(('Retry-After', str(seconds)))
-    body = json.dumps(
+    body = msgspec.json.encode(
         {
             'title': _TITLES.get(error.status, 'Request failed'),
             'status': error.status,
             'detail': str(error),
             'verdict': verdict.value,
         }
-    ).encode()
+    )
     headers.append(('Content-Length', str(len(body))))
     start_response(f'{error.status} Problem', headers)
     return [body]
@@ -161,17 +176,28 @@
     return body
 
 
-def _chat_service(method: str, body: bytes) -> str:
+def _chat_document(method: str, body: bytes) -> dict[str, Any]:
     if method != 'POST':
         raise RequestInvalid('chat completions take POST', 405)
     try:
-        document = json.loads(body)
-    except ValueError as error:
-        raise RequestInvalid(f'the body is not JSON: {error}') from error
-    model = document.get('model') if isinstance(document, dict) else None
+        document = msgspec.json.decode(body, type=dict[str, Any])
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise RequestInvalid(
+            f'the body is not a JSON object: {error}'
+        ) from error
+    model = document.get('model')
     if not isinstance(model, str) or not _NAME.fullmatch(model):
         raise RequestInvalid('"model" must name a model service')
-    return model
+    return document
+
+
+def _prefix(document: Mapping[str, Any]) -> int:
+    """Return the hash of the first message, which callers tend to share."""
+    messages = document.get('messages')
+    if not isinstance(messages, list) or not messages:
+        return 0
+    start = msgspec.json.encode(messages[0])[:_PREFIX_BYTES]
+    return xxhash.xxh3_64_intdigest(start)
 
 
 def _plain_service(path: str) -> tuple[str, str]:
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -232,7 +232,7 @@
         request: CallerRequest,
         tried: tuple[str, ...],
     ) -> str | None:
-        ask = Choose(request.service, request.client, tried)
+        ask = Choose(request.service, request.client, tried, request.prefix)
         choice: Any = self.routing.ask(ask)
         return str(choice) if choice else None
 
--- a/primroseyoke/routing.py
+++ b/primroseyoke/routing.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import heapq
 import random
 from collections.abc import Collection, Mapping
 
@@ -17,17 +18,31 @@
 # A request is spilled to another availability zone when the own one's better
 # choice is filled beyond this share of its limit.
 _SPILL_SHARE = 1.0
+# A prefix is kept at its upstream while that is filled up to this share, and
+# tried at this many upstreams (consistent hashing with bounded loads, Mirrokni,
+# Thorup and Zadimoghaddam, 2018).
+_PREFIX_SHARE = 0.9
+_PREFIX_REPLICAS = 3
 
 
 @dataclasses.dataclass(slots=True)
 class _Known:
     load: Load
     in_flight: int = 0
+    in_flight_then: int = 0
+
+    def observe(self, load: Load) -> None:
+        """Take a newer load."""
+        self.load = load
+        self.in_flight_then = self.in_flight
 
     def share(self) -> float:
         """Return the expected use of the limit; above 1 it queues."""
-        waiting = max(self.load.running + self.load.waiting, self.in_flight)
-        return (waiting + 1) / max(self.load.limit, 1)
+        reported = self.load.running + self.load.waiting
+        # What this entry has begun and ended since the report is known.
+        expected = reported + self.in_flight - self.in_flight_then
+        occupied = max(expected, self.in_flight)
+        return (occupied + 1) / max(self.load.limit, 1)
 
 
 class Router:
@@ -52,7 +67,7 @@
     def observe(self, upstream: str, load: Load) -> None:
         """Take load that arrived with an answer or a report."""
         if upstream in self.known:
-            self.known[upstream].load = load
+            self.known[upstream].observe(load)
 
     def begin(self, upstream: str) -> None:
         """Count a request that this entry sends to an upstream."""
@@ -70,12 +85,21 @@
         configuration: Configuration,
         service: str,
         excluded: Collection[str] = (),
+        prefix: int = 0,
     ) -> str | None:
         """Return an upstream for a request, None if there is no candidate.
 
         An excluded upstream, or another in its availability zone, is chosen
         only if there is no other: a zone that is cut off loses its links one
         after the other.
+
+        Args:
+            configuration: the configuration in force.
+            service: name of the service.
+            excluded: upstreams that this request has tried.
+            prefix: hash of the start of the prompt, 0 for none. Equal
+                prefixes go to one upstream while its load allows, so that its
+                prefix cache is used.
         """
         candidates = [
             name
@@ -86,6 +110,9 @@
         local = [
             name for name in candidates if self._is_local(configuration, name)
         ]
+        preferred = self._prefix_choice(local or candidates, prefix)
+        if preferred is not None:
+            return preferred
         choice = self._better_of_two(local)
         if choice and self.known[choice].share() <= _SPILL_SHARE:
             return choice
@@ -110,6 +137,21 @@
     def _is_local(self, configuration: Configuration, name: str) -> bool:
         return _zone(configuration, name) == self.availability_zone
 
+    def _prefix_choice(self, names: list[str], prefix: int) -> str | None:
+        if not prefix or not names:
+            return None
+        ranked = heapq.nlargest(
+            _PREFIX_REPLICAS,
+            names,
+            key=lambda name: _rendezvous_weight(str(prefix), name),
+        )
+        # The first fills up to the bound before the second is used, so a
+        # popular prefix spreads to as many caches as its load needs.
+        for name in ranked:
+            if self.known[name].share() <= _PREFIX_SHARE:
+                return name
+        return None
+
     def _better_of_two(self, names: list[str]) -> str | None:
         if not names:
             return None
