Make the at-most-once rules hold across restarts, moves and late copies

Cause: reading the code against section 6.2 shows keys that run twice or a false not_run: refused rows made after the rows were handed over, a floor that is lost when a graceful restart follows a crash, a late or unregistered 'stopped' that is taken for the last process, a stream whose first records have expired, homes changes in quick succession, a stopped host removed with a 'since' in the past, removed homes, changed key_lifetime, freshness or address of a home, copies of opaque keys that a frozen agent reads late, and an entry that says not_run for a key it knows nothing of. A keyed call on a stale kept connection gets may_have_run although it never ran.

Change: the table is sealed before its rows are left; 'stopped' carries the floor and counts only for the last process that started; the fold refuses the changes above; Start carries sent_at; problems about a well-formed key say may_have_run; calls that must not repeat use a new connection.

Conclusion: the specification holds exhaustively for 0 to 3 restarts, 1 and 2 moves and 2 to 3 copies; each of 9 unsafe variants has a counterexample.

--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -18,6 +18,7 @@
     DumpState,
     PeerLost,
     Received,
+    SealKeys,
     Tick,
 )
 from .distribution import ANNOUNCE, ConfigurationActor, LogReader, PeerMessage
@@ -47,6 +48,8 @@
 _ANNOUNCE_INTERVAL = 2.0
 _LOAD_INTERVAL = 0.5
 _DRAIN_GRACE = 1.0
+# Far below any retention time of the log that keeps a day of records.
+_RENEW_INTERVAL = 3600.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,7 +107,11 @@
         repeat(_TICK, self._tick, self.finished)
         repeat(_LOAD_INTERVAL, self._poll_load, self.finished)
         repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
-        threading.Thread(target=self._open_keys, daemon=True).start()
+        threading.Thread(
+            target=self._open_keys,
+            args=(time.time(),),
+            daemon=True,
+        ).start()
         log.info('agent listens on %s', self.settings.listen)
         self.stopped.wait()
         self._drain()
@@ -145,21 +152,22 @@
     def _load(self) -> Load:
         return cast(Load, self.actor.ask(AskLoad()))
 
-    def _open_keys(self) -> None:
-        opened = self.handover.open(self.stopped)
+    def _open_keys(self, listening_since: float) -> None:
+        opened = self.handover.open(listening_since, self.stopped)
         if opened is not None:
             self.actor.tell(opened)
+            repeat(_RENEW_INTERVAL, self.handover.renew, self.stopped)
 
     def _drain(self) -> None:
         self.actor.tell(Drain())
         self.server.broadcast(LoadReport(self._load()))
         deadline = time.monotonic() + self.settings.drain_timeout
-        remaining: Any = self.actor.ask(AskRemaining())
-        while remaining.attempts and time.monotonic() < deadline:
+        while self.actor.ask(AskRemaining()) and time.monotonic() < deadline:
             time.sleep(_TICK)
-            remaining = self.actor.ask(AskRemaining())
-        if not remaining.attempts:
-            self.handover.close(remaining.rows, time.time())
+        # Requests that still arrive must not change what is handed over.
+        sealed: Any = self.actor.ask(SealKeys())
+        if not sealed.attempts:
+            self.handover.close(sealed.rows, sealed.floor, time.time())
         # The last replies are still on their way to the entries.
         time.sleep(_DRAIN_GRACE)
         self.finished.set()
--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -15,7 +15,16 @@
 from .exceptions import RequestFailed
 from .executions import Execution, ExecutionEnded, replay_messages
 from .handovers import KeysOpened
-from .keys import Claim, Execute, KeyedCall, KeyTable, Reject, Replay, Row
+from .keys import (
+    SKEW,
+    Claim,
+    Execute,
+    KeyedCall,
+    KeyTable,
+    Reject,
+    Replay,
+    Row,
+)
 from .links import Peer, Reply
 from .messages import Cancel, Credit, Load, Message, Refused, Start
 from .services import UpstreamClient
@@ -29,6 +38,7 @@
     'DumpState',
     'PeerLost',
     'Received',
+    'SealKeys',
     'Tick',
 )
 
@@ -75,15 +85,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskRemaining:
-    """Ask for the number of attempts in progress and the key rows."""
+    """Ask for the number of attempts in progress."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Remaining:
-    """What is left while the agent drains."""
+class SealKeys:
+    """Accept no more keys."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealedKeys:
+    """What the next process has to know; see ``KeyTable.seal``.
+
+    ``attempts`` counts those that have not ended: their rows are not final.
+    """
 
-    attempts: int
     rows: Mapping[tuple[str, str, str], Row]
+    floor: float
+    attempts: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,7 +127,7 @@
         self.configuration: Configuration | None = None
         self.confirmed_at = 0.0
         self.admission = Admission(Limits())
-        self.keys = KeyTable(upstream, time.time(), Defaults().key_lifetime)
+        self.keys = KeyTable(upstream, Defaults().key_lifetime)
         self.keys_expired_at = 0.0
         self.jobs: dict[tuple[Peer, int], _Job] = {}
         self.numbers: dict[int, tuple[Peer, int]] = {}
@@ -136,7 +155,9 @@
             defaults.max_held,
             defaults.max_waiting,
         )
-        self.keys.lifetime = defaults.key_lifetime
+        # An exception for one upstream would let two homes disagree on the
+        # age of a key.
+        self.keys.lifetime = message.configuration.defaults.key_lifetime
         self._refuse_waiting()
 
     @on_receive.register
@@ -146,7 +167,7 @@
 
     @on_receive.register
     def _(self, message: KeysOpened) -> None:
-        self.keys.open(message.rows)
+        self.keys.open(message.rows, message.floor)
 
     @on_receive.register
     def _(self, message: Received) -> None:
@@ -183,9 +204,6 @@
     @on_receive.register
     def _(self, message: Tick) -> None:
         now = time.monotonic()
-        for ticket in self.admission.expire(now):
-            job = self.jobs[self.numbers[ticket.attempt]]
-            self._refuse(job, 'the deadline passed in the queue', 504)
         if now - self.keys_expired_at > _KEY_EXPIRY_INTERVAL:
             self.keys_expired_at = now
             self.keys.expire(time.time())
@@ -201,8 +219,13 @@
         return self.load()
 
     @on_receive.register
-    def _(self, message: AskRemaining) -> Remaining:
-        return Remaining(len(self.numbers), dict(self.keys.rows))
+    def _(self, message: AskRemaining) -> int:
+        return len(self.numbers)
+
+    @on_receive.register
+    def _(self, message: SealKeys) -> SealedKeys:
+        rows, floor = self.keys.seal()
+        return SealedKeys(rows, floor, len(self.numbers))
 
     @on_receive.register
     def _(self, message: DumpState) -> dict[str, Any]:
@@ -267,17 +290,32 @@
                 start.client,
                 start.key,
                 start.key_time,
+                start.sent_at,
                 start.fingerprint,
             )
-        job = _Job(peer, start, call, time.monotonic() + start.deadline)
+        # A frozen agent finds old requests in its sockets when it resumes.
+        age = max(time.time() - start.sent_at - SKEW, 0)
+        job = _Job(peer, start, call, time.monotonic() + start.deadline - age)
         if call is not None and not self._claim(job, call):
             return
-        refusal = self._refusal()
+        refusal = self._refusal() or self._missing_key(start)
         if refusal:
             self._refuse(job, refusal, 503)
             return
         self._offer(job)
 
+    def _missing_key(self, start: Start) -> str:
+        """Return why a call that must not repeat cannot run without a key.
+
+        An entry with an older configuration takes it for an idempotent one.
+        """
+        if start.key or self.configuration is None:
+            return ''
+        service = self.configuration.service(start.service)
+        if service is None or service.is_idempotent(start.method, start.path):
+            return ''
+        return 'this call must not repeat and has no key'
+
     def _claim(self, job: _Job, call: KeyedCall) -> bool:
         """Claim the key; if it must not run, answer and return False."""
         claim = self._claim_key(job, call)
@@ -320,6 +358,10 @@
             self._refuse(job, 'too many requests are waiting', 503)
 
     def _admit(self) -> None:
+        # A job that waited while the agent was frozen must not start late.
+        for expired in self.admission.expire(time.monotonic()):
+            job = self.jobs[self.numbers[expired.attempt]]
+            self._refuse(job, 'the deadline passed in the queue', 504)
         if self.configuration is None or not self.admission.report:
             return
         for ticket in self.admission.admit():
--- a/primroseyoke/callers.py
+++ b/primroseyoke/callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import re
+import time
 import types
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -40,7 +41,8 @@
     """One request of a caller.
 
     ``timeout`` is the time in seconds that the caller gives it, 0 for the
-    default. ``key`` is empty if there is none.
+    default. ``key`` is empty if there is none. ``received_at`` is when its
+    head had arrived (Unix seconds).
     """
 
     service: str
@@ -54,6 +56,7 @@
     timeout: float
     fingerprint: int
     chat: bool
+    received_at: float
 
 
 def issued_key(
@@ -97,6 +100,7 @@
     Raises:
         RequestInvalid: the request breaks the protocol.
     """
+    received_at = time.time()
     method = environ['REQUEST_METHOD']
     path = environ['PATH_INFO']
     body = _read_body(environ)
@@ -121,15 +125,20 @@
         timeout=_timeout(environ),
         fingerprint=_fingerprint(service, method, upstream_path, body),
         chat=chat,
+        received_at=received_at,
     )
 
 
 def problem(
+    environ: Mapping[str, Any],
     start_response: Callable[..., Any],
     error: RequestInvalid | RequestFailed,
 ) -> Iterable[bytes]:
     """Answer with a problem document (RFC 9457) that carries the verdict."""
     verdict = Verdict.NOT_RUN
+    if _KEY.fullmatch(_bare_key(environ)):
+        # Only the home knows of other copies under the key.
+        verdict = Verdict.MAY_HAVE_RUN
     headers = [('Content-Type', 'application/problem+json')]
     if isinstance(error, RequestFailed):
         verdict = error.verdict
@@ -184,12 +193,17 @@
 
 
 def _key(environ: Mapping[str, Any]) -> str:
-    key: str = environ.get('HTTP_IDEMPOTENCY_KEY', '').strip().strip('"')
+    key = _bare_key(environ)
     if 'HTTP_IDEMPOTENCY_KEY' in environ and not _KEY.fullmatch(key):
         raise RequestInvalid('Idempotency-Key: 1 to 128 visible characters')
     return key
 
 
+def _bare_key(environ: Mapping[str, Any]) -> str:
+    header: str = environ.get('HTTP_IDEMPOTENCY_KEY', '')
+    return header.strip().strip('"')
+
+
 def _client(environ: Mapping[str, Any]) -> str:
     client: str = environ.get('HTTP_CLIENT_ACCOUNT', ANONYMOUS)
     if not _NAME.fullmatch(client):
--- a/primroseyoke/configuration.py
+++ b/primroseyoke/configuration.py
@@ -33,6 +33,10 @@
 # counts once; at 500 changes a day this is more than a week.
 REMEMBERED_CHANGES = 4096
 
+# Covers the bounds on clocks and delays of keys (SKEW, AHEAD and DELAY of
+# ``keys``, which imports this module), in seconds.
+_KEY_DELAYS = 15.0
+
 _Name = Annotated[str, msgspec.Meta(pattern='^[a-zA-Z0-9._-]{1,64}$')]
 _Address = Annotated[
     str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$')
@@ -429,10 +433,14 @@
     defaults = parts.get('defaults', Defaults())
     if defaults.settle < 2 * defaults.freshness:
         raise ConfigurationInvalid('defaults: settle is below 2 * freshness')
+    if before is None:
+        return
+    for name, homes in before.group('homes').items():
+        _check_key_rules(homes, f'homes/{name}', parts, record, before)
     for name in record.parts:
-        homes = parts.get(name)
-        if isinstance(homes, Homes) and before is not None:
-            _check_homes(name, homes, record, before)
+        changed = parts.get(name)
+        if isinstance(changed, Homes):
+            _check_homes(name, changed, record, before)
 
 
 def _check_references(parts: Mapping[str, Any]) -> None:
@@ -463,6 +471,50 @@
         raise ConfigurationInvalid('no availability zone would stay in')
 
 
+def _check_key_rules(
+    homes: Homes,
+    name: str,
+    parts: Mapping[str, Any],
+    record: Record,
+    before: Configuration,
+) -> None:
+    """Check what the at-most-once rules take for fixed.
+
+    Hosts that have not received a change act on the old values for up to
+    ``freshness``, and callers resend for the ``key_lifetime`` they know.
+    """
+    if name not in parts:
+        raise ConfigurationInvalid(f'{name}: homes cannot be removed')
+    defaults = parts.get('defaults', Defaults())
+    for field in ('key_lifetime', 'freshness'):
+        if getattr(defaults, field) != getattr(before.defaults, field):
+            raise ConfigurationInvalid(f'defaults: {field} is fixed by {name}')
+    held = set(homes.members)
+    if record.appended_at < _settled_at(homes, before):
+        held.update(homes.previous)
+    for member in held - set(parts[name].stopped):
+        _check_address(member, parts, before)
+
+
+def _check_address(
+    member: str,
+    parts: Mapping[str, Any],
+    before: Configuration,
+) -> None:
+    # Agents of one name at two addresses would both be the home.
+    old = before.upstream(member)
+    new = parts.get(f'upstream/{member}')
+    if old is not None and (new is None or new.agent != old.agent):
+        raise ConfigurationInvalid(
+            f'upstream/{member}: the address of a home cannot change',
+        )
+
+
+def _settled_at(homes: Homes, before: Configuration) -> float:
+    """Return when no key of the homes before ``since`` is accepted."""
+    return homes.since + before.defaults.key_lifetime + _KEY_DELAYS
+
+
 def _check_homes(
     name: str,
     homes: Homes,
@@ -472,13 +524,14 @@
     current = before.parts.get(name)
     if current is None:
         return
-    if record.appended_at < current.since:
+    if record.appended_at < _settled_at(current, before):
         raise ConfigurationInvalid(f'{name}: the last change is not settled')
     if homes.previous != current.members:
         raise ConfigurationInvalid(f'{name}: previous differs from members')
     removed = set(current.members) - set(homes.members)
     added = set(homes.members) - set(current.members)
+    settle = before.defaults.settle
     if not added and removed == set(homes.stopped) and homes.reason:
-        return
-    if homes.since < record.appended_at + before.defaults.settle:
+        settle = _KEY_DELAYS
+    if homes.since < record.appended_at + settle:
         raise ConfigurationInvalid(f'{name}: since is too early')
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -14,7 +14,7 @@
 from .callers import CallerRequest
 from .configuration import Configuration, Service
 from .exceptions import LinkClosed, RequestFailed, RequestInvalid
-from .keys import home_upstream, route_home
+from .keys import creation_time, route_home
 from .links import Attempt, LinkLost, LinkPool
 from .messages import Body, End, Failed, Head, Headers, Refused, Start
 from .verdicts import Verdict
@@ -128,7 +128,10 @@
         timeout = request.timeout or configuration.defaults.deadline
         deadline = time.monotonic() + timeout
         if service.is_idempotent(request.method, request.path):
-            return self._execute_anywhere(request, deadline)
+            try:
+                return self._execute_anywhere(request, deadline)
+            except RequestFailed as error:
+                raise _about_key(request, error) from error
         if request.key:
             return self._execute_at_home(configuration, request, deadline)
         raise RequestInvalid(
@@ -142,13 +145,13 @@
             RequestFailed: no home of the service can be reached.
             RequestInvalid: the service has no homes.
         """
-        homes = self.configuration and self.configuration.homes(service)
-        if not homes:
+        configuration = self.configuration
+        if configuration is None or not configuration.homes(service):
             raise RequestInvalid(f'{service} has no keyed calls', 404)
         for _ in range(_KEY_TRIES):
             key = _uuid7()
             identity = (service, client, key)
-            home = home_upstream(homes.members, identity)
+            home = _home(configuration, identity, creation_time(key))
             if self.pool.is_linked(home):
                 return key
         raise RequestFailed('no home of the service is linked', Verdict.NOT_RUN)
@@ -214,7 +217,8 @@
         request: CallerRequest,
         deadline: float,
     ) -> Answer:
-        home = _home(configuration, request)
+        identity = (request.service, request.client, request.key)
+        home = _home(configuration, identity, request.key_time)
         while True:
             try:
                 return self._attempt(home, request, deadline, False)  # noqa: WPS425
@@ -264,6 +268,8 @@
             idempotent=idempotent,
             window=WINDOW_BYTES,
             fingerprint=request.fingerprint,
+            # A key without a time expires by the time of the caller's copy.
+            sent_at=time.time() if request.key_time else request.received_at,
         )
         try:
             attempt = self.pool.start(upstream, start)
@@ -311,19 +317,38 @@
     return service
 
 
-def _home(configuration: Configuration, request: CallerRequest) -> str:
-    homes = configuration.homes(request.service)
+def _home(
+    configuration: Configuration,
+    identity: tuple[str, str, str],
+    key_time: float,
+) -> str:
+    homes = configuration.homes(identity[0])
     if homes is None:
         raise RequestFailed('no homes configured', Verdict.MAY_HAVE_RUN)
     return route_home(
         homes,
-        (request.service, request.client, request.key),
-        request.key_time,
+        identity,
+        key_time,
         time.time(),
         configuration.defaults.key_lifetime,
     )
 
 
+def _about_key(request: CallerRequest, failure: RequestFailed) -> RequestFailed:
+    """Return the failure of an unkeyed call as a statement about its key.
+
+    An entry with a newer configuration may have sent the key to its home.
+    """
+    if not request.key or failure.verdict is not Verdict.NOT_RUN:
+        return failure
+    return RequestFailed(
+        str(failure),
+        Verdict.MAY_HAVE_RUN,
+        failure.status,
+        failure.retry_after,
+    )
+
+
 def _is_event_stream(headers: Headers) -> bool:
     return any(
         name.lower() == 'content-type' and text.startswith('text/event-stream')
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -154,7 +154,7 @@
             answer = self._execute(environ, start_response)
         except (RequestInvalid, RequestFailed) as error:
             self.metrics.count(f'refused.{error.status}')
-            return problem(start_response, error)
+            return problem(environ, start_response, error)
         self.metrics.time('head', time.monotonic() - started)
         return answer
 
--- a/primroseyoke/executions.py
+++ b/primroseyoke/executions.py
@@ -51,6 +51,7 @@
         self.window = CreditWindow(start.window)
         self.check = AnswerCheck()
         self.kept: list[bytes] = []
+        self.kept_bytes = 0
         self.answer: UpstreamAnswer | None = None
         self.deadline = 0.0
         self.cancelled = False
@@ -107,6 +108,7 @@
                 start.headers,
                 start.body,
                 timeout,
+                start.idempotent,
             ),
         )
         self.answer = answer
@@ -128,8 +130,9 @@
         )
 
     def _relay_chunk(self, chunk: bytes) -> None:
-        if self.start.key and self.check.length <= MAX_STORED_ANSWER:
+        if self.start.key and self.kept_bytes <= MAX_STORED_ANSWER:
             self.kept.append(chunk)
+            self.kept_bytes += len(chunk)
         try:
             self.window.spend(chunk, self._send_body)
         except LinkClosed:
--- a/primroseyoke/handovers.py
+++ b/primroseyoke/handovers.py
@@ -1,37 +1,46 @@
 """Handover of key rows between successive processes of one upstream.
 
 Each process appends ``started`` to the stream ``keys/<upstream>`` before it
-accepts a key, and ``stopped`` with its rows when it has drained. Two processes
-cannot listen at one address, so the order of the stream is the order in which
-they served.
+accepts a key. When it has drained, it appends its rows, in numbered pages, and
+``stopped``. Two processes cannot listen at one address, so they served in the
+order of their ``started`` records; a ``stopped`` may arrive late.
 """
 
 import dataclasses
 import logging
+import math
 import threading
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
+import msgspec
+
 from .exceptions import ServiceUnavailable
-from .keys import Row, RowState, StoredAnswer
+from .keys import Row, RowState, StoredAnswer, start_floor
 from .records import LogRecord, LogService
 
-__all__ = ('Handover', 'KeysOpened')
+__all__ = ('Handover', 'KeysOpened', 'inherited_keys')
 
 log = logging.getLogger(__name__)
 
 _RETRY_INTERVAL = 2.0
-# Rows of a longer list are not handed over: one record stays below 1 MiB.
-_MAX_ROWS = 8000
+# A record of this size stays below 1 MiB with its last row.
+_PAGE_BYTES = 2**19
+# Answers beyond this are left out, so that the next process reads the rows
+# within its memory. Their keys are then answered ``ran``.
+_ANSWER_BYTES = 2**22
+# What a record of another version or a damaged one raises.
+_ROW_ERRORS = (ValueError, TypeError, LookupError)
 
 Identity = tuple[str, str, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeysOpened:
-    """Keys may be accepted; see ``KeyTable.open`` for the rows."""
+    """Keys may be accepted; see ``KeyTable.open`` for the fields."""
 
-    rows: Mapping[Identity, Row] | None
+    rows: Mapping[Identity, Row]
+    floor: float
 
 
 class Handover:
@@ -48,66 +57,143 @@
         self.stream = f'keys/{upstream}'
         self.incarnation = incarnation
 
-    def open(self, stopped: threading.Event) -> KeysOpened | None:
-        """Register this process; retries until it is known or ``stopped``."""
+    def open(
+        self,
+        listening_since: float,
+        stopped: threading.Event,
+    ) -> KeysOpened | None:
+        """Register this process; retries until it is known or ``stopped``.
+
+        Args:
+            listening_since: when this process could listen (Unix seconds).
+            stopped: ends the retries.
+        """
         while not stopped.is_set():
             try:
-                return KeysOpened(self._register())
+                return self._register(listening_since)
             except ServiceUnavailable as error:
                 log.warning('keys stay closed: %s', error)
             stopped.wait(_RETRY_INTERVAL)
         return None
 
-    def close(self, rows: Mapping[Identity, Row], now: float) -> None:
-        """Leave the rows for the next process; a failure loses them."""
-        listed = [
-            [*identity, *_plain_row(row)]
-            for identity, row in rows.items()
-            if row.expires_at > now
-        ]
-        if len(listed) > _MAX_ROWS:
-            log.warning('%d keys are too many to hand over', len(listed))
+    def renew(self) -> None:
+        """Repeat ``started``, so that it outlives the retention time."""
+        try:
+            self._append('started')
+        except ServiceUnavailable as error:
+            log.warning('the start was not repeated in the log: %s', error)
+
+    def close(
+        self,
+        rows: Mapping[Identity, Row],
+        floor: float,
+        now: float,
+    ) -> None:
+        """Leave rows and floor of a sealed table; a failure loses them."""
+        if floor == math.inf:
+            # Keys were never accepted: what came before is still unknown.
             return
-        content = {
-            'kind': 'stopped',
-            'incarnation': self.incarnation,
-            'rows': listed,
-        }
+        pages = list(_pages(rows, now))
         try:
-            self.service.append(self.stream, content)
+            for number, page in enumerate(pages):
+                self._append('rows', number=number, rows=page)
+            # JSON has no infinity; no floor is null.
+            known = floor if math.isfinite(floor) else None
+            self._append('stopped', pages=len(pages), floor=known)
         except ServiceUnavailable as error:
             log.warning('keys were not handed over: %s', error)
 
-    def _register(self) -> Mapping[Identity, Row] | None:
-        content = {'kind': 'started', 'incarnation': self.incarnation}
-        own = self.service.append(self.stream, content)
-        before = [
-            entry
-            for entry in self._entries(own.offset)
-            if entry.content.get('incarnation') != self.incarnation
-        ]
-        if not before:
-            return {}
-        last = before[-1].content
-        if last.get('kind') != 'stopped':
-            return None
-        return dict(_parse_row(plain) for plain in last['rows'])
-
-    def _entries(self, end: int) -> list[LogRecord]:
-        entries: list[LogRecord] = []
+    def _append(self, kind: str, **content: Any) -> LogRecord:
+        named = {'kind': kind, 'incarnation': self.incarnation, **content}
+        return self.service.append(self.stream, named)
+
+    def _register(self, listening_since: float) -> KeysOpened:
+        own = self._append('started')
+        first = 0
         offset = 0
-        while offset < end:
+        contents: list[Any] = []
+        while offset <= own.offset:
             page = self.service.read(self.stream, offset)
             if not page.records:
-                break
-            entries.extend(page.records)
+                raise ServiceUnavailable('the own record cannot be read yet')
+            first = max(first, page.first)
             offset = page.records[-1].offset + 1
-        return [entry for entry in entries if entry.offset < end]
+            contents.extend(entry.content for entry in page.records)
+        earlier = [
+            content
+            for content in contents
+            if content.get('incarnation') != self.incarnation
+        ]
+        if not earlier and not first:
+            return KeysOpened({}, -math.inf)
+        inherited = inherited_keys(earlier)
+        return inherited or KeysOpened({}, start_floor(listening_since))
 
 
-def _plain_row(row: Row) -> list[Any]:
+def inherited_keys(contents: Sequence[Mapping[str, Any]]) -> KeysOpened | None:
+    """Return what the last process left, None if it left nothing whole.
+
+    Args:
+        contents: the records of earlier processes, in the order of the log.
+    """
+    started = [entry for entry in contents if entry['kind'] == 'started']
+    if not started:
+        return None
+    last = started[-1]['incarnation']
+    left = [entry for entry in contents if entry['incarnation'] == last]
+    pages = {
+        entry['number']: entry['rows']
+        for entry in left
+        if entry['kind'] == 'rows'
+    }
+    for entry in left:
+        # A ``stopped`` of an earlier process may have arrived late; only
+        # that of the last one tells how the last one ended.
+        if entry['kind'] == 'stopped':
+            return _parse_left(entry, pages)
+    return None
+
+
+def _parse_left(
+    stopped: Mapping[str, Any],
+    pages: Mapping[int, Iterable[Any]],
+) -> KeysOpened | None:
+    try:
+        rows = dict(
+            _parse_row(plain)
+            for number in range(stopped['pages'])
+            for plain in pages[number]
+        )
+        floor = stopped['floor']
+    except _ROW_ERRORS as error:
+        log.warning('the rows left cannot be used: %r', error)
+        return None
+    return KeysOpened(rows, -math.inf if floor is None else floor)
+
+
+def _pages(rows: Mapping[Identity, Row], now: float) -> Iterator[list[Any]]:
+    page: list[Any] = []
+    size = 0
+    answer_bytes = 0
+    for identity, row in rows.items():
+        if row.expires_at <= now:
+            continue
+        plain = [*identity, *_plain_row(row, answer_bytes < _ANSWER_BYTES)]
+        if row.answer is not None:
+            answer_bytes += len(row.answer.body)
+        page.append(plain)
+        size += len(msgspec.json.encode(plain))
+        if size > _PAGE_BYTES:
+            yield page
+            page = []
+            size = 0
+    if page:
+        yield page
+
+
+def _plain_row(row: Row, with_answer: bool) -> list[Any]:
     answer = None
-    if row.answer is not None:
+    if row.answer is not None and with_answer:
         body = row.answer.body.decode('latin-1')
         answer = [row.answer.status, row.answer.headers, body]
     return [str(row.fingerprint), row.state.value, row.expires_at, answer]
--- a/primroseyoke/keys.py
+++ b/primroseyoke/keys.py
@@ -19,7 +19,9 @@
 from .verdicts import Verdict
 
 __all__ = (
+    'AHEAD',
     'Claim',
+    'DELAY',
     'Execute',
     'KeyTable',
     'KeyedCall',
@@ -27,16 +29,23 @@
     'Replay',
     'Row',
     'RowState',
+    'SKEW',
     'StoredAnswer',
     'creation_time',
     'home_upstream',
     'home_upstreams',
+    'route_home',
+    'start_floor',
 )
 
 # Bounds the difference between the clocks of two hosts, in seconds.
 SKEW = 1.0
 # How far the clock of a caller may be ahead of the home's, in seconds.
 AHEAD = 2.0
+# A copy under a key without a time is accepted up to this long after an entry
+# sent it. A frozen agent finds older ones in its sockets when it resumes; a
+# link without a heartbeat ends sooner.
+DELAY = 10.0
 # A larger answer is not kept for replay; a resend is told that it ran.
 MAX_STORED_ANSWER = 4096
 _MILLISECONDS = 1000
@@ -46,12 +55,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedCall:
-    """One call under a key; ``key_time`` is 0 for a key without a time."""
+    """One copy of a call under a key, sent by an entry at ``sent_at``.
+
+    ``key_time`` is 0 for a key without a time. Both are Unix seconds.
+    """
 
     service: str
     client: str
     key: str
     key_time: float
+    sent_at: float
     fingerprint: int
 
     @property
@@ -163,43 +176,64 @@
     return after if decisive >= homes.since else before
 
 
+def start_floor(listening_since: float) -> float:
+    """Return the floor of a process that cannot know the rows before it.
+
+    The process before it accepted keys until ``listening_since`` at the
+    latest, since two processes cannot listen at one address.
+    """
+    return listening_since + SKEW + AHEAD
+
+
 class KeyTable:
     """Rows of the keys whose home is one upstream.
 
     Starts closed: until ``open`` is called each new key is answered with
-    ``may_have_run``, since an earlier process may have executed it.
+    ``may_have_run``, since an earlier process may have executed it. The
+    lifetime must not change once a key was accepted.
     """
 
     def __init__(
         self,
         upstream: str,
-        start: float,
         lifetime: float,
         max_rows: int = 50000,
     ) -> None:
-        """Start at ``start``; rows live for ``lifetime`` seconds."""
+        """Start closed; keys are accepted for ``lifetime`` seconds."""
         self.upstream = upstream
-        self.start = start
         self.lifetime = lifetime
         self.max_rows = max_rows
         self.floor = math.inf
+        self.sealed = False
         self.rows: dict[tuple[str, str, str], Row] = {}
 
     def open(
         self,
-        rows: Mapping[tuple[str, str, str], Row] | None,
+        rows: Mapping[tuple[str, str, str], Row],
+        floor: float,
     ) -> None:
-        """Accept keys from now on.
+        """Accept keys from now on, unless the table is sealed.
 
         Args:
-            rows: the rows of the process before this one, empty if there was
-                none, None if they are lost.
+            rows: the rows that the process before this one left.
+            floor: keys created until then may have been used in a process
+                whose rows are lost (Unix seconds).
+        """
+        if self.sealed:
+            return
+        self.floor = floor
+        self.rows = {**rows, **self.rows}
+
+    def seal(self) -> tuple[Mapping[tuple[str, str, str], Row], float]:
+        """Accept no key any more; return the rows and the floor.
+
+        A ``refused`` row made after the rows were handed over would be
+        unknown to the next process, which could execute the key.
         """
-        if rows is None:
-            self.floor = self.start + SKEW + AHEAD
-        else:
-            self.floor = -math.inf
-            self.rows = {**rows, **self.rows}
+        floor = self.floor
+        self.floor = math.inf
+        self.sealed = True
+        return dict(self.rows), floor
 
     def claim(
         self,
@@ -268,21 +302,30 @@
         fresh: bool,
         now: float,
     ) -> str:
-        key_time = call.key_time or now - self.lifetime
         if homes is None or not self._is_home(call, homes, now):
             return 'this upstream is not the home of the key'
         if not fresh:
             return 'the configuration was not confirmed for too long'
-        if key_time > now + AHEAD:
-            return 'the key was created in the future'
-        if key_time < now - self.lifetime:
-            return 'the key is too old'
-        if key_time <= self.floor:
+        if self._earliest_use(call) <= self.floor:
             return 'the key may have been used before this process started'
         if len(self.rows) >= self.max_rows:
             return 'too many keys are in use'
+        return self._time_fault(call, now)
+
+    def _time_fault(self, call: KeyedCall, now: float) -> str:
+        if not call.key_time:
+            late = call.sent_at < now - DELAY
+            return 'the request was delayed for too long' if late else ''
+        if call.key_time > now + AHEAD:
+            return 'the key was created in the future'
+        if call.key_time < now - self.lifetime:
+            return 'the key is too old'
         return ''
 
+    def _earliest_use(self, call: KeyedCall) -> float:
+        """Return a time before which no copy of the call was sent."""
+        return call.key_time or call.sent_at - self.lifetime
+
     def _is_home(self, call: KeyedCall, homes: Homes, now: float) -> bool:
         before, after = home_upstreams(homes, call.identity)
         if before == after:
@@ -292,12 +335,12 @@
             return home == self.upstream
         if now < homes.since:
             return before == self.upstream
-        moved = now - self.lifetime > homes.since + SKEW
+        moved = self._earliest_use(call) > homes.since + SKEW
         return moved and after == self.upstream
 
     def _store(self, call: KeyedCall, state: RowState, now: float) -> None:
         first_use = max(call.key_time, now)
-        expires_at = first_use + self.lifetime + SKEW + AHEAD
+        expires_at = first_use + self.lifetime + DELAY + SKEW + AHEAD
         self.rows[call.identity] = Row(call.fingerprint, state, expires_at)
 
     def _replace(
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -90,8 +90,10 @@
     """One attempt at a request.
 
     ``deadline`` is the time left in seconds, ``window`` the bytes that the
-    agent may send before it gets credit. ``key_time`` is the creation time of ``key`` in Unix seconds, 0 if
-    the key does not carry one. ``run`` is false to void a key.
+    agent may send before it gets credit. ``key_time`` is the creation time of
+    ``key`` in Unix seconds, 0 if the key does not carry one. ``sent_at`` is
+    when the entry sent the message, or, if ``key`` carries no time, when the
+    caller's request arrived (Unix seconds). ``run`` is false to void a key.
     """
 
     attempt: int
@@ -107,6 +109,7 @@
     idempotent: bool
     window: int
     fingerprint: int
+    sent_at: float
     run: bool = True
 
 
--- a/primroseyoke/services.py
+++ b/primroseyoke/services.py
@@ -42,13 +42,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamRequest:
-    """A request as the upstream gets it; ``timeout`` in seconds."""
+    """A request as the upstream gets it; ``timeout`` in seconds.
+
+    One that is not idempotent goes over a new connection: on a kept one that
+    the upstream has just closed it would be unknown whether it ran.
+    """
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
     timeout: float
+    idempotent: bool = True
 
 
 class UpstreamAnswer:
@@ -93,13 +98,8 @@
 
     def __init__(self, address: str, connections: int) -> None:
         """Use up to ``connections`` connections to ``address``."""
-        host, _, port = address.rpartition(':')
-        self.pool = urllib3.HTTPConnectionPool(
-            host,
-            int(port),
-            maxsize=connections,
-            retries=False,
-        )
+        self.address = address
+        self.pool = self._new_pool(connections)
 
     def open_answer(self, request: UpstreamRequest) -> UpstreamAnswer:
         """Send a request and return when the head of the answer is there.
@@ -108,8 +108,9 @@
             RequestFailed: no answer; ``not_run`` if the upstream refused the
                 connection, else ``may_have_run``.
         """
+        pool = self.pool if request.idempotent else self._new_pool(1)
         try:
-            response = self.pool.urlopen(
+            response = pool.urlopen(
                 request.method,
                 request.path,
                 body=request.body or None,
@@ -147,6 +148,15 @@
         except (HTTPError, OSError, msgspec.MsgspecError) as error:
             raise ServiceUnavailable(f'no load report: {error}') from error
 
+    def _new_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
+        host, _, port = self.address.rpartition(':')
+        return urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=connections,
+            retries=False,
+        )
+
 
 def _parse_load(content: bytes) -> UpstreamLoad:
     decoded: Any = msgspec.json.decode(content)
--- /dev/null
+++ b/tests/test_key_protocol.py
@@ -0,0 +1,339 @@
+"""Exhaustive check of at-most-once execution (design page, 6.2).
+
+The specification moves one key through entries, homes, restarts and the log.
+What agents and entries decide is the product's own code.
+"""
+
+import functools
+import math
+import threading
+import typing
+
+import msgspec
+import pytest
+from minicheck import Protocol, check_safety
+
+from primroseyoke import handovers, keys
+from primroseyoke.configuration import Homes
+from primroseyoke.handovers import inherited_keys
+from primroseyoke.records import LogPage, LogRecord
+from primroseyoke.verdicts import Verdict
+
+LIFETIME, FRESHNESS, TICK = 6, 3, 3
+IDENTITY = ('app', 'client', 'key')
+
+
+class Agent(typing.NamedTuple):
+    floor: float = -math.inf
+    sealed: bool = False
+    row: typing.Any = None
+    config: int = 0
+    confirmed: float = 0
+    left: tuple = ()
+    incarnation: str = 'first'
+
+
+class State(typing.NamedTuple):
+    time: float
+    used: float | None
+    key_time: float
+    sends: int
+    flight: frozenset
+    restarts: int
+    agents: tuple
+    logs: tuple
+    runs: int
+    said_not_run: bool
+
+
+class MemoryLog:
+    """The log service as ``Handover`` uses it, without the network."""
+
+    def __init__(self, contents):
+        self.contents = list(contents)
+
+    def append(self, stream, content):
+        self.contents.append(msgspec.json.encode(content))
+        return LogRecord(len(self.contents) - 1, 0, content)
+
+    def read(self, stream, offset):
+        decoded = [msgspec.json.decode(content) for content in self.contents]
+        records = [LogRecord(*row) for row in zip(range(99), [0] * 99, decoded)]
+        return LogPage(tuple(records[offset:]), 0, len(records), 0)
+
+
+class NoRefusedRow(keys.KeyTable):
+    def refuse(self, call, reason):
+        self.rows.pop(call.identity)
+        return keys.Reject(Verdict.NOT_RUN, 503, reason)
+
+
+class NoStartBound(keys.KeyTable):
+    def open(self, rows, floor):
+        super().open(rows, -math.inf)
+
+
+class NoSeal(keys.KeyTable):
+    def seal(self):
+        self.sealed = True
+        return dict(self.rows), self.floor
+
+
+class NoDelayBound(keys.KeyTable):
+    def _time_fault(self, call, now):
+        return call.key_time and super()._time_fault(call, now)
+
+
+def no_floor(contents):
+    left = inherited_keys(contents)
+    return left and handovers.KeysOpened(left.rows, -math.inf)
+
+
+def last_record_counts(contents):
+    if contents[-1]['kind'] != 'stopped':
+        return None
+    started = {**contents[-1], 'kind': 'started'}
+    return inherited_keys([*contents, started])
+
+
+class Specification:
+    """Names of homes are chosen so that ``a`` and ``b`` each own the key."""
+
+    def __init__(
+        self,
+        timed,
+        moves=(),
+        restarts=0,
+        sends=2,
+        end=24,
+        table=keys.KeyTable,
+        always_fresh=False,
+        inherit=inherited_keys,
+    ):
+        self.timed, self.end = timed, end
+        self.table, self.always_fresh = table, always_fresh
+        self.inherit = inherit
+        self.names = ('a', 'b')[: 2 if moves else 1]
+        self.versions = [(0, Homes(members=('a',)))]
+        for number, (appended, since) in enumerate(moves):
+            before, after = (('a',), ('b',))[:: -1 if number % 2 else 1]
+            homes = Homes(members=after, previous=before, since=since)
+            self.versions.append((appended, homes))
+        started = b'{"kind":"started","incarnation":"first"}'
+        self.initial = State(
+            *(0, None, 0, sends, frozenset(), restarts),
+            tuple(Agent() for _ in self.names),
+            tuple((started,) for _ in self.names),
+            *(0, False),
+        )
+
+    def check(self):
+        protocol = Protocol(
+            name='keys',
+            candidate=False,
+            fields=State._fields,
+            initial=self.initial,
+            transitions=self.transitions,
+            invariants={
+                'runs_once': lambda state: state['runs'] <= 1,
+                'not_run_is_true': lambda state: (
+                    not (state['runs'] and state['said_not_run'])
+                ),
+            },
+        )
+        return check_safety(protocol, max_states=10**6)
+
+    def transitions(self, state):
+        if state.time < self.end:
+            yield 'tick', self.tick(state)
+        if state.sends:
+            yield from self.send(state)
+        for home, sent_at in state.flight:
+            yield from self.deliver(state, home, sent_at)
+        for home, agent in enumerate(state.agents):
+            yield from self.change(state, home, agent)
+
+    def latest(self, state):
+        return sum(appended <= state.time for appended, _ in self.versions)
+
+    def clock(self, state, host):
+        return state.time + host * keys.SKEW
+
+    def load(self, agent, home):
+        table = self.table(self.names[home], LIFETIME)
+        table.open({IDENTITY: agent.row} if agent.row else {}, agent.floor)
+        table.floor, table.sealed = agent.floor, agent.sealed
+        return table
+
+    def store(self, state, home, table, **changes):
+        agents = list(state.agents)
+        agents[home] = agents[home]._replace(
+            floor=table.floor,
+            sealed=table.sealed,
+            row=table.rows.get(IDENTITY),
+            **changes,
+        )
+        return state._replace(agents=tuple(agents))
+
+    def tick(self, state):
+        state = state._replace(time=state.time + TICK)
+        for home, agent in enumerate(state.agents):
+            table = self.load(agent, home)
+            table.expire(self.clock(state, home))
+            fresh = state.time - agent.confirmed <= FRESHNESS
+            confirmed = agent.confirmed if fresh else -math.inf
+            state = self.store(state, home, table, confirmed=confirmed)
+        return state
+
+    def send(self, state):
+        key_times = {state.key_time}
+        if state.used is None and self.timed:
+            key_times = {state.time, state.time + keys.AHEAD}
+        elif not self.timed and state.time > (state.used or 0) + LIFETIME:
+            # A caller does not resend a key without a time any later.
+            key_times = set() if state.used is not None else {0}
+        for key_time in key_times:
+            for entry in (0, 1):
+                now = self.clock(state, entry)
+                for _, homes in self.versions[: self.latest(state)]:
+                    name = keys.route_home(
+                        *(homes, IDENTITY, key_time, now, LIFETIME)
+                    )
+                    copy = (self.names.index(name), 0 if self.timed else now)
+                    yield (
+                        f'send through entry {entry}',
+                        state._replace(
+                            used=state.time
+                            if state.used is None
+                            else state.used,
+                            key_time=key_time,
+                            sends=state.sends - 1,
+                            flight=state.flight | {copy},
+                        ),
+                    )
+
+    def deliver(self, state, home, sent_at):
+        """A copy stays in flight: it may come again, or was never lost."""
+        agent = state.agents[home]
+        now = self.clock(state, home)
+        call = keys.KeyedCall(*IDENTITY, state.key_time, sent_at, 1)
+        homes = self.versions[agent.config][1]
+        fresh = self.always_fresh or now - agent.confirmed <= FRESHNESS
+        table = self.load(agent, home)
+        claim = table.claim(call, homes, fresh, now)
+        if isinstance(claim, keys.Execute):
+            running = state._replace(runs=state.runs + 1)
+            yield 'run', self.store(running, home, table)
+            claim = table.refuse(call, 'not admitted')
+        if isinstance(claim, keys.Reject) and claim.verdict is Verdict.NOT_RUN:
+            said = state._replace(said_not_run=True)
+            yield 'refuse', self.store(said, home, table)
+
+    def change(self, state, home, agent):
+        table = self.load(agent, home)
+        running = agent.row and agent.row.state is keys.RowState.RUNNING
+        latest = self.latest(state) - 1
+        if (agent.config, agent.confirmed) != (latest, state.time):
+            yield (
+                'confirm',
+                self.store(
+                    *(state, home, table),
+                    config=latest,
+                    confirmed=state.time,
+                ),
+            )
+        if agent.left:
+            yield 'stopped arrives', self.land(state, home, agent)
+        if running:
+            call = keys.KeyedCall(*IDENTITY, state.key_time, 0, 1)
+            table.finish(call, None)
+            yield 'finish', self.store(state, home, table)
+        elif not agent.sealed and state.restarts:
+            yield 'seal', self.seal(state, home, table)
+        if state.restarts:
+            yield 'restart', self.restart(state, home)
+
+    def seal(self, state, home, table):
+        log = MemoryLog(())
+        handover = handovers.Handover(
+            *(log, 'a', state.agents[home].incarnation)
+        )
+        handover.close(*table.seal(), self.clock(state, home))
+        return self.store(state, home, table, left=tuple(log.contents))
+
+    def land(self, state, home, agent):
+        logs = list(state.logs)
+        logs[home] += agent.left
+        table = self.load(agent, home)
+        landed = state._replace(logs=tuple(logs))
+        return self.store(landed, home, table, left=())
+
+    def restart(self, state, home):
+        state = state._replace(restarts=state.restarts - 1)
+        log = MemoryLog(state.logs[home])
+        incarnation = f'restart {state.restarts}'
+        handover = handovers.Handover(log, 'a', incarnation)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(handovers, 'inherited_keys', self.inherit)
+            now = self.clock(state, home)
+            opened = handover.open(now, threading.Event())
+        table = self.table(self.names[home], LIFETIME)
+        table.open(opened.rows, opened.floor)
+        logs = list(state.logs)
+        logs[home] = tuple(log.contents)
+        return self.store(
+            *(state._replace(logs=tuple(logs)), home, table),
+            config=0,
+            confirmed=-math.inf,
+            incarnation=incarnation,
+        )
+
+
+MOVE = ((3, 9),)
+# The second change comes as early as ``configuration`` accepts it.
+TWO_MOVES = (*MOVE, (9 + LIFETIME + 15, 36))
+
+
+@pytest.mark.parametrize(
+    'bounds',
+    [
+        {'timed': True, 'restarts': 2, 'end': 9},
+        {'timed': True, 'restarts': 3, 'end': 6},
+        {'timed': False, 'restarts': 1, 'end': 21},
+        {'timed': False, 'restarts': 2, 'end': 9},
+        {'timed': True, 'restarts': 1, 'moves': MOVE, 'end': 9},
+        {'timed': True, 'sends': 3, 'moves': MOVE, 'end': 12},
+        {'timed': False, 'sends': 3, 'moves': MOVE, 'end': 21},
+        {'timed': True, 'moves': TWO_MOVES, 'end': 39},
+    ],
+    ids=str,
+)
+def test_key_runs_once_and_refusals_stay_true(bounds, record_property):
+    """Guards against any order of events that repeats or denies a run."""
+    checked = Specification(**bounds).check()
+    record_property('states', checked['reachable_states'])
+    assert checked['exhaustive']
+    assert {
+        name: found['holds'] for name, found in checked['properties'].items()
+    } == {'runs_once': True, 'not_run_is_true': True}
+
+
+@pytest.mark.parametrize(
+    ('broken', 'bounds'),
+    [
+        ('not_run_is_true', {'sends': 1, 'end': 0, 'table': NoRefusedRow}),
+        ('runs_once', {'restarts': 1, 'sends': 1, 'table': NoStartBound}),
+        ('runs_once', {'moves': ((3, 3),), 'end': 6}),
+        ('runs_once', {'moves': MOVE, 'end': 9, 'always_fresh': True}),
+        ('not_run_is_true', {'restarts': 1, 'sends': 1, 'table': NoSeal}),
+        ('runs_once', {'timed': False, 'end': 21, 'table': NoDelayBound}),
+        ('runs_once', {'restarts': 2, 'sends': 1, 'inherit': no_floor}),
+        ('runs_once', {'restarts': 2, 'inherit': last_record_counts}),
+        ('runs_once', {'moves': ((3, 9), (9, 15)), 'end': 12}),
+    ],
+    ids=str,
+)
+def test_unsafe_variant_has_a_counterexample(broken, bounds):
+    """Guards against a specification that finds no fault."""
+    checked = Specification(**{'timed': True, 'end': 3, **bounds}).check()
+    assert checked['properties'][broken]['counterexample']
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,129 @@
+"""Key rows against a version that forgets nothing."""
+
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from primroseyoke.configuration import (
+    Fold,
+    Homes,
+    Record,
+)
+from primroseyoke.keys import Execute, KeyedCall, KeyTable, Reject, Replay
+from primroseyoke.keys import StoredAnswer
+from primroseyoke.verdicts import Verdict
+
+LIFETIME = 10
+HOMES = Homes(members=('a',))
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('finish', 'lose', 'refuse', 'leave', 'void')),
+        st.integers(0, 2),
+        st.sampled_from((0, -11, -5, 0.5, 2, 3)),
+        st.sampled_from((0, 0.1, 1, 5, 10)),
+        st.sampled_from((0, 0, 1, 6, 12)),
+        st.booleans(),
+    ),
+    max_size=40,
+)
+
+
+@settings(max_examples=400)
+@given(STEPS)
+def test_table_is_never_less_safe_than_one_that_forgets_nothing(steps):
+    """Guards against rows that are dropped or rewritten too early."""
+    table = KeyTable('a', LIFETIME, max_rows=3)
+    table.open({}, -math.inf)
+    first_sent, done, now = {}, {}, 1000.0
+    for ending, number, ahead, wait, delay, expire in steps:
+        now += wait
+        timed = ahead != 0
+        key = (number, first_sent.setdefault((number, timed), now + ahead))
+        opaque_use = first_sent[number, timed]
+        sent_at = now - delay
+        if not timed and not opaque_use <= sent_at <= opaque_use + LIFETIME:
+            continue
+        call = KeyedCall('s', 'c', f'{key}{timed}', key[1], sent_at, number)
+        if not timed:
+            call = KeyedCall('s', 'c', f'{key}', 0, sent_at, number)
+        if expire:
+            table.expire(now)
+        claim_or_void = table.void if ending == 'void' else table.claim
+        claim = claim_or_void(call, HOMES, True, now)
+        before = done.get(call.identity)
+        if isinstance(claim, Execute):
+            assert before is None
+            done[call.identity] = ending
+        if isinstance(claim, Replay):
+            assert before == 'finish'
+        if isinstance(claim, Reject) and claim.verdict is Verdict.NOT_RUN:
+            assert before in {None, 'refuse', 'void'}
+            done[call.identity] = 'void' if before is None else before
+        if isinstance(claim, Execute) and ending == 'finish':
+            table.finish(call, StoredAnswer(200, (), b'x'))
+        elif isinstance(claim, Execute) and ending == 'lose':
+            table.lose(call)
+        elif isinstance(claim, Execute) and ending == 'refuse':
+            table.refuse(call, 'refused')
+
+
+def record(offset, appended_at, **parts):
+    named = {name.replace('_', '/', 1): part for name, part in parts.items()}
+    against = {} if offset == 0 else dict.fromkeys(named, 1)
+    return Record(
+        offset=offset,
+        appended_at=appended_at,
+        change=str(offset),
+        author='',
+        reason='',
+        parts=named,
+        against=against,
+    )
+
+
+def upstream(port):
+    return {
+        'service': 'app',
+        'availability_zone': 'z',
+        'agent': f'10.0.0.1:{port}',
+    }
+
+
+@pytest.mark.parametrize(
+    ('appended_at', 'parts', 'outcome'),
+    [
+        (616, {'since': 616 + 20}, 'accepted'),
+        (614, {'since': 614 + 20}, 'invalid'),
+        (616, {'since': 616 + 19}, 'invalid'),
+        (616, {'since': 632, 'members': ['a'], 'stopped': ['b']}, 'accepted'),
+        (616, {'since': 0, 'members': ['a'], 'stopped': ['b']}, 'invalid'),
+        (616, {'homes_app': None}, 'invalid'),
+        (616, {'defaults': {'key_lifetime': 60}}, 'invalid'),
+        (616, {'defaults': {'freshness': 1, 'settle': 2}}, 'invalid'),
+        (616, {'upstream_a': upstream(9)}, 'invalid'),
+        (616, {'upstream_a': {**upstream(1), 'state': 'leaving'}}, 'accepted'),
+    ],
+)
+def test_change_that_could_repeat_a_key_is_invalid(appended_at, parts, outcome):
+    """Guards against homes whose keys hosts with another offset still run."""
+    fold = Fold()
+    homes = {'members': ['a', 'b'], 'previous': ['a'], 'since': 1}
+    fold.apply(
+        record(
+            *(0, 0),
+            defaults={'freshness': 10, 'settle': 20},
+            service_app={'kind': 'plain'},
+            upstream_a=upstream(1),
+            upstream_b=upstream(2),
+            upstream_c=upstream(3),
+            homes_app=homes,
+        )
+    )
+    if 'since' in parts:
+        changed = {'previous': ['a', 'b'], 'members': ['a', 'b', 'c']}
+        parts = {'homes_app': {**changed, 'reason': 'moved', **parts}}
+    decision = fold.apply(record(1, appended_at, **parts))
+    assert decision.outcome.value == outcome, decision.detail
