Test keyed calls under killed, frozen and restarted processes

Cause: the at-most-once part was tested only with all processes up.

Change: seven tests with real processes; the plain stand-in can close reused connections and lose answers. The stand-in no longer counts a call as running when its caller goes away; it kept a restarted home from admitting anything.

--- a/tests/standins/upstreams.py
+++ b/tests/standins/upstreams.py
@@ -3,7 +3,9 @@
 Faults: ``delay`` (seconds before the answer), ``capacity`` (requests it bears
 when warm), ``cold_capacity`` (when cold), ``warm_after`` (completions until it
 is warm), ``token_delay`` (seconds), ``tokens`` (per answer), ``cut_after``
-(tokens after which it breaks off), ``poison`` (text that crashes it).
+(tokens after which it breaks off), ``poison`` (text that crashes it),
+``close_reused`` (closes a kept connection that gets another call),
+``lose_answers`` (executes a call and closes instead of answering).
 """
 
 import json
@@ -37,7 +39,10 @@
             handler.reply(200, self.completed)
         elif handler.path == '/calls':
             handler.reply(200, self.calls)
+        elif self.faults.get('close_reused') and hasattr(handler, 'used'):
+            handler.close_connection = True
         else:
+            handler.used = True
             self._run(handler, content)
 
     def load(self):
@@ -66,8 +71,14 @@
         poison = self.faults.get('poison')
         if overloaded or (poison and poison.encode() in content):
             self.crash()
-        if self.incarnation == incarnation:
-            self.answer(handler, content)
+        try:
+            if self.incarnation == incarnation:
+                self.answer(handler, content)
+        finally:
+            # A caller that went away does not keep the call running.
+            self._end(handler, incarnation)
+
+    def _end(self, handler, incarnation):
         if self.incarnation != incarnation:
             # Everything that ran when the upstream crashed is cut.
             handler.close_connection = True
@@ -116,6 +127,9 @@
         with self.lock:
             self.calls.append([handler.command, handler.path, content.decode()])
             count = len(self.calls)
+        if self.faults.get('lose_answers'):
+            handler.close_connection = True
+            return
         handler.reply(
             200,
             {'number': count, 'path': handler.path, 'echo': content.decode()},
--- /dev/null
+++ b/tests/test_key_failures.py
@@ -0,0 +1,172 @@
+"""Keyed calls while processes are killed, frozen, restarted and cut off."""
+
+import signal
+import threading
+
+import pytest
+
+from tests.fleet import Fleet, call, wait_for
+
+
+class Home:
+    """One home and two entries; any test may kill and restart them."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        fleet.service('app', 'plain', ['zone-a'], ['POST /invoices'])
+        self.upstream = fleet.processes['app-1-upstream']
+        self.entries = [fleet.entry(name, 'zone-a') for name in ('e-1', 'e-2')]
+        assert fleet.publish().returncode == 0
+
+    @property
+    def agent(self):
+        return self.fleet.processes['app-1']
+
+    def wait(self):
+        for entry in self.entries:
+            wait_for(lambda entry=entry: self.is_linked(entry), 10, 'links')
+        wait_for(lambda: self.is_open(), 10, 'the home to accept keys')
+        return self.entries
+
+    def is_linked(self, entry):
+        return entry.state()['links'].get('app-1', {}).get('up')
+
+    def is_open(self):
+        state = self.agent.state()
+        return state['keys_floor'] != 'inf' and state['limit']
+
+    def post(self, entry, key, text, timeout=10):
+        headers = {'Idempotency-Key': key, 'Request-Timeout': str(timeout)}
+        path = '/services/app/invoices'
+        response = call(entry, 'POST', path, body=text, headers=headers)
+        if response.status == 200:
+            return response.headers.get('Idempotent-Replayed', 'executed')
+        return response.json()['verdict']
+
+    def post_in_background(self, entry, key, text):
+        """Return a function that waits for the outcome."""
+        outcomes = []
+        thread = threading.Thread(
+            target=lambda: outcomes.append(self.post(entry, key, text))
+        )
+        thread.start()
+        wait_for(lambda: self.upstream.get('/load')['running'], 5, 'the call')
+        return lambda: thread.join(15) or outcomes[0]
+
+    def issue(self):
+        path = '/keys/app'
+        return call(self.entries[1], 'POST', path).json()['key']
+
+    def runs(self, text):
+        return [done[2] for done in self.upstream.get('/calls')].count(text)
+
+
+@pytest.fixture(scope='module')
+def home():
+    with Fleet() as fleet:
+        yield Home(fleet)
+
+
+def test_graceful_restart_keeps_rows_when_log_answers_are_lost(home):
+    """Guards against rows lost, or a start registered twice, on restart."""
+    first, second = home.wait()
+    assert home.post(first, 'opaque-1', 'graceful') == 'executed'
+    assert home.agent.stop() == 0
+    home.fleet.log.fault(lose_answers=1)
+    home.fleet.restart_agent('app-1')
+    home.wait()
+    assert home.post(second, 'opaque-1', 'graceful') == 'true'
+    assert home.post(second, 'opaque-2', 'after') == 'executed'
+    assert home.runs('graceful') == 1
+
+
+def test_postings_go_on_while_the_log_is_down(home):
+    """Guards against a log that is needed for each posting."""
+    first, second = home.wait()
+    home.fleet.log.fault(down=True)
+    key = home.issue()
+    assert home.post(first, key, 'log down') == 'executed'
+    assert home.post(second, key, 'log down') == 'true'
+    home.fleet.log.fault(down=False)
+
+
+def test_kept_connection_that_the_upstream_closes_is_not_used(home):
+    """Guards against may_have_run for a call that never reached anyone."""
+    first, _second = home.wait()
+    home.upstream.fault(close_reused=True)
+    assert home.post(first, home.issue(), 'fresh 1') == 'executed'
+    assert home.post(first, home.issue(), 'fresh 2') == 'executed'
+    home.upstream.fault(close_reused=False)
+
+
+def test_answer_lost_after_the_run_is_not_repeated(home):
+    """Guards against a retry of a call whose answer the upstream lost."""
+    first, second = home.wait()
+    key = home.issue()
+    home.upstream.fault(lose_answers=True)
+    assert home.post(first, key, 'lost') == 'may_have_run'
+    home.upstream.fault(lose_answers=False)
+    assert home.post(second, key, 'lost') == 'may_have_run'
+    assert home.runs('lost') == 1
+
+
+def test_entry_killed_while_the_call_runs(home):
+    """Guards against a second run when the resend takes another entry."""
+    first, second = home.wait()
+    key = home.issue()
+    home.upstream.fault(delay=1)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(threading, 'excepthook', lambda _args: None)
+        wait = home.post_in_background(first, key, 'entry killed')
+        first.kill()
+        with pytest.raises(IndexError):
+            wait()
+    wait_for(
+        lambda: home.post(second, key, 'entry killed') == 'true', 5, 'a replay'
+    )
+    home.upstream.fault(delay=0)
+    assert home.runs('entry killed') == 1
+    home.entries[0] = home.fleet.entry('e-1', 'zone-a', first.address)
+
+
+def test_agent_frozen_past_the_timeouts_and_continued(home):
+    """Guards against copies that run late when the agent reads them."""
+    entries = home.wait()
+    home.agent.send(signal.SIGSTOP)
+    verdicts = {
+        home.post(entry, 'opaque-3', 'frozen', timeout=1) for entry in entries
+    }
+    assert verdicts == {'may_have_run'}
+    for entry in entries:
+        wait_for(
+            lambda entry=entry: not home.is_linked(entry), 10, 'a lost link'
+        )
+    home.agent.send(signal.SIGCONT)
+    for entry in home.wait():
+        assert home.post(entry, 'opaque-3', 'frozen') == 'not_run'
+    assert home.post(entries[0], home.issue(), 'thawed') == 'executed'
+    assert home.runs('frozen') == 0
+
+
+def test_agent_killed_while_the_call_runs(home):
+    """Guards against a second run by a home that has lost its rows."""
+    first, second = home.wait()
+    key = home.issue()
+    home.upstream.fault(delay=1)
+    wait = home.post_in_background(first, key, 'agent killed')
+    home.agent.kill()
+    assert wait() == 'may_have_run'
+    home.fleet.restart_agent('app-1')
+    for entry in home.wait():
+        assert home.post(entry, key, 'agent killed') == 'may_have_run'
+    assert home.post(second, 'opaque-4', 'opaque') == 'may_have_run'
+    home.upstream.fault(delay=0)
+    wait_for(
+        lambda: home.post(first, home.issue(), 'new') == 'executed', 10, 'a run'
+    )
+    # The floor of the crash must outlive a graceful restart.
+    assert home.agent.stop() == 0
+    home.fleet.restart_agent('app-1')
+    home.wait()
+    assert home.post(first, key, 'agent killed') == 'may_have_run'
+    assert home.runs('agent killed') == 1
