--- a/primroseyoke/callers.py
+++ b/primroseyoke/callers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import re
+import time
 import types
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -43,7 +44,8 @@
 
     ``timeout`` is the time in seconds that the caller gives it, 0 for the
     default. ``key`` is empty if there is none. ``prefix`` is the hash of the start
-    of a prompt, 0 for other requests.
+    of a prompt, 0 for other requests. ``received_at`` is when its head had
+    arrived (Unix seconds).
     """
 
     service: str
@@ -58,6 +60,7 @@
     fingerprint: int
     chat: bool
     prefix: int
+    received_at: float
 
 
 def issued_key(
@@ -101,6 +104,7 @@
     Raises:
         RequestInvalid: the request breaks the protocol.
     """
+    received_at = time.time()
     method = environ['REQUEST_METHOD']
     path = environ['PATH_INFO']
     body = _read_body(environ)
@@ -129,6 +133,7 @@
         fingerprint=_fingerprint(service, method, upstream_path, body),
         chat=chat,
         prefix=prefix,
+        received_at=received_at,
     )
 
 
@@ -143,7 +148,7 @@
     under the same key may have been, and the verdict is about the key.
     """
     verdict = Verdict.NOT_RUN
-    if _KEY.fullmatch(environ.get('HTTP_IDEMPOTENCY_KEY', '')):
+    if _KEY.fullmatch(_bare_key(environ)):
         verdict = Verdict.MAY_HAVE_RUN
     headers = [('Content-Type', 'application/problem+json')]
     if isinstance(error, RequestFailed):
@@ -210,12 +215,17 @@
 
 
 def _key(environ: Mapping[str, Any]) -> str:
-    key: str = environ.get('HTTP_IDEMPOTENCY_KEY', '').strip().strip('"')
+    key = _bare_key(environ)
     if 'HTTP_IDEMPOTENCY_KEY' in environ and not _KEY.fullmatch(key):
         raise RequestInvalid('Idempotency-Key: 1 to 128 visible characters')
     return key
 
 
+def _bare_key(environ: Mapping[str, Any]) -> str:
+    header: str = environ.get('HTTP_IDEMPOTENCY_KEY', '')
+    return header.strip().strip('"')
+
+
 def _client(environ: Mapping[str, Any]) -> str:
     client: str = environ.get('HTTP_CLIENT_ACCOUNT', ANONYMOUS)
     if not _NAME.fullmatch(client):
