Let a key pass to the next home once the one before refused it for good

Cause: a key runs only at its home, so with one zone of two out, the postings whose home was there were refused; callers had to find that out and try new keys.

Change: a key has a chain of up to three homes. A later one executes it only after each one before has recorded its refusal; an entry says not_run only once all have. Entries wait shortly past the deadline for the agent's refusal, which tells more than their own timeout. Dispatcher returns a Result with the verdict instead of raising.

With CHAIN_LENGTH = 1 the test of postings while a zone is out fails; with 3 it passes.

A cut home cannot be skipped safely; issued keys avoid it.

--- a/bench/zones.py
+++ b/bench/zones.py
@@ -1,7 +1,7 @@
 """Service while an availability zone leaves, is cut off, and returns cold.
 
 Three zones at the sizes of today, with load near what two of them can handle,
-in virtual time. The entries' router and the agents' admission are the
+in virtual time. Bookings go along the homes of their keys. The entries' router and the agents' admission are the
 product's own; the naive version sends round robin to every upstream that is
 switched on, refuses beyond the warm capacity, and knows no cold start.
 """
@@ -15,6 +15,7 @@
 from bench.figures import report
 from primroseyoke.admission import Admission, Limits, Ticket, UpstreamLoad
 from primroseyoke.configuration import Fold, Record
+from primroseyoke.keys import home_chain
 from primroseyoke.messages import Load
 from primroseyoke.retries import RetryBudget
 from primroseyoke.routing import Router
@@ -22,6 +23,7 @@
 SEED = 7
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 ENGINES_PER_ZONE = (6, 5, 5)
+BOOKING_UPSTREAMS = tuple(f'booking-{zone}' for zone in ZONES)
 ENTRIES_PER_ZONE = 3
 WARM_CAPACITY = 8
 COLD_CAPACITY = 2
@@ -56,6 +58,8 @@
     tries: int = 0
     tried: tuple = ()
     done: bool = False
+    chain: tuple = ()
+    label: str = ''
 
     @property
     def deadline(self):
@@ -63,7 +67,7 @@
 
 
 class Clock:
-    """Events in virtual time."""
+    """Events in virtual time. Bookings go along the homes of their keys."""
 
     def __init__(self):
         self.now = 0.0
@@ -238,7 +242,8 @@
             outcome = 'late'
         for phase, (start, end) in TIMELINE.items():
             if start <= request.born < end:
-                self.table[phase, request.kind, outcome] += 1
+                label = request.label or request.kind
+                self.table[phase, label, outcome] += 1
                 self.served[phase, request.client, outcome] += 1
 
 
@@ -282,6 +287,10 @@
         names, weights = zip(*ACCOUNTS, strict=True)
         client = self.random.choices(names, weights)[0]
         request = Request(kind, client, self.clock.now)
+        if kind == 'booking':
+            # An issued key has a home that was linked when it was issued.
+            keys = ('booking_issued_key', 'booking_own_key')
+            request.label = self.random.choice(keys)
         reachable = [
             entry
             for entry in self.entries
@@ -481,12 +490,30 @@
             load = self.world.agents[upstream.name].load()
             self.router.connect(upstream.name, load)
 
+    def booking_chain(self, issued):
+        while True:
+            key = str(self.world.random.random())
+            chain = home_chain(BOOKING_UPSTREAMS, ('booking', 'c', key))
+            usable = chain[0] in self.router.known
+            usable = usable and self.configuration.takes_work(chain[0])
+            if usable or not issued:
+                return chain
+
+    def choose(self, request):
+        if request.kind == 'draft':
+            return self.router.choose(
+                self.configuration,
+                request.kind,
+                request.tried,
+            )
+        issued = request.label == 'booking_issued_key'
+        request.chain = request.chain or self.booking_chain(issued)
+        if len(request.tried) == len(request.chain):
+            return None
+        return request.chain[len(request.tried)]
+
     def send(self, request):
-        name = self.router.choose(
-            self.configuration,
-            request.kind,
-            request.tried,
-        )
+        name = self.choose(request)
         if not request.tried:
             self.budget.earn(request.client, self.world.clock.now)
         if name is None:
@@ -581,7 +608,7 @@
 def main():
     product, naive = run(product=True), run(product=False)
     for phase, (start, end) in TIMELINE.items():
-        for kind in ('draft', 'booking'):
+        for kind in ('draft', 'booking_issued_key', 'booking_own_key'):
             for outcome in ('refused', 'late', 'lost'):
                 ours = product.counts.table[phase, kind, outcome]
                 theirs = naive.counts.table[phase, kind, outcome]
--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -292,6 +292,7 @@
                 start.key_time,
                 start.sent_at,
                 start.fingerprint,
+                start.refused_by,
             )
         # A frozen agent finds old requests in its sockets when it resumes.
         age = max(time.time() - start.sent_at - SKEW, 0)
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -1,5 +1,6 @@
 """Execution of a caller's request by an entry: attempts, retries, verdicts."""
 
+import dataclasses
 import logging
 import queue
 import time
@@ -8,13 +9,19 @@
 from typing import Any
 
 import pykka
+from result import Err, Ok, Result
 
 from .answers import AnswerCheck
 from .balancing import Choose, Ended, RoutingActor, SpendRetry
 from .callers import CallerRequest
 from .configuration import Configuration, Service
-from .exceptions import LinkClosed, RequestFailed, RequestInvalid
-from .keys import creation_time, route_home
+from .exceptions import (
+    LinkClosed,
+    LinkFailed,
+    RequestFailed,
+    RequestInvalid,
+)
+from .keys import creation_time, route_chain
 from .links import Attempt, LinkLost, LinkPool
 from .messages import Body, End, Failed, Head, Headers, Refused, Start
 from .verdicts import Verdict
@@ -26,6 +33,13 @@
 WINDOW_BYTES = 16384
 _MAX_ATTEMPTS = 4
 _RETRY_PAUSE = 0.05
+_LONGEST_PAUSE = 0.5
+# A link that was cut for a moment is back by then. A home that was restarted
+# answers ``may_have_run`` for keys made before, so longer waits gain nothing.
+_LINK_PATIENCE = 3.0
+# A refusal of a request whose deadline passed in the queue takes up to a tick
+# of the agent, and tells more than the entry's own timeout.
+_REFUSAL_GRACE = 0.5
 # An answer up to this size is received whole before its head is sent.
 _PREFETCH_BYTES = 65536
 # An issued key whose home is linked is found after a few tries.
@@ -116,22 +130,29 @@
         self.routing = routing
         self.configuration: Configuration | None = None
 
-    def execute(self, request: CallerRequest) -> Answer:
+    def execute(
+        self,
+        request: CallerRequest,
+    ) -> Result[Answer, RequestFailed]:
         """Return the answer to a request once its head is there.
 
         Raises:
             RequestInvalid: the request cannot be executed as it is.
-            RequestFailed: there is no answer.
         """
-        configuration = self._configuration(request)
+        configuration = self.configuration
+        if configuration is None:
+            failure = RequestFailed(
+                'no configuration yet',
+                Verdict.NOT_RUN,
+                retry_after=1,
+            )
+            return Err(_about_key(request, failure))
         service = _find_service(configuration, request)
         timeout = request.timeout or configuration.defaults.deadline
         deadline = time.monotonic() + timeout
         if service.is_idempotent(request.method, request.path):
-            try:
-                return self._execute_anywhere(request, deadline)
-            except RequestFailed as error:
-                raise _about_key(request, error) from error
+            outcome = self._execute_anywhere(request, deadline)
+            return outcome.map_err(lambda error: _about_key(request, error))
         if request.key:
             return self._execute_at_home(configuration, request, deadline)
         raise RequestInvalid(
@@ -151,41 +172,34 @@
         for _ in range(_KEY_TRIES):
             key = _uuid7()
             identity = (service, client, key)
-            home = _home(configuration, identity, creation_time(key))
-            if self.pool.is_linked(home):
+            home = _chain(configuration, identity, creation_time(key))[0]
+            if self.pool.is_linked(home) and configuration.takes_work(home):
                 return key
         raise RequestFailed('no home of the service is linked', Verdict.NOT_RUN)
 
-    def _configuration(self, request: CallerRequest) -> Configuration:
-        if self.configuration is None:
-            verdict = Verdict.NOT_RUN
-            if request.key:
-                verdict = Verdict.MAY_HAVE_RUN
-            raise RequestFailed('no configuration yet', verdict, 503, 1)
-        return self.configuration
-
     def _execute_anywhere(
         self,
         request: CallerRequest,
         deadline: float,
-    ) -> Answer:
-        failure = RequestFailed(
-            'no upstream takes requests',
-            Verdict.NOT_RUN,
-            retry_after=1,
+    ) -> Result[Answer, RequestFailed]:
+        outcome: Result[Answer, RequestFailed] = Err(
+            RequestFailed(
+                'no upstream takes requests',
+                Verdict.NOT_RUN,
+                retry_after=1,
+            ),
         )
         tried: tuple[str, ...] = ()
         upstream = self._choose(request, tried)
         while upstream is not None:
             tried += (upstream,)
-            try:
-                return self._whole_head(upstream, request, deadline)
-            except RequestFailed as error:
-                failure = error
-            upstream = None
-            if len(tried) < _MAX_ATTEMPTS:
-                upstream = self._choose_again(request, tried, deadline)
-        raise failure
+            start = _start(request, deadline, idempotent=True)
+            outcome = self._attempt(upstream, start, deadline)
+            outcome = outcome.and_then(_prefetched)
+            if outcome.is_ok() or len(tried) == _MAX_ATTEMPTS:
+                break
+            upstream = self._choose_again(request, tried, deadline)
+        return outcome
 
     def _choose_again(
         self,
@@ -193,43 +207,55 @@
         tried: tuple[str, ...],
         deadline: float,
     ) -> str | None:
+        time.sleep(_RETRY_PAUSE)
         if self._may_retry(request, deadline):
             return self._choose(request, tried)
         return None
 
-    def _whole_head(
-        self,
-        upstream: str,
-        request: CallerRequest,
-        deadline: float,
-    ) -> Answer:
-        answer = self._attempt(upstream, request, deadline, True)  # noqa: WPS425
-        try:
-            answer.prefetch()
-        except RequestFailed:
-            answer.close()
-            raise
-        return answer
-
     def _execute_at_home(
         self,
         configuration: Configuration,
         request: CallerRequest,
         deadline: float,
-    ) -> Answer:
+    ) -> Result[Answer, RequestFailed]:
+        """Ask the homes of a key in turn.
+
+        The next home is asked only after the one before has recorded that it
+        refused the key for good. So ``not_run`` is true once all have.
+        """
         identity = (request.service, request.client, request.key)
-        home = _home(configuration, identity, request.key_time)
-        while True:
-            try:
-                return self._attempt(home, request, deadline, False)  # noqa: WPS425
-            except LinkClosed as error:
-                if self._may_retry(request, deadline):
-                    continue
-                raise RequestFailed(
-                    'the home of the key cannot be reached',
-                    Verdict.MAY_HAVE_RUN,
-                    retry_after=1,
-                ) from error
+        start = _start(request, deadline, idempotent=False)
+        refusals: list[Result[Answer, RequestFailed]] = []
+        for home in _chain(configuration, identity, request.key_time):
+            outcome = self._ask_home(home, start, deadline)
+            if not _is_refusal(outcome):
+                return outcome
+            refusals.append(outcome)
+            start = dataclasses.replace(
+                start,
+                refused_by=(*start.refused_by, home),
+                run=self._may_retry(request, deadline),
+            )
+        if not refusals:
+            failure = RequestFailed('no homes configured', Verdict.MAY_HAVE_RUN)
+            return Err(failure)
+        return refusals[0]
+
+    def _ask_home(
+        self,
+        home: str,
+        start: Start,
+        deadline: float,
+    ) -> Result[Answer, RequestFailed]:
+        """Send a keyed call; after a lost link again, as its row allows."""
+        pause = _RETRY_PAUSE
+        patience = min(deadline, time.monotonic() + _LINK_PATIENCE)
+        outcome = self._attempt(home, start, deadline)
+        while _is_link_lost(outcome) and time.monotonic() + pause < patience:
+            time.sleep(pause)
+            pause = min(pause * 2, _LONGEST_PAUSE)
+            outcome = self._attempt(home, start, deadline)
+        return outcome
 
     def _choose(
         self,
@@ -241,7 +267,6 @@
         return str(choice) if choice else None
 
     def _may_retry(self, request: CallerRequest, deadline: float) -> bool:
-        time.sleep(_RETRY_PAUSE)
         if time.monotonic() >= deadline:
             return False
         return bool(self.routing.ask(SpendRetry(request.client)))
@@ -249,59 +274,100 @@
     def _attempt(
         self,
         upstream: str,
-        request: CallerRequest,
+        start: Start,
         deadline: float,
-        idempotent: bool,
-    ) -> Answer:
-        start = Start(
-            attempt=0,
-            service=request.service,
-            method=request.method,
-            path=request.path,
-            headers=request.headers,
-            body=request.body,
-            client=request.client,
-            key='' if idempotent else request.key,
-            key_time=request.key_time,
+    ) -> Result[Answer, RequestFailed]:
+        start = dataclasses.replace(
+            start,
             deadline=max(deadline - time.monotonic(), 0),
-            idempotent=idempotent,
-            window=WINDOW_BYTES,
-            fingerprint=request.fingerprint,
             # A key without a time expires by the time of the caller's copy.
-            sent_at=time.time() if request.key_time else request.received_at,
+            sent_at=time.time() if start.key_time else start.sent_at,
         )
         try:
             attempt = self.pool.start(upstream, start)
-        except LinkClosed as error:
-            if idempotent:
-                raise _failure(LinkLost(sent=False)) from error
-            raise
-        return self._wait_for_head(attempt, deadline, idempotent)
+        except LinkClosed:
+            return Err(_lost_link(start, sent=False))
+        return self._wait_for_head(attempt, start, deadline)
 
     def _wait_for_head(
         self,
         attempt: Attempt,
+        start: Start,
         deadline: float,
-        idempotent: bool,
-    ) -> Answer:
-        ended = Ended(attempt.link.upstream, idempotent)
+    ) -> Result[Answer, RequestFailed]:
+        ended = Ended(attempt.link.upstream, start.idempotent)
         try:
-            reply = _next_reply(attempt, deadline)
-        except RequestFailed:
+            # The agent refuses a queued request shortly after its deadline.
+            reply = _next_reply(attempt, deadline + _REFUSAL_GRACE)
+        except RequestFailed as error:
             attempt.cancel()
             self.routing.tell(ended)
-            raise
+            return Err(error)
         if isinstance(reply, Head):
-            return Answer(
+            answer = Answer(
                 attempt,
                 reply,
                 deadline,
                 lambda: self.routing.tell(ended),
             )
+            return Ok(answer)
         self.routing.tell(ended)
-        if isinstance(reply, LinkLost) and not idempotent:
-            raise LinkClosed('the link to the home was lost')
-        raise _failure(reply)
+        if isinstance(reply, LinkLost):
+            return Err(_lost_link(start, reply.sent))
+        return Err(_failure(reply))
+
+
+def _start(
+    request: CallerRequest,
+    deadline: float,
+    idempotent: bool,
+) -> Start:
+    return Start(
+        attempt=0,
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        client=request.client,
+        key='' if idempotent else request.key,
+        key_time=request.key_time,
+        deadline=deadline,
+        idempotent=idempotent,
+        window=WINDOW_BYTES,
+        fingerprint=request.fingerprint,
+        sent_at=request.received_at,
+    )
+
+
+def _prefetched(answer: Answer) -> Result[Answer, RequestFailed]:
+    try:
+        answer.prefetch()
+    except RequestFailed as error:
+        answer.close()
+        return Err(error)
+    return Ok(answer)
+
+
+def _is_refusal(outcome: Result[Answer, RequestFailed]) -> bool:
+    if isinstance(outcome, Err):
+        return outcome.err_value.verdict is Verdict.NOT_RUN
+    return False
+
+
+def _is_link_lost(outcome: Result[Answer, RequestFailed]) -> bool:
+    return isinstance(outcome.err(), LinkFailed)
+
+
+def _lost_link(start: Start, sent: bool) -> LinkFailed:
+    if start.key:
+        return LinkFailed(
+            'the home of the key cannot be reached',
+            Verdict.MAY_HAVE_RUN,
+            retry_after=1,
+        )
+    verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+    return LinkFailed('the link to the upstream was lost', verdict, 502, 1)
 
 
 def _find_service(
@@ -316,15 +382,15 @@
     return service
 
 
-def _home(
+def _chain(
     configuration: Configuration,
     identity: tuple[str, str, str],
     key_time: float,
-) -> str:
+) -> tuple[str, ...]:
     homes = configuration.homes(identity[0])
     if homes is None:
-        raise RequestFailed('no homes configured', Verdict.MAY_HAVE_RUN)
-    return route_home(
+        return ()
+    return route_chain(
         homes,
         identity,
         key_time,
@@ -377,8 +443,12 @@
         )
     if isinstance(reply, Failed):
         return RequestFailed(reply.reason, reply.verdict, reply.status)
-    verdict = Verdict.MAY_HAVE_RUN if reply.sent else Verdict.NOT_RUN
-    return RequestFailed('the link to the upstream was lost', verdict, 502, 1)
+    return RequestFailed(
+        'the link to the upstream was lost',
+        Verdict.MAY_HAVE_RUN,
+        502,
+        1,
+    )
 
 
 def _broken(reason: str) -> RequestFailed:
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -10,6 +10,7 @@
 import msgspec
 import pykka
 from cheroot import wsgi
+from result import Err
 
 from . import __version__
 from .balancing import Linked, LoadSeen, RoutingActor, Unlinked
@@ -170,7 +171,10 @@
             return issued_key(
                 environ, start_response, self.dispatcher.issue_key
             )
-        answer = self.dispatcher.execute(parse_request(environ))
+        outcome = self.dispatcher.execute(parse_request(environ))
+        if isinstance(outcome, Err):
+            raise outcome.err_value
+        answer = outcome.ok_value
         headers = list(answer.headers)
         if answer.replayed:
             headers.append(('Idempotent-Replayed', 'true'))
--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = (
     'ConfigurationInvalid',
     'LinkClosed',
+    'LinkFailed',
     'MessageInvalid',
     'PrimroseyokeError',
     'RequestFailed',
@@ -62,3 +63,7 @@
         self.verdict = verdict
         self.status = status
         self.retry_after = retry_after
+
+
+class LinkFailed(RequestFailed):
+    """The link to the upstream was down, or ended before an answer."""
--- a/primroseyoke/keys.py
+++ b/primroseyoke/keys.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import heapq
 import math
 import types
 import uuid
@@ -32,9 +33,9 @@
     'SKEW',
     'StoredAnswer',
     'creation_time',
-    'home_upstream',
-    'home_upstreams',
-    'route_home',
+    'home_chain',
+    'home_chains',
+    'route_chain',
     'start_floor',
 )
 
@@ -46,6 +47,9 @@
 # sent it. A frozen agent finds older ones in its sockets when it resumes; a
 # link without a heartbeat ends sooner.
 DELAY = 10.0
+# Homes that a key can pass through: with three, a key whose first home is out
+# of service is still executed, and a refusal stays three messages long.
+CHAIN_LENGTH = 3
 # A larger answer is not kept for replay; a resend is told that it ran.
 MAX_STORED_ANSWER = 4096
 _MILLISECONDS = 1000
@@ -58,6 +62,7 @@
     """One copy of a call under a key, sent by an entry at ``sent_at``.
 
     ``key_time`` is 0 for a key without a time. Both are Unix seconds.
+    ``refused_by`` names the homes that have recorded a refusal of the key.
     """
 
     service: str
@@ -66,6 +71,7 @@
     key_time: float
     sent_at: float
     fingerprint: int
+    refused_by: tuple[str, ...] = ()
 
     @property
     def identity(self) -> tuple[str, str, str]:
@@ -137,41 +143,47 @@
     return (parsed.int >> _UUID_TIME_SHIFT) / _MILLISECONDS
 
 
-def home_upstream(
+def home_chain(
     members: Sequence[str],
     identity: tuple[str, str, str],
-) -> str:
-    """Return the member with the highest rendezvous hash for a key."""
+) -> tuple[str, ...]:
+    """Return the members with the highest rendezvous hashes for a key.
+
+    The first is its home. A later one executes the key only after each one
+    before it has recorded that it refused the key for good.
+    """
     text = '\0'.join(identity)
-    return max(
+    ranked = heapq.nlargest(
+        CHAIN_LENGTH,
         members,
         key=lambda member: (
             xxhash.xxh3_64_intdigest(f'{member}\0{text}'.encode()),
             member,
         ),
     )
+    return tuple(ranked)
 
 
-def home_upstreams(
+def home_chains(
     homes: Homes,
     identity: tuple[str, str, str],
-) -> tuple[str, str]:
-    """Return the home before and from the time ``homes.since``."""
-    current = home_upstream(homes.members, identity)
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the chains before and from the time ``homes.since``."""
+    current = home_chain(homes.members, identity)
     if not homes.previous:
         return (current, current)
-    return (home_upstream(homes.previous, identity), current)
+    return (home_chain(homes.previous, identity), current)
 
 
-def route_home(
+def route_chain(
     homes: Homes,
     identity: tuple[str, str, str],
     key_time: float,
     now: float,
     lifetime: float,
-) -> str:
-    """Return the upstream that an entry asks about a key."""
-    before, after = home_upstreams(homes, identity)
+) -> tuple[str, ...]:
+    """Return the upstreams that an entry asks about a key, in order."""
+    before, after = home_chains(homes, identity)
     decisive = key_time or now - lifetime
     return after if decisive >= homes.since else before
 
@@ -327,16 +339,25 @@
         return call.key_time or call.sent_at - self.lifetime
 
     def _is_home(self, call: KeyedCall, homes: Homes, now: float) -> bool:
-        before, after = home_upstreams(homes, call.identity)
+        before, after = home_chains(homes, call.identity)
         if before == after:
-            return after == self.upstream
+            return self._is_next(after, call)
         if call.key_time:
-            home = after if call.key_time >= homes.since else before
-            return home == self.upstream
+            chain = after if call.key_time >= homes.since else before
+            return self._is_next(chain, call)
         if now < homes.since:
-            return before == self.upstream
-        moved = self._earliest_use(call) > homes.since + SKEW
-        return moved and after == self.upstream
+            return self._is_next(before, call)
+        if self._earliest_use(call) > homes.since + SKEW:
+            return self._is_next(after, call)
+        # Copies may have gone along either chain.
+        return self._is_next(before, call) and self._is_next(after, call)
+
+    def _is_next(self, chain: tuple[str, ...], call: KeyedCall) -> bool:
+        """Tell whether all homes before this one have refused the key."""
+        if self.upstream not in chain:
+            return False
+        earlier = chain[: chain.index(self.upstream)]
+        return set(earlier) <= set(call.refused_by)
 
     def _store(self, call: KeyedCall, state: RowState, now: float) -> None:
         first_use = max(call.key_time, now)
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -93,7 +93,8 @@
     agent may send before it gets credit. ``key_time`` is the creation time of
     ``key`` in Unix seconds, 0 if the key does not carry one. ``sent_at`` is
     when the entry sent the message, or, if ``key`` carries no time, when the
-    caller's request arrived (Unix seconds). ``run`` is false to void a key.
+    caller's request arrived (Unix seconds). ``run`` is false to void a key,
+    ``refused_by`` names the homes that have refused it for good.
     """
 
     attempt: int
@@ -111,6 +112,7 @@
     fingerprint: int
     sent_at: float
     run: bool = True
+    refused_by: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_key_protocol.py
+++ b/tests/test_key_protocol.py
@@ -84,6 +84,11 @@
         return call.key_time and super()._time_fault(call, now)
 
 
+class NoOrder(keys.KeyTable):
+    def _is_next(self, chain, call):
+        return self.upstream in chain
+
+
 def no_floor(contents):
     left = inherited_keys(contents)
     return left and handovers.KeysOpened(left.rows, -math.inf)
@@ -103,20 +108,24 @@
         self,
         timed,
         moves=(),
+        lists=(),
         restarts=0,
         sends=2,
         end=24,
         table=keys.KeyTable,
         always_fresh=False,
         inherit=inherited_keys,
+        gives_up=False,
     ):
         self.timed, self.end = timed, end
         self.table, self.always_fresh = table, always_fresh
         self.inherit = inherit
-        self.names = ('a', 'b')[: 2 if moves else 1]
-        self.versions = [(0, Homes(members=('a',)))]
+        self.gives_up = gives_up
+        lists = lists or (('a',), ('b',))[: 1 + bool(moves)]
+        self.names = sorted({name for members in lists for name in members})
+        self.versions = [(0, Homes(members=lists[0]))]
         for number, (appended, since) in enumerate(moves):
-            before, after = (('a',), ('b',))[:: -1 if number % 2 else 1]
+            before, after = lists[:: -1 if number % 2 else 1]
             homes = Homes(members=after, previous=before, since=since)
             self.versions.append((appended, homes))
         started = b'{"kind":"started","incarnation":"first"}'
@@ -148,8 +157,8 @@
             yield 'tick', self.tick(state)
         if state.sends:
             yield from self.send(state)
-        for home, sent_at in state.flight:
-            yield from self.deliver(state, home, sent_at)
+        for chain, position, sent_at in state.flight:
+            yield from self.deliver(state, chain, position, sent_at)
         for home, agent in enumerate(state.agents):
             yield from self.change(state, home, agent)
 
@@ -196,10 +205,10 @@
             for entry in (0, 1):
                 now = self.clock(state, entry)
                 for _, homes in self.versions[: self.latest(state)]:
-                    name = keys.route_home(
+                    chain = keys.route_chain(
                         *(homes, IDENTITY, key_time, now, LIFETIME)
                     )
-                    copy = (self.names.index(name), 0 if self.timed else now)
+                    copy = (chain, 0, 0 if self.timed else now)
                     yield (
                         f'send through entry {entry}',
                         state._replace(
@@ -212,11 +221,15 @@
                         ),
                     )
 
-    def deliver(self, state, home, sent_at):
+    def deliver(self, state, chain, position, sent_at):
         """A copy stays in flight: it may come again, or was never lost."""
+        home = self.names.index(chain[position])
         agent = state.agents[home]
         now = self.clock(state, home)
-        call = keys.KeyedCall(*IDENTITY, state.key_time, sent_at, 1)
+        refused_by = chain[:position]
+        call = keys.KeyedCall(
+            *(*IDENTITY, state.key_time, sent_at, 1, refused_by)
+        )
         homes = self.versions[agent.config][1]
         fresh = self.always_fresh or now - agent.confirmed <= FRESHNESS
         table = self.load(agent, home)
@@ -226,8 +239,25 @@
             yield 'run', self.store(running, home, table)
             claim = table.refuse(call, 'not admitted')
         if isinstance(claim, keys.Reject) and claim.verdict is Verdict.NOT_RUN:
-            said = state._replace(said_not_run=True)
-            yield 'refuse', self.store(said, home, table)
+            yield (
+                'refuse',
+                self.store(
+                    *(
+                        self.refused(state, chain, position, sent_at),
+                        home,
+                        table,
+                    )
+                ),
+            )
+
+    def refused(self, state, chain, position, sent_at):
+        """The entry asks the next home; after the last it says ``not_run``."""
+        if position + 1 == len(chain):
+            return state._replace(said_not_run=True)
+        if self.gives_up:
+            state = state._replace(said_not_run=True)
+        copy = (chain, position + 1, sent_at)
+        return state._replace(flight=state.flight | {copy})
 
     def change(self, state, home, agent):
         table = self.load(agent, home)
@@ -290,6 +320,10 @@
 
 
 MOVE = ((3, 9),)
+CHAIN = (('a', 'b'),)
+# With the second list the key goes to ``b`` first.
+LONGER_MOVE = {'lists': (('a',), ('a', 'b')), 'moves': MOVE}
+SHORTER_MOVE = {'lists': (('a', 'b'), ('a',)), 'moves': MOVE}
 # The second change comes as early as ``configuration`` accepts it.
 TWO_MOVES = (*MOVE, (9 + LIFETIME + 15, 36))
 
@@ -305,6 +339,12 @@
         {'timed': True, 'sends': 3, 'moves': MOVE, 'end': 12},
         {'timed': False, 'sends': 3, 'moves': MOVE, 'end': 21},
         {'timed': True, 'moves': TWO_MOVES, 'end': 39},
+        {'timed': True, 'lists': CHAIN, 'end': 6},
+        {'timed': True, 'lists': CHAIN, 'restarts': 1, 'end': 3},
+        {'timed': False, 'lists': CHAIN, 'end': 9},
+        {'timed': True, **LONGER_MOVE, 'end': 12},
+        {'timed': False, **LONGER_MOVE, 'end': 24},
+        {'timed': False, **SHORTER_MOVE, 'end': 15},
     ],
     ids=str,
 )
@@ -330,6 +370,8 @@
         ('runs_once', {'restarts': 2, 'sends': 1, 'inherit': no_floor}),
         ('runs_once', {'restarts': 2, 'inherit': last_record_counts}),
         ('runs_once', {'moves': ((3, 9), (9, 15)), 'end': 12}),
+        ('runs_once', {**LONGER_MOVE, 'end': 12, 'table': NoOrder}),
+        ('not_run_is_true', {'lists': CHAIN, 'sends': 1, 'gives_up': True}),
     ],
     ids=str,
 )
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.conftest import ZONES, is_linked
-from tests.fleet import Fleet, chat, chat_text, wait_for
+from tests.fleet import Fleet, call, chat, chat_text, wait_for
 
 TOKENS = 40
 
@@ -78,6 +78,7 @@
         fleet.service(
             'draft', 'model', ZONES * 2, tokens=TOKENS, token_delay=0.05
         )
+        fleet.service('app', 'plain', ZONES, ['POST /invoices'])
         entries = [
             fleet.entry(f'entry-{zone}', zone, balancer_delay=1.5)
             for zone in ZONES
@@ -120,6 +121,31 @@
     assert load.whole >= 12
 
 
+def test_postings_go_on_while_a_zone_is_out(serving):
+    """Guards against postings refused because their home's zone is out."""
+    fleet, entries = serving
+    out = fleet.ctl('take-out', f'zone/{ZONES[0]}', '--reason=test')
+    assert out.returncode == 0, out.stderr
+    for number in range(8):
+        answers = [
+            call(
+                entry,
+                'POST',
+                '/services/app/invoices',
+                body=b'x',
+                headers={'Idempotency-Key': f'posting-{number}'},
+            )
+            for entry in entries
+        ]
+        assert [answer.status for answer in answers] == [200, 200]
+        assert answers[1].headers['Idempotent-Replayed'] == 'true'
+    counts = [
+        len(fleet.processes[f'app-{number}-upstream'].get('/calls'))
+        for number in (1, 2)
+    ]
+    assert counts == [0, 8]
+
+
 def test_zone_out_cuts_no_request(serving):
     """Guards against work cut, or given, when a zone is taken out."""
     fleet, entries = serving
