Bound the answers kept for replay; prove handover faults

Cause: a full table of 50,000 rows with answers of 4 KiB would take over 200 MB of the 32 MB that a node may spend.

Change: kept answers are bounded to 8 MiB at one home; a key beyond that is answered 'ran'. The specification also covers keys from the future, a restart that never registers, and a 'since' between the clocks of two hosts.

--- a/primroseyoke/handovers.py
+++ b/primroseyoke/handovers.py
@@ -179,10 +179,11 @@
         if row.expires_at <= now:
             continue
         plain = [*identity, *_plain_row(row, answer_bytes < _ANSWER_BYTES)]
+        row_bytes = len(msgspec.json.encode(plain))
         if row.answer is not None:
-            answer_bytes += len(row.answer.body)
+            answer_bytes += row_bytes
         page.append(plain)
-        size += len(msgspec.json.encode(plain))
+        size += row_bytes
         if size > _PAGE_BYTES:
             yield page
             page = []
--- a/primroseyoke/keys.py
+++ b/primroseyoke/keys.py
@@ -48,6 +48,9 @@
 DELAY = 10.0
 # A larger answer is not kept for replay; a resend is told that it ran.
 MAX_STORED_ANSWER = 4096
+# All answers kept at one home. A full table of rows takes 15 MB beside them,
+# of the 32 MB that a node may spend.
+MAX_STORED_ANSWERS = 2**23
 _MILLISECONDS = 1000
 _UUID_TIME_SHIFT = 80
 _UUID_TIMED_VERSION = 7
@@ -81,6 +84,12 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    @property
+    def size(self) -> int:
+        """Return the bytes of body and headers."""
+        texts = (name + text for name, text in self.headers)
+        return len(self.body) + sum(map(len, texts))
+
 
 class RowState(enum.Enum):
     """What is known of the execution of a key."""
@@ -198,11 +207,14 @@
         upstream: str,
         lifetime: float,
         max_rows: int = 50000,
+        max_answer_bytes: int = MAX_STORED_ANSWERS,
     ) -> None:
         """Start closed; keys are accepted for ``lifetime`` seconds."""
         self.upstream = upstream
         self.lifetime = lifetime
         self.max_rows = max_rows
+        self.max_answer_bytes = max_answer_bytes
+        self.answer_bytes = 0
         self.floor = math.inf
         self.sealed = False
         self.rows: dict[tuple[str, str, str], Row] = {}
@@ -222,7 +234,7 @@
         if self.sealed:
             return
         self.floor = floor
-        self.rows = {**rows, **self.rows}
+        self._set_rows({**rows, **self.rows})
 
     def seal(self) -> tuple[Mapping[tuple[str, str, str], Row], float]:
         """Accept no key any more; return the rows and the floor.
@@ -279,9 +291,17 @@
 
     def finish(self, call: KeyedCall, answer: StoredAnswer | None) -> None:
         """Record that a call was executed, with its answer if it is small."""
-        if answer is not None and len(answer.body) > MAX_STORED_ANSWER:
-            answer = None
-        self._replace(call, RowState.RAN, answer)
+        kept = answer
+        if answer is not None:
+            total = self.answer_bytes + answer.size
+            if (
+                len(answer.body) > MAX_STORED_ANSWER
+                or total > self.max_answer_bytes
+            ):
+                kept = None
+            else:
+                self.answer_bytes = total
+        self._replace(call, RowState.RAN, kept)
 
     def lose(self, call: KeyedCall) -> None:
         """Record that it is unknown whether a call was executed."""
@@ -289,11 +309,19 @@
 
     def expire(self, now: float) -> None:
         """Drop rows whose keys can no longer be accepted."""
-        self.rows = {
-            identity: row
-            for identity, row in self.rows.items()
-            if row.expires_at > now or row.state is RowState.RUNNING
-        }
+        self._set_rows(
+            {
+                identity: row
+                for identity, row in self.rows.items()
+                if row.expires_at > now or row.state is RowState.RUNNING
+            },
+        )
+
+    def _set_rows(self, rows: dict[tuple[str, str, str], Row]) -> None:
+        self.rows = rows
+        self.answer_bytes = sum(
+            row.answer.size for row in rows.values() if row.answer is not None
+        )
 
     def _fault(
         self,
@@ -377,7 +405,7 @@
         RowState.RAN: (
             Verdict.RAN,
             409,
-            'the call was executed; its answer was too large to keep',
+            'the call was executed; its answer was not kept',
         ),
         RowState.MAY_HAVE_RUN: (
             Verdict.MAY_HAVE_RUN,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -68,3 +68,12 @@
     assert response.status == status
     assert response.headers['Content-Type'] == 'application/problem+json'
     assert json.loads(response.data)['verdict'] == 'not_run'
+
+
+@pytest.mark.parametrize('path', ['/services/unknown/x', '/services/draft/x'])
+def test_entry_alone_never_says_not_run_for_a_key(small_fleet, path):
+    """Guards against an entry that denies a run it cannot know of."""
+    headers = {'Idempotency-Key': 'may-be-known-to-its-home'}
+    response = call(small_fleet.entries[0], 'POST', path, headers=headers)
+    assert response.status in {400, 404}
+    assert response.json()['verdict'] == 'may_have_run'
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,64 @@
+"""Rows left by one process of an upstream and read by the next."""
+
+import math
+import threading
+import time
+
+import pytest
+
+from primroseyoke.attempts import AttemptsActor, Received
+from primroseyoke.configuration import Configuration, Defaults, Service
+from primroseyoke.distribution import ConfigurationChanged
+from primroseyoke.handovers import Handover
+from primroseyoke.keys import Row, RowState, StoredAnswer, start_floor
+from primroseyoke.messages import Start
+from primroseyoke.records import LogPage
+from primroseyoke.verdicts import Verdict
+from tests.test_key_protocol import MemoryLog
+
+ANSWER = StoredAnswer(200, (('A', 'b'),), bytes(range(256)) * 16)
+
+
+@pytest.mark.parametrize('fault', ['none', 'expired', 'page lost'])
+def test_rows_are_taken_over_whole_or_not_at_all(fault):
+    """Guards against a key accepted again because its row was not read."""
+    rows = {
+        ('s', 'c', str(number)): Row(number, RowState.RAN, 100, ANSWER)
+        for number in range(120)
+    }
+    log = MemoryLog(())
+    event = threading.Event()
+    former = Handover(log, 'a', 'former')
+    assert former.open(0, event).floor == -math.inf
+    former.close(rows, 7, 50)
+    assert len(log.contents) > 3
+    if fault == 'page lost':
+        log.contents.pop(1)
+    if fault == 'expired':
+        read = log.read
+        log.contents.clear()
+        log.read = lambda *of: LogPage(read(*of).records, 1, 2, 0)
+    opened = Handover(log, 'a', 'next').open(20, event)
+    if fault == 'none':
+        assert (opened.rows, opened.floor) == (rows, 7)
+    else:
+        assert (opened.rows, opened.floor) == ({}, start_floor(20))
+
+
+def test_agent_refuses_an_unkeyed_call_that_must_not_repeat():
+    """Guards against an entry whose configuration lacks the mark."""
+    actor = AttemptsActor('a', '127.0.0.1:1', 1)
+    service = Service(kind='plain', non_idempotent=('POST /x',))
+    parts = {'service/s': service}
+    configuration = Configuration(1, Defaults(), parts)
+    actor.on_receive(ConfigurationChanged(configuration, time.time()))
+    replies = []
+    peer = type('Peer', (), {'send': replies.append})
+    start = Start(
+        *(1, 's', 'POST', '/x', (), b'', 'c', '', 0, 9, True, 9, 1),
+        time.time(),
+    )
+    actor._refusal = lambda: ''
+    actor.on_receive(Received(peer, start))
+    assert replies[0].verdict is Verdict.NOT_RUN
+    assert 'no key' in replies[0].reason
--- a/tests/test_key_protocol.py
+++ b/tests/test_key_protocol.py
@@ -19,7 +19,7 @@
 from primroseyoke.records import LogPage, LogRecord
 from primroseyoke.verdicts import Verdict
 
-LIFETIME, FRESHNESS, TICK = 6, 3, 3
+LIFETIME, FRESHNESS = 6, 3
 IDENTITY = ('app', 'client', 'key')
 
 
@@ -106,11 +106,12 @@
         restarts=0,
         sends=2,
         end=24,
+        tick=3,
         table=keys.KeyTable,
         always_fresh=False,
         inherit=inherited_keys,
     ):
-        self.timed, self.end = timed, end
+        self.timed, self.end, self.step = timed, end, tick
         self.table, self.always_fresh = table, always_fresh
         self.inherit = inherit
         self.names = ('a', 'b')[: 2 if moves else 1]
@@ -176,7 +177,7 @@
         return state._replace(agents=tuple(agents))
 
     def tick(self, state):
-        state = state._replace(time=state.time + TICK)
+        state = state._replace(time=state.time + self.step)
         for home, agent in enumerate(state.agents):
             table = self.load(agent, home)
             table.expire(self.clock(state, home))
@@ -188,7 +189,7 @@
     def send(self, state):
         key_times = {state.key_time}
         if state.used is None and self.timed:
-            key_times = {state.time, state.time + keys.AHEAD}
+            key_times = {state.time + keys.AHEAD, state.time + 2 * keys.AHEAD}
         elif not self.timed and state.time > (state.used or 0) + LIFETIME:
             # A caller does not resend a key without a time any later.
             key_times = set() if state.used is not None else {0}
@@ -252,6 +253,7 @@
             yield 'seal', self.seal(state, home, table)
         if state.restarts:
             yield 'restart', self.restart(state, home)
+            yield 'restart unregistered', self.restart(state, home, False)
 
     def seal(self, state, home, table):
         log = MemoryLog(())
@@ -268,17 +270,21 @@
         landed = state._replace(logs=tuple(logs))
         return self.store(landed, home, table, left=())
 
-    def restart(self, state, home):
+    def restart(self, state, home, registers=True):
         state = state._replace(restarts=state.restarts - 1)
         log = MemoryLog(state.logs[home])
         incarnation = f'restart {state.restarts}'
         handover = handovers.Handover(log, 'a', incarnation)
+        table = self.table(self.names[home], LIFETIME)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(handovers, 'inherited_keys', self.inherit)
-            now = self.clock(state, home)
-            opened = handover.open(now, threading.Event())
-        table = self.table(self.names[home], LIFETIME)
-        table.open(opened.rows, opened.floor)
+            if registers:
+                now = self.clock(state, home)
+                opened = handover.open(now, threading.Event())
+                table.open(opened.rows, opened.floor)
+            else:
+                # The append took effect, and its answer was lost.
+                handover.renew()
         logs = list(state.logs)
         logs[home] = tuple(log.contents)
         return self.store(
@@ -289,9 +295,10 @@
         )
 
 
-MOVE = ((3, 9),)
+# Between two ticks, so that the clocks of hosts disagree about ``since``.
+MOVE = ((3, 10),)
 # The second change comes as early as ``configuration`` accepts it.
-TWO_MOVES = (*MOVE, (9 + LIFETIME + 15, 36))
+TWO_MOVES = (*MOVE, (10 + LIFETIME + 15, 40))
 
 
 @pytest.mark.parametrize(
@@ -301,10 +308,10 @@
         {'timed': True, 'restarts': 3, 'end': 6},
         {'timed': False, 'restarts': 1, 'end': 21},
         {'timed': False, 'restarts': 2, 'end': 9},
-        {'timed': True, 'restarts': 1, 'moves': MOVE, 'end': 9},
+        {'timed': True, 'restarts': 1, 'moves': MOVE, 'end': 18, 'tick': 6},
         {'timed': True, 'sends': 3, 'moves': MOVE, 'end': 12},
         {'timed': False, 'sends': 3, 'moves': MOVE, 'end': 21},
-        {'timed': True, 'moves': TWO_MOVES, 'end': 39},
+        {'timed': True, 'moves': TWO_MOVES, 'end': 42},
     ],
     ids=str,
 )
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -23,8 +23,8 @@
         st.sampled_from(('finish', 'lose', 'refuse', 'leave', 'void')),
         st.integers(0, 2),
         st.sampled_from((0, -11, -5, 0.5, 2, 3)),
-        st.sampled_from((0, 0.1, 1, 5, 10)),
-        st.sampled_from((0, 0, 1, 6, 12)),
+        st.sampled_from((0, 0.1, 1, 10, 25)),
+        st.sampled_from((0, 0, 1, 6, 30)),
         st.booleans(),
     ),
     max_size=40,
@@ -127,3 +127,18 @@
         parts = {'homes_app': {**changed, 'reason': 'moved', **parts}}
     decision = fold.apply(record(1, appended_at, **parts))
     assert decision.outcome.value == outcome, decision.detail
+
+
+def test_answers_kept_for_replay_are_bounded():
+    """Guards against rows that outgrow the memory of the agent."""
+    table = KeyTable('a', LIFETIME, max_answer_bytes=25)
+    table.open({}, -math.inf)
+    calls = [KeyedCall('s', 'c', str(n), 0, 1000, n) for n in range(3)]
+    for call in calls:
+        assert isinstance(table.claim(call, HOMES, True, 1000), Execute)
+        table.finish(call, StoredAnswer(200, (), bytes(10)))
+    repeats = [table.claim(call, HOMES, True, 1000) for call in calls]
+    assert [type(repeat) for repeat in repeats] == [Replay, Replay, Reject]
+    assert repeats[2].verdict is Verdict.RAN
+    table.expire(1100)
+    assert table.answer_bytes == 0
