--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -79,3 +79,12 @@
     usable_key = headers.get('Idempotency-Key') == 'k'
     verdict = 'may_have_run' if usable_key else 'not_run'
     assert json.loads(response.data)['verdict'] == verdict
+
+
+@pytest.mark.parametrize('path', ['/services/unknown/x', '/services/draft/x'])
+def test_entry_alone_never_says_not_run_for_a_key(small_fleet, path):
+    """Guards against an entry that denies a run it cannot know of."""
+    headers = {'Idempotency-Key': 'may-be-known-to-its-home'}
+    response = call(small_fleet.entries[0], 'POST', path, headers=headers)
+    assert response.status in {400, 404}
+    assert response.json()['verdict'] == 'may_have_run'
