--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -20,8 +20,8 @@
     Received,
     Tick,
 )
+from .crashes import poll_load
 from .distribution import ANNOUNCE, ConfigurationActor, LogReader, PeerMessage
-from .exceptions import ServiceUnavailable
 from .handovers import Handover
 from .links import LinkServer, Peer
 from .messages import (
@@ -123,7 +123,7 @@
     def _receive(self, peer: Peer, message: Message) -> None:
         if isinstance(message, Announce | Hello | Pull | Snapshot):
             self.configuration.tell(PeerMessage(message, peer.send))
-        else:
+        if not isinstance(message, Announce | Pull | Snapshot):
             self.actor.tell(Received(peer, message))
 
     def _dump(self) -> Any:
@@ -136,10 +136,7 @@
         self.configuration.tell(ANNOUNCE)
 
     def _poll_load(self) -> None:
-        try:
-            self.actor.tell(self.upstream.load())
-        except ServiceUnavailable as error:
-            log.debug('%s', error)
+        poll_load(self.upstream, self.actor.tell)
         self.server.broadcast(LoadReport(self._load()))
 
     def _load(self) -> Load:
--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -3,22 +3,33 @@
 import dataclasses
 import functools
 import time
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pykka
 
-from .admission import Admission, Limits, Ticket, UpstreamLoad
+from .admission import Admission, Ending, Limits, Ticket
 from .configuration import Configuration, Defaults
+from .crashes import BrokenAttempt, CrashWatch, LoadPolled, poll_load
 from .distribution import ConfigurationChanged
-from .exceptions import RequestFailed
+from .exceptions import ConnectionBroken, RequestFailed
 from .executions import Execution, ExecutionEnded, replay_messages
 from .handovers import KeysOpened
 from .keys import Claim, Execute, KeyedCall, KeyTable, Reject, Replay, Row
 from .links import Peer, Reply
-from .messages import Cancel, Credit, Load, Message, Refused, Start
+from .messages import (
+    Cancel,
+    Credit,
+    Hello,
+    Load,
+    Message,
+    Refused,
+    Start,
+    Suspects,
+)
 from .services import UpstreamClient
+from .suspects import Standing
 from .verdicts import Verdict
 
 __all__ = (
@@ -36,6 +47,11 @@
 _ANSWER_RESERVE = 16384
 _SHORTEST_TIMEOUT = 0.1
 _KEY_EXPIRY_INTERVAL = 10.0
+# Status of a request that has crashed upstreams. A client error, since callers
+# repeat a request that failed with a server error.
+_SUSPECT_STATUS = 403
+_OVERLOADED_STATUS = 429
+_LOWEST_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +110,12 @@
     start: Start
     call: KeyedCall | None
     deadline: float
+    number: int = 0
     execution: Execution | None = None
+    # Restarts of the upstream that had been seen when the execution started.
+    restarts: int = 0
+    # Whether another request ran beside this one at any time.
+    shared: bool = False
 
 
 class AttemptsActor(pykka.ThreadingActor):
@@ -114,11 +135,20 @@
         self.numbers: dict[int, tuple[Peer, int]] = {}
         self.next_number = 0
         self.draining = False
+        self.unreachable = False
         self.client = UpstreamClient(address, threads)
         self.executor = ThreadPoolExecutor(
             threads,
             thread_name_prefix='execution',
         )
+        self.crashes = CrashWatch(
+            upstream,
+            lambda: self.executor.submit(
+                poll_load,
+                self.client,
+                self.actor_ref.tell,
+            ),
+        )
 
     @functools.singledispatchmethod
     def on_receive(self, message: Any) -> Any:
@@ -127,21 +157,39 @@
 
     @on_receive.register
     def _(self, message: ConfigurationChanged) -> None:
+        before = self.configuration
         self.configuration = message.configuration
         self.confirmed_at = message.confirmed_at
+        if before is not None and not before.takes_work(self.upstream):
+            # It may have been replaced while it was out of service.
+            self.admission.restart_ramp()
         defaults = self._defaults()
-        self.admission.limits = Limits(
-            defaults.cold_limit,
-            min(defaults.max_running, self.threads),
-            defaults.max_held,
-            defaults.max_waiting,
+        too_large = self.admission.change_limits(
+            Limits(
+                defaults.cold_limit,
+                min(defaults.max_running, self.threads),
+                defaults.max_held,
+                defaults.max_waiting,
+            ),
         )
+        self._refuse_tickets(too_large, 'the request is too large', 413)
         self.keys.lifetime = defaults.key_lifetime
         self._refuse_waiting()
 
     @on_receive.register
-    def _(self, message: UpstreamLoad) -> None:
-        self.admission.observe(message)
+    def _(self, message: LoadPolled) -> None:
+        if message.report is not None:
+            self.admission.observe_load(message.report, message.asked_at)
+            if self.admission.suspended_at is None:
+                self.unreachable = False
+        elif (
+            message.refused
+            or self.crashes.broken
+            or self.admission.report is None
+        ):
+            self._lose_upstream()
+        restarts = self.admission.restarts
+        self._classify_again(self.crashes.resolve(message, restarts))
         self._admit()
 
     @on_receive.register
@@ -153,6 +201,11 @@
         if isinstance(message.message, Start):
             self._start(message.peer, message.message)
             return
+        if isinstance(message.message, Hello):
+            self.crashes.join(message.peer)
+        if isinstance(message.message, Suspects):
+            self._classify_again(self.crashes.merge(message.message.rows))
+            self._admit()
         if not isinstance(message.message, Credit | Cancel):
             return
         job = self.jobs.get((message.peer, message.message.attempt))
@@ -165,16 +218,19 @@
 
     @on_receive.register
     def _(self, message: PeerLost) -> None:
+        self.crashes.peers.discard(message.peer)
         for (peer, _number), job in tuple(self.jobs.items()):
             if peer is message.peer:
                 self._cancel(job)
 
     @on_receive.register
     def _(self, message: ExecutionEnded) -> None:
-        job = self._remove(message.execution)
-        completed = message.failure is None and not message.cancelled
-        self.admission.finish(message.execution.start.attempt, completed)
-        if message.failure is not None:
+        place = self.numbers.pop(message.execution.start.attempt)
+        job = self.jobs.pop(place)
+        self.admission.finish(job.number, _ending(message))
+        if message.failure is not None and _is_broken(message):
+            self._hold(job, message.failure)
+        elif message.failure is not None:
             self._fail(job, message.failure)
         else:
             self._complete(job, message)
@@ -183,9 +239,6 @@
     @on_receive.register
     def _(self, message: Tick) -> None:
         now = time.monotonic()
-        for ticket in self.admission.expire(now):
-            job = self.jobs[self.numbers[ticket.attempt]]
-            self._refuse(job, 'the deadline passed in the queue', 504)
         if now - self.keys_expired_at > _KEY_EXPIRY_INTERVAL:
             self.keys_expired_at = now
             self.keys.expire(time.time())
@@ -202,14 +255,16 @@
 
     @on_receive.register
     def _(self, message: AskRemaining) -> Remaining:
-        return Remaining(len(self.numbers), dict(self.keys.rows))
+        attempts = len(self.numbers) + len(self.crashes.broken)
+        return Remaining(attempts, dict(self.keys.rows))
 
     @on_receive.register
     def _(self, message: DumpState) -> dict[str, Any]:
         admission = self.admission
+        configuration = self.configuration
         return {
             'upstream': self.upstream,
-            'offset': self._offset(),
+            'offset': configuration.offset if configuration else -1,
             'confirmed_at': self.confirmed_at,
             'accepting': self._accepting(),
             'refusal': self._refusal(),
@@ -220,6 +275,9 @@
             'waiting': len(admission.waiting),
             'held_bytes': admission.held,
             'foreign_running': admission.foreign,
+            'restarts_seen': admission.restarts,
+            'unreachable': self.unreachable,
+            'suspects': len(self.crashes.suspects.rows),
             'keys': len(self.keys.rows),
             'keys_floor': repr(self.keys.floor),
         }
@@ -228,15 +286,12 @@
         """Return the load for a message; safe to call from any thread."""
         admission = self.admission
         return Load(
-            len(admission.running),
+            admission.occupied(),
             len(admission.waiting),
             admission.limit,
             self._accepting(),
         )
 
-    def _offset(self) -> int:
-        return self.configuration.offset if self.configuration else -1
-
     def _defaults(self) -> Defaults:
         assert self.configuration is not None  # noqa: S101
         upstream = self.configuration.upstream(self.upstream)
@@ -253,6 +308,8 @@
             return 'the agent has no configuration yet'
         if not self.configuration.takes_work(self.upstream):
             return 'the upstream is out of service'
+        if self.unreachable:
+            return 'the upstream cannot be reached'
         return ''
 
     def _accepting(self) -> bool:
@@ -304,25 +361,35 @@
         return self.keys.void(call, homes, fresh, now)
 
     def _offer(self, job: _Job) -> None:
-        number = self.next_number
+        standing = self.crashes.standing(job.start.fingerprint)
+        if standing is Standing.REFUSED:
+            self._refuse_suspect(job)
+            return
+        job.number = self.next_number
         self.jobs[job.peer, job.start.attempt] = job
-        self.numbers[number] = (job.peer, job.start.attempt)
+        self.numbers[job.number] = (job.peer, job.start.attempt)
         ticket = Ticket(
-            number,
+            job.number,
             job.start.client,
             len(job.start.body) + _ANSWER_RESERVE,
             job.deadline,
             job.start.idempotent,
+            alone=standing is Standing.SUSPECT,
         )
-        if self.admission.offer(ticket):
-            self._admit()
+        refused = self.admission.offer(ticket)
+        if ticket.held > self.admission.limits.max_held:
+            self._refuse_tickets(refused, 'the request is too large', 413)
         else:
-            self._refuse(job, 'too many requests are waiting', 503)
+            self._refuse_tickets(refused, 'too many requests are waiting', 503)
+        self._admit()
 
     def _admit(self) -> None:
         if self.configuration is None or not self.admission.report:
             return
-        for ticket in self.admission.admit():
+        admitted, expired = self.admission.advance(time.monotonic())
+        reason = 'the deadline passed in the queue'
+        self._refuse_tickets(expired, reason, 504)
+        for ticket in admitted:
             self._execute(ticket)
 
     def _execute(self, ticket: Ticket) -> None:
@@ -335,47 +402,97 @@
             self.load,
         )
         job.execution = execution
+        job.restarts = self.admission.restarts
+        if self.admission.occupied() > 1:
+            for number in self.admission.running:
+                self.jobs[self.numbers[number]].shared = True
         timeout = max(job.deadline - time.monotonic(), _SHORTEST_TIMEOUT)
         self.executor.submit(execution.run, timeout)
 
-    def _remove(self, execution: Execution) -> _Job:
-        place = self.numbers.pop(execution.start.attempt)
-        return self.jobs.pop(place)
+    def _hold(self, job: _Job, failure: RequestFailed) -> None:
+        """Start nothing and answer nothing until the failure is explained."""
+        now = time.monotonic()
+        self.admission.suspend(now)
+        self.crashes.hold(
+            BrokenAttempt(
+                job.start.fingerprint,
+                not job.shared,
+                job.restarts,
+                functools.partial(self._fail, job, failure),
+                now,
+            ),
+        )
+
+    def _lose_upstream(self) -> None:
+        """Refuse work until the upstream gives a load report again."""
+        self.unreachable = True
+        self.admission.restart_ramp()
+        self.admission.suspend(time.monotonic())
+        self._refuse_waiting()
+
+    def _classify_again(self, fingerprints: Collection[int]) -> None:
+        """Apply new evidence to the requests that are here already."""
+        if not fingerprints:
+            return
+        for job in tuple(self.jobs.values()):
+            if job.start.fingerprint not in fingerprints:
+                continue
+            standing = self.crashes.standing(job.start.fingerprint)
+            alone = standing is not Standing.CLEAR
+            self.admission.set_alone(job.number, alone)
+            if standing is Standing.REFUSED and job.execution is None:
+                self.admission.withdraw(job.number)
+                self._refuse_suspect(job)
+
+    def _refuse_suspect(self, job: _Job) -> None:
+        reason = 'this request has crashed upstreams and is not run again'
+        self._refuse(job, reason, _SUSPECT_STATUS)
 
     def _complete(self, job: _Job, ended: ExecutionEnded) -> None:
         if job.call is not None:
             self.keys.finish(job.call, ended.answer)
+        fingerprint = job.start.fingerprint
+        if self.crashes.clear(fingerprint):
+            self._classify_again({fingerprint})
         end = ended.execution.end_message(self.load())
         job.peer.send(dataclasses.replace(end, attempt=job.start.attempt))
 
-    def _fail(self, job: _Job, failure: RequestFailed) -> None:
+    def _fail(
+        self,
+        job: _Job,
+        failure: RequestFailed,
+        crashed: bool = False,
+    ) -> None:
         if failure.verdict is Verdict.NOT_RUN:
-            self.admission.restart_ramp()
             self._refuse(job, str(failure), failure.status)
+            self._lose_upstream()
             return
         if job.call is not None:
             self.keys.lose(job.call)
         assert job.execution is not None  # noqa: S101
         failed = job.execution.failed_message(failure, self.load())
-        job.peer.send(dataclasses.replace(failed, attempt=job.start.attempt))
+        job.peer.send(
+            dataclasses.replace(
+                failed,
+                attempt=job.start.attempt,
+                crashed=crashed,
+            ),
+        )
 
     def _cancel(self, job: _Job) -> None:
         if job.execution is not None:
             job.execution.cancel()
             return
-        for number, place in tuple(self.numbers.items()):
-            if place == (job.peer, job.start.attempt):
-                self.admission.withdraw(number)
-                self._refuse(job, 'cancelled', 499)
+        self.admission.withdraw(job.number)
+        self._refuse(job, 'cancelled', 499)
+        self._admit()
 
     def _refuse(self, job: _Job, reason: str, status: int) -> None:
         """Answer that the request was not and will not be executed."""
-        place = (job.peer, job.start.attempt)
-        self.jobs.pop(place, None)
-        for number, other in tuple(self.numbers.items()):
-            if other == place:
-                self.numbers.pop(number)
-        reject = Reject(Verdict.NOT_RUN, status, reason, 1)
+        self.jobs.pop((job.peer, job.start.attempt), None)
+        self.numbers.pop(job.number, None)
+        retry_after = 0 if status == _SUSPECT_STATUS else 1
+        reject = Reject(Verdict.NOT_RUN, status, reason, retry_after)
         if job.call is not None:
             refused = self.keys.refuse(job.call, reason)
             reject = dataclasses.replace(refused, status=status)
@@ -398,10 +515,40 @@
         if not refusal:
             self._admit()
             return
-        for number in tuple(self.admission.waiting):
-            self.admission.withdraw(number)
-            self._refuse(self.jobs[self.numbers[number]], refusal, 503)
+        tickets = tuple(self.admission.waiting.values())
+        for ticket in tickets:
+            self.admission.withdraw(ticket.attempt)
+        self._refuse_tickets(tickets, refusal, 503)
+
+    def _refuse_tickets(
+        self,
+        tickets: Iterable[Ticket],
+        reason: str,
+        status: int,
+    ) -> None:
+        for ticket in tickets:
+            job = self.jobs[self.numbers[ticket.attempt]]
+            self._refuse(job, reason, status)
 
 
 def _send_as(peer: Peer, attempt: int, reply: Reply) -> None:
     peer.send(dataclasses.replace(reply, attempt=attempt))
+
+
+def _is_broken(ended: ExecutionEnded) -> bool:
+    """Tell whether the upstream, not this agent, broke the connection."""
+    closed_here = ended.cancelled and ended.execution.start.idempotent
+    return isinstance(ended.failure, ConnectionBroken) and not closed_here
+
+
+def _ending(ended: ExecutionEnded) -> Ending:
+    if ended.answer is not None:
+        status = ended.answer.status
+        overloaded = status == _OVERLOADED_STATUS
+        if overloaded or status >= _LOWEST_SERVER_ERROR:
+            return Ending.FAILED
+        return Ending.COMPLETED
+    if ended.failure is not None:
+        if _is_broken(ended) or ended.failure.verdict is Verdict.NOT_RUN:
+            return Ending.FAILED
+    return Ending.ABANDONED
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -17,6 +17,7 @@
 from .keys import home_upstream, route_home
 from .links import Attempt, LinkLost, LinkPool
 from .messages import Body, End, Failed, Head, Headers, Refused, Start
+from .suspects import Standing, SuspectTable
 from .verdicts import Verdict
 
 __all__ = ('Answer', 'Dispatcher')
@@ -114,6 +115,8 @@
         """Send over ``pool`` what ``routing`` decides."""
         self.pool = pool
         self.routing = routing
+        # Changed in the links' thread only.
+        self.suspects = SuspectTable()
         self.configuration: Configuration | None = None
 
     def execute(self, request: CallerRequest) -> Answer:
@@ -178,7 +181,7 @@
             try:
                 return self._whole_head(upstream, request, deadline)
             except RequestFailed as error:
-                failure = error
+                failure = _later_failure(failure, error)
             upstream = None
             if len(tried) < _MAX_ATTEMPTS:
                 upstream = self._choose_again(request, tried, deadline)
@@ -190,6 +193,10 @@
         tried: tuple[str, ...],
         deadline: float,
     ) -> str | None:
+        now = time.monotonic()
+        standing = self.suspects.classify(request.fingerprint, now)
+        if standing is Standing.REFUSED:
+            return None
         if self._may_retry(request, deadline):
             return self._choose(request, tried)
         return None
@@ -357,6 +364,16 @@
     return RequestFailed('the link to the upstream was lost', verdict, 502, 1)
 
 
+def _later_failure(
+    earlier: RequestFailed,
+    failure: RequestFailed,
+) -> RequestFailed:
+    """Return a failure with a verdict that is true of all attempts."""
+    if failure.verdict is Verdict.NOT_RUN:
+        failure.verdict = earlier.verdict
+    return failure
+
+
 def _broken(reason: str) -> RequestFailed:
     return RequestFailed(reason, Verdict.RAN, 502)
 
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -25,7 +25,15 @@
 )
 from .exceptions import RequestFailed, RequestInvalid
 from .links import Link, LinkPool
-from .messages import Announce, Hello, Message, Pull, Snapshot, Welcome
+from .messages import (
+    Announce,
+    Hello,
+    Message,
+    Pull,
+    Snapshot,
+    Suspects,
+    Welcome,
+)
 from .metrics import Metrics
 from .programs import repeat, run_program
 from .records import LogService
@@ -134,7 +142,14 @@
         if isinstance(message, Announce | Pull | Snapshot):
             self.configuration.tell(PeerMessage(message, link.send))
             return
+        if isinstance(message, Suspects):
+            self._merge_suspects(message)
+            return
         if isinstance(message, Welcome):
+            # The agent gets the evidence before any request.
+            rows = self.dispatcher.suspects.rows_at(time.monotonic())
+            if rows:
+                link.send(Suspects(rows))
             self.routing.tell(Linked(link.upstream, message.load))
             self.configuration.tell(PeerMessage(message, link.send))
             return
@@ -142,6 +157,12 @@
         if load is not None:
             self.routing.tell(LoadSeen(link.upstream, load))
 
+    def _merge_suspects(self, message: Suspects) -> None:
+        """Pass on new evidence; the links' thread owns the table."""
+        changed = self.dispatcher.suspects.merge(message.rows, time.monotonic())
+        if changed:
+            self.pool.broadcast(Suspects(changed))
+
     def _answer(
         self,
         environ: Mapping[str, Any],
--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -4,11 +4,13 @@
 
 __all__ = (
     'ConfigurationInvalid',
+    'ConnectionBroken',
     'LinkClosed',
     'MessageInvalid',
     'PrimroseyokeError',
     'RequestFailed',
     'RequestInvalid',
+    'ServiceRefused',
     'ServiceUnavailable',
     'SettingsInvalid',
 )
@@ -38,6 +40,10 @@
     """A service of the platform did not answer, or refused."""
 
 
+class ServiceRefused(ServiceUnavailable):
+    """A service accepts no connection: its process is gone."""
+
+
 class RequestInvalid(PrimroseyokeError):
     """A caller's request breaks the protocol; nothing of it was run."""
 
@@ -62,3 +68,7 @@
         self.verdict = verdict
         self.status = status
         self.retry_after = retry_after
+
+
+class ConnectionBroken(RequestFailed):
+    """The upstream ended the connection before the answer was whole."""
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -48,6 +48,7 @@
 MAX_MESSAGE_BYTES = 2**22
 _FIRST_RETRY = 0.1
 _LAST_RETRY = 2.0
+_CLOSE_CHECK = 0.2
 
 #: Messages of an agent about one attempt.
 Reply = Refused | Head | Body | End | Failed
@@ -147,6 +148,17 @@
         """Drop later replies to an attempt; called from any thread."""
         self.pool.events.call(self.attempts.pop, attempt.number, None)
 
+    async def close_when_idle(self) -> None:
+        """Close the link once its last attempt has ended.
+
+        A change of configuration can make a link superfluous while answers
+        arrive over it, and must not cut them.
+        """
+        await asyncio.sleep(_CLOSE_CHECK)
+        while self.attempts:
+            await asyncio.sleep(_CLOSE_CHECK)
+        self.task.cancel()
+
     def _enqueue(self, message: Message) -> None:
         if self.outgoing is not None:
             self.outgoing.put_nowait(message)
@@ -193,7 +205,7 @@
             self.outgoing = None
             writer.cancel()
             self._lose_attempts()
-            self.pool.on_lost(self)
+            self.pool.lose(self)
 
     async def _write(self, websocket: Any) -> None:
         assert self.outgoing is not None  # noqa: S101
@@ -273,11 +285,17 @@
         for link in tuple(self.links.values()):
             link.send(message)
 
+    def lose(self, link: Link) -> None:
+        """Report a link that was lost, but not one that is not wanted."""
+        if self.links.get(link.upstream) is link:
+            self.on_lost(link)
+
     def _adjust(self, addresses: Mapping[str, str]) -> None:
         for upstream, link in tuple(self.links.items()):
             if addresses.get(upstream) != link.address:
-                link.task.cancel()
                 self.links.pop(upstream)
+                self.on_lost(link)
+                self.events.loop.create_task(link.close_when_idle())
         for upstream, address in addresses.items():
             if upstream not in self.links:
                 self.links[upstream] = Link(self, upstream, address)
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -58,13 +58,16 @@
 class Suspect:
     """Crash evidence against one request fingerprint.
 
-    ``upstreams`` names the distinct upstreams that crashed while running it;
-    ``expires_in`` is the remaining lifetime in seconds.
+    ``upstreams`` names the upstreams that crashed while running it; none of
+    them means that it has completed since and is cleared. ``expires_in`` is
+    the remaining lifetime in seconds. ``alone`` is true if nothing else ran
+    beside it at any time.
     """
 
     fingerprint: int
     upstreams: tuple[str, ...]
     expires_in: float
+    alone: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/services.py
+++ b/primroseyoke/services.py
@@ -10,10 +10,20 @@
 
 import msgspec
 import urllib3
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
 
 from .admission import UpstreamLoad
-from .exceptions import RequestFailed, ServiceUnavailable
+from .exceptions import (
+    ConnectionBroken,
+    RequestFailed,
+    ServiceRefused,
+    ServiceUnavailable,
+)
 from .verdicts import Verdict
 
 __all__ = ('UpstreamAnswer', 'UpstreamClient', 'UpstreamRequest')
@@ -68,15 +78,15 @@
         """Yield the body as it arrives.
 
         Raises:
-            RequestFailed: the body ended early.
+            RequestFailed: the body did not arrive in time.
+            ConnectionBroken: the body ended early.
         """
         try:
             yield from self.response.stream(_CHUNK_BYTES, decode_content=False)
         except (HTTPError, OSError) as error:
-            raise RequestFailed(
+            raise _lost_answer(
                 f'the upstream broke off its answer: {error}',
-                Verdict.MAY_HAVE_RUN,
-                502,
+                error,
             ) from error
 
     def close(self) -> None:
@@ -105,8 +115,9 @@
         """Send a request and return when the head of the answer is there.
 
         Raises:
-            RequestFailed: no answer; ``not_run`` if the upstream refused the
-                connection, else ``may_have_run``.
+            RequestFailed: no answer; ``not_run`` if there was no connection,
+                else ``may_have_run``.
+            ConnectionBroken: the upstream ended the connection.
         """
         try:
             response = self.pool.urlopen(
@@ -122,16 +133,15 @@
                 redirect=False,
                 retries=False,
             )
-        except NewConnectionError as error:
+        except (NewConnectionError, ConnectTimeoutError) as error:
             raise RequestFailed(
                 'the upstream refused the connection',
                 Verdict.NOT_RUN,
             ) from error
         except (HTTPError, OSError) as error:
-            raise RequestFailed(
+            raise _lost_answer(
                 f'the upstream gave no answer: {error}',
-                Verdict.MAY_HAVE_RUN,
-                502,
+                error,
             ) from error
         return UpstreamAnswer(response)
 
@@ -140,14 +150,23 @@
 
         Raises:
             ServiceUnavailable: no report, or one that cannot be understood.
+            ServiceRefused: the upstream refused the connection.
         """
         try:
             response = self.pool.request('GET', '/load', timeout=_LOAD_TIMEOUT)
             return _parse_load(response.data)
+        except NewConnectionError as error:
+            raise ServiceRefused(f'no load report: {error}') from error
         except (HTTPError, OSError, msgspec.MsgspecError) as error:
             raise ServiceUnavailable(f'no load report: {error}') from error
 
 
+def _lost_answer(text: str, error: Exception) -> RequestFailed:
+    if isinstance(error, ReadTimeoutError | TimeoutError):
+        return RequestFailed(text, Verdict.MAY_HAVE_RUN, 502)
+    return ConnectionBroken(text, Verdict.MAY_HAVE_RUN, 502)
+
+
 def _parse_load(content: bytes) -> UpstreamLoad:
     decoded: Any = msgspec.json.decode(content)
     return msgspec.convert(decoded, UpstreamLoad)
