--- a/primroseyoke/admission.py
+++ b/primroseyoke/admission.py
@@ -11,6 +11,9 @@
 
 __all__ = ('Admission', 'Ending', 'Limits', 'Ticket', 'UpstreamLoad')
 
+# The ramp is at most this many times slower than the first one.
+_SLOWEST_PACE = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
@@ -62,6 +65,8 @@
         self.limits = limits
         self.limit = 0
         self.completed = 0
+        # Rounds of completed work for each step of the limit.
+        self.pace = 1
         self.foreign = 0
         self.held = 0
         self.report: UpstreamLoad | None = None
@@ -192,7 +197,14 @@
         self.suspended_at = now
 
     def restart_ramp(self) -> None:
-        """Treat the upstream as cold, for example after a refused connection."""
+        """Treat the upstream as cold, for example after a refused connection.
+
+        After a restart in the middle of the ramp the next ramp takes twice as
+        long: an upstream that warms up slowly would crash at the same step
+        again and again.
+        """
+        if self.limits.cold_limit < self.limit < self.limits.max_running:
+            self.pace = min(2 * self.pace, _SLOWEST_PACE)
         if self.report is not None:
             self.limit = self.limits.cold_limit
         self.completed = 0
@@ -225,9 +237,11 @@
 
     def _count_completed(self) -> None:
         self.completed += 1
-        if self.completed >= self.limit:
+        if self.completed >= self.limit * self.pace:
             self.completed = 0
             self.limit = min(self.limit + 1, self.limits.max_running)
+        if self.limit >= self.limits.max_running:
+            self.pace = 1
 
     def _count_foreign(self, reported: int) -> None:
         """Estimate what the upstream runs beside the requests of this process.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -196,6 +196,8 @@
 
     @rule(sign=st.sampled_from(['incarnation', 'uptime', 'refused']))
     def turn_cold(self, sign):
+        self.uptime += 10
+        self.observe()
         for ticket in tuple(self.naive.running):
             self.naive.end(ticket)
             self.admission.finish(ticket.attempt, Ending.FAILED)
