--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -46,10 +46,8 @@
     cleared_at: float
 
     def changed_at(self) -> float:
-        return max(
-            self.cleared_at,
-            *(crash.at for crash in self.crashes.values()),
-        )
+        times = [crash.at for crash in self.crashes.values()]
+        return max([self.cleared_at, *times])
 
 
 _NO_ROW = _Row(types.MappingProxyType({}), float('-inf'))
@@ -125,12 +123,17 @@
         return Standing.SUSPECT
 
     def rows_at(self, now: float) -> tuple[Suspect, ...]:
-        """Return the evidence for a new peer."""
-        return tuple(
-            Suspect(fingerprint, (upstream,), _left(crash.at, now), crash.alone)
-            for fingerprint, row in tuple(self.rows.items())
-            for upstream, crash in _live_crashes(row, now).items()
-        )
+        """Return the evidence for a new peer, what was cleared included."""
+        suspects = []
+        for fingerprint, row in tuple(self.rows.items()):
+            left = _left(row.cleared_at, now)
+            if left > 0:
+                suspects.append(Suspect(fingerprint, (), left))
+            suspects.extend(
+                Suspect(fingerprint, (name,), _left(crash.at, now), crash.alone)
+                for name, crash in _live_crashes(row, now).items()
+            )
+        return tuple(suspects)
 
     def _trim(self, now: float) -> None:
         self.rows = {
