Test overload, crashes and removals with separate processes

Cause: the aggregates were proved alone. The stand-in upstream sent a whole answer after a crash when the answer was not streamed, and never freed the place of a reader that had gone, so it could not show these failures.

Change: the stand-in cuts everything that ran when it crashed, frees the place of a lost reader, and counts requests and crashes. tests/test_attempts.py covers several entries against a cold upstream, a crash without warning, an agent killed while work runs, removal of a zone, of an upstream and of its part with an entry on an old log, and poison requests without and with a key.

--- a/tests/standins/upstreams.py
+++ b/tests/standins/upstreams.py
@@ -19,6 +19,7 @@
     def __init__(self, port=0, **faults):
         super().__init__(port, **faults)
         self.highest = 0
+        self.begun = 0
         self.crashes = 0
         self.calls = []
         self._restart()
@@ -35,6 +36,9 @@
             handler.reply(200, self.load())
         elif handler.path == '/calls_count':
             handler.reply(200, self.completed)
+        elif handler.path == '/counts':
+            names = ('crashes', 'highest', 'begun')
+            handler.reply(200, {name: getattr(self, name) for name in names})
         elif handler.path == '/calls':
             handler.reply(200, self.calls)
         else:
@@ -61,20 +65,32 @@
         with self.lock:
             incarnation = self.incarnation
             self.running += 1
+            self.begun += 1
             self.highest = max(self.highest, self.running)
             overloaded = self.running > self.capacity()
         poison = self.faults.get('poison')
         if overloaded or (poison and poison.encode() in content):
             self.crash()
+        self.delay()
+        reached = True
         if self.incarnation == incarnation:
-            self.answer(handler, content)
+            reached = self._reach(handler, content)
         if self.incarnation != incarnation:
             # Everything that ran when the upstream crashed is cut.
             handler.close_connection = True
             return
         with self.lock:
             self.running -= 1
-            self.completed += 1
+            self.completed += reached
+
+    def _reach(self, handler, content):
+        """Answer; a reader that has gone frees its place like any other."""
+        try:
+            self.answer(handler, content)
+        except ConnectionError:
+            handler.close_connection = True
+            return False
+        return True
 
 
 class Engine(Upstream):
@@ -85,7 +101,6 @@
         incarnation = self.incarnation
         words = ['{0} '.format(word) for word in range(self.token_count())]
         words.append(document['messages'][-1]['content'])
-        self.delay()
         if not document.get('stream'):
             message = {'role': 'assistant', 'content': ''.join(words)}
             handler.reply(200, {'choices': [{'message': message}]})
@@ -112,7 +127,6 @@
     """Plain service that remembers each call that it executed."""
 
     def answer(self, handler, content):
-        self.delay()
         with self.lock:
             self.calls.append([handler.command, handler.path, content.decode()])
             count = len(self.calls)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,192 @@
+"""Overload, crashes and removal of upstreams, with separate processes."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.conftest import is_linked
+from tests.fleet import HTTP, Fleet, call, chat, chat_text, wait_for
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+GENEROUS = {'retry_burst': 1000, 'max_running': 8}
+
+
+def open_fleet(fleet, entries=2):
+    fleet.entries = [
+        fleet.entry(f'entry-{zone}', zone) for zone in ZONES[:entries]
+    ]
+    assert fleet.publish().returncode == 0
+    for entry in fleet.entries:
+        wait_for(lambda entry=entry: is_linked(entry), 10, 'links')
+
+
+def counts(fleet, upstream):
+    return fleet.processes[f'{upstream}-upstream'].get('/counts')
+
+
+def total(fleet, count):
+    return sum(
+        counts(fleet, name.removeprefix('upstream/'))[count]
+        for name in fleet.parts
+        if name.startswith('upstream/')
+    )
+
+
+def push(fleet, pool, count, name):
+    """Send different requests over all entries; return the futures."""
+    return [
+        pool.submit(
+            chat,
+            fleet.entries[number % len(fleet.entries)],
+            'draft',
+            f'{name} {number}',
+            stream=False,
+        )
+        for number in range(count)
+    ]
+
+
+def statuses(futures):
+    return {future.result().status for future in futures}
+
+
+def test_cold_upstream_survives_full_load():
+    """Guards against overload of a cold upstream, at start or after a crash.
+
+    The stand-in crashes when it gets more than it bears.
+    """
+    faults = {'cold_capacity': 4, 'warm_after': 8, 'capacity': 8}
+    with Fleet(GENEROUS) as fleet, ThreadPoolExecutor(60) as pool:
+        fleet.service(
+            'draft', 'model', ZONES[:1], delay=0.05, poison='!!!', **faults
+        )
+        open_fleet(fleet, entries=3)
+        assert statuses(push(fleet, pool, 120, 'first')) == {200}
+        assert counts(fleet, 'draft-1')['crashes'] == 0
+        assert counts(fleet, 'draft-1')['highest'] == 8
+        futures = push(fleet, pool, 120, 'second')
+        begun = counts(fleet, 'draft-1')['begun']
+        wait_for(lambda: counts(fleet, 'draft-1')['begun'] > begun + 16)
+        address = fleet.processes['draft-1-upstream'].address
+        with pytest.raises(Exception, match='aborted'):
+            HTTP.request('POST', f'http://{address}/', body='!!!')
+        assert statuses(futures) == {200}
+        assert counts(fleet, 'draft-1')['crashes'] == 1
+
+
+def test_restarted_agent_does_not_overload_the_upstream(fleet):
+    """Guards against a new agent that fills up an upstream that is full."""
+    fleet.parts['defaults'] = {'cold_limit': 4, 'max_running': 4}
+    faults = {'capacity': 4, 'cold_capacity': 4, 'delay': 6}
+    fleet.service('draft', 'model', ZONES[:1], **faults)
+    open_fleet(fleet, entries=1)
+    with ThreadPoolExecutor(16) as pool:
+        push(fleet, pool, 4, 'before')
+        wait_for(lambda: counts(fleet, 'draft-1')['begun'] == 4)
+        fleet.processes['draft-1'].kill()
+        agent = fleet.restart_agent('draft-1')
+        wait_for(lambda: agent.state()['foreign_running'] == 4)
+        fleet.processes['draft-1-upstream'].fault(delay=0)
+        assert statuses(push(fleet, pool, 8, 'after')) == {200}
+    assert counts(fleet, 'draft-1')['crashes'] == 0
+
+
+@pytest.mark.parametrize('removed', ['zone', 'upstream', 'part'])
+def test_upstream_that_is_taken_out_gets_no_new_work(fleet, removed):
+    """Guards against new work after a removal, and against cut answers.
+
+    The second entry reads a log that never tells of the removal.
+    """
+    fleet.service('draft', 'model', ZONES[:2], token_delay=0.12, tokens=40)
+    stale_log = fleet.standin('stale-log', 'logservice')
+    open_fleet(fleet, entries=1)
+    copy_log(fleet.log, stale_log)
+    stale = fleet.entry('stale', 'zone-a', log_service=stale_log.address)
+    wait_for(lambda: is_linked(stale), 10, 'links')
+    entries = (fleet.entries[0], stale)
+    with ThreadPoolExecutor(16) as pool:
+        streams = [
+            pool.submit(chat, entry, 'draft', 'whole') for entry in entries
+        ]
+        wait_for(lambda: counts(fleet, 'draft-1')['begun'] >= 1)
+        take_out(fleet, removed)
+        agent = fleet.processes['draft-1']
+        wait_for(lambda: agent.state()['refusal'], 5, 'the removal')
+        fleet.processes['draft-1-upstream'].fault(token_delay=0.01)
+        fleet.processes['draft-2-upstream'].fault(token_delay=0)
+        begun = counts(fleet, 'draft-1')['begun']
+        later = [
+            chat(entry, 'draft', f'{n}') for n in '123' for entry in entries
+        ]
+        assert {answer.status for answer in later} == {200}
+        assert counts(fleet, 'draft-1')['begun'] == begun
+        for stream in streams:
+            assert chat_text(stream.result()).endswith('39 whole')
+
+
+def copy_log(source, target):
+    page = source.get('/streams/configuration?from=0&limit=9')
+    for record in page['records']:
+        HTTP.request(
+            'POST',
+            f'http://{target.address}/streams/configuration',
+            json=record['content'],
+        )
+
+
+def take_out(fleet, removed):
+    upstream = fleet.parts['upstream/draft-1']
+    parts = {
+        'zone': {'zone/zone-a': {'state': 'out', 'reason': 'works'}},
+        'upstream': {'upstream/draft-1': {**upstream, 'state': 'leaving'}},
+        'part': {'upstream/draft-1': None},
+    }
+    assert fleet.publish(parts[removed]).returncode == 0
+
+
+def test_poison_request_is_refused_and_innocent_ones_are_answered():
+    """Guards against a request that crashes one upstream after the other."""
+    with Fleet(GENEROUS) as fleet, ThreadPoolExecutor(16) as pool:
+        fleet.service('draft', 'model', ZONES, poison='boom', delay=0.3)
+        open_fleet(fleet)
+        first, second = fleet.entries
+        futures = push(fleet, pool, 12, 'innocent')
+        wait_for(lambda: total(fleet, 'begun') >= 3)
+        crashed = chat(first, 'draft', 'boom', stream=False)
+        assert (crashed.status, verdict(crashed)) == (502, 'may_have_run')
+        assert statuses(futures) == {200}
+        assert total(fleet, 'crashes') == 2
+        refused = chat(second, 'draft', 'boom', stream=False)
+        assert (refused.status, verdict(refused)) == (403, 'not_run')
+        assert total(fleet, 'crashes') == 2
+        assert statuses(push(fleet, pool, 12, 'innocent')) == {200}
+
+
+def test_poison_call_with_a_key_is_refused_for_its_key():
+    """Guards against a refusal that leaves the key usable."""
+    with Fleet(GENEROUS) as fleet:
+        calls = ['POST /invoices']
+        fleet.service('app', 'plain', ZONES, calls, poison='boom')
+        open_fleet(fleet, entries=1)
+        entry = fleet.entries[0]
+        seen = []
+        while not seen or seen[-1][0] == 502:
+            key = call(entry, 'POST', '/keys/app').json()['key']
+            seen.append(post(entry, key))
+        assert seen[0] == (502, 'may_have_run')
+        assert seen[-1] == (403, 'not_run')
+        crashes = total(fleet, 'crashes')
+        assert post(entry, key) == (409, 'not_run')
+        assert total(fleet, 'crashes') == crashes
+
+
+def post(entry, key):
+    headers = {'Idempotency-Key': key}
+    path = '/services/app/invoices'
+    response = call(entry, 'POST', path, body=b'boom', headers=headers)
+    return response.status, verdict(response)
+
+
+def verdict(response):
+    return json.loads(response.data)['verdict']
