--- a/bench/zones.py
+++ b/bench/zones.py
@@ -13,7 +13,13 @@
 import random
 
 from bench.figures import report
-from primroseyoke.admission import Admission, Limits, Ticket, UpstreamLoad
+from primroseyoke.admission import (
+    Admission,
+    Ending,
+    Limits,
+    Ticket,
+    UpstreamLoad,
+)
 from primroseyoke.configuration import Fold, Record
 from primroseyoke.keys import home_chain
 from primroseyoke.messages import Load
@@ -169,20 +175,16 @@
 
     def observe(self):
         if self.upstream.up:
-            self.admission.observe(
-                UpstreamLoad(
-                    str(self.upstream.incarnation),
-                    self.world.clock.now,
-                    len(self.upstream.running),
-                ),
+            report = UpstreamLoad(
+                str(self.upstream.incarnation),
+                self.world.clock.now,
+                len(self.upstream.running),
             )
+            self.admission.observe_load(report, self.world.clock.now)
 
     def poll(self):
         self.observe()
-        for ticket in self.admission.expire(self.world.clock.now):
-            request, _, reply = self.tickets.pop(ticket.attempt)
-            reply(request, 'refused', self.load())
-        self.admit()
+        self.advance()
         self.world.clock.after(0.5, self.poll)
 
     def load(self):
@@ -202,15 +204,24 @@
             request.deadline,
             request.kind != 'booking',
         )
-        if self.out or not self.admission.offer(ticket):
+        if self.out:
             reply(request, 'refused', self.load())
             return
-        self.tickets[number] = (request, ticket, reply)
-        self.admit()
-
-    def admit(self):
-        for ticket in self.admission.admit():
-            request, _, _ = self.tickets[ticket.attempt]
+        self.tickets[number] = (request, reply)
+        for refused in self.admission.offer(ticket):
+            self.refuse(refused)
+        self.advance()
+
+    def refuse(self, ticket):
+        request, reply = self.tickets.pop(ticket.attempt)
+        reply(request, 'refused', self.load())
+
+    def advance(self):
+        admitted, expired = self.admission.advance(self.world.clock.now)
+        for ticket in expired:
+            self.refuse(ticket)
+        for ticket in admitted:
+            request, _ = self.tickets[ticket.attempt]
             self.upstream.start(
                 request,
                 lambda ended, outcome, number=ticket.attempt: self.end(
@@ -220,13 +231,17 @@
             )
 
     def end(self, number, outcome):
-        request, _, reply = self.tickets.pop(number)
-        self.admission.finish(number, outcome == 'done')
+        request, reply = self.tickets.pop(number)
+        completed = outcome == 'done'
+        self.admission.finish(
+            number,
+            Ending.COMPLETED if completed else Ending.FAILED,
+        )
         if outcome == 'refused':
             self.admission.restart_ramp()
         self.observe()
         reply(request, outcome, self.load())
-        self.admit()
+        self.advance()
 
 
 class Counts:
--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -21,8 +21,8 @@
     SealKeys,
     Tick,
 )
+from .crashes import poll_load
 from .distribution import ANNOUNCE, ConfigurationActor, LogReader, PeerMessage
-from .exceptions import ServiceUnavailable
 from .handovers import Handover
 from .links import LinkServer, Peer
 from .messages import (
@@ -138,7 +138,7 @@
     def _receive(self, peer: Peer, message: Message) -> None:
         if isinstance(message, Announce | Hello | Pull | Snapshot):
             self.configuration.tell(PeerMessage(message, peer.send))
-        else:
+        if not isinstance(message, Announce | Pull | Snapshot):
             self.actor.tell(Received(peer, message))
 
     def _dump(self) -> Any:
@@ -151,10 +151,7 @@
         self.configuration.tell(ANNOUNCE)
 
     def _poll_load(self) -> None:
-        try:
-            self.actor.tell(self.upstream.load())
-        except ServiceUnavailable as error:
-            log.debug('%s', error)
+        poll_load(self.upstream, self.actor.tell)
         load = self._load()
         now = time.monotonic()
         overdue = now - self.reported_at >= _LOAD_REPORT_INTERVAL
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -24,6 +24,7 @@
 from .keys import creation_time, route_chain
 from .links import Attempt, LinkLost, LinkPool
 from .messages import Body, End, Failed, Head, Headers, Refused, Start
+from .suspects import Standing, SuspectTable
 from .verdicts import Verdict
 
 __all__ = ('Answer', 'Dispatcher')
@@ -128,6 +129,8 @@
         """Send over ``pool`` what ``routing`` decides."""
         self.pool = pool
         self.routing = routing
+        # Changed in the links' thread only.
+        self.suspects = SuspectTable()
         self.configuration: Configuration | None = None
 
     def execute(
@@ -194,8 +197,9 @@
         while upstream is not None:
             tried += (upstream,)
             start = _start(request, deadline, idempotent=True)
-            outcome = self._attempt(upstream, start, deadline)
-            outcome = outcome.and_then(_prefetched)
+            later = self._attempt(upstream, start, deadline)
+            later = later.and_then(_prefetched)
+            outcome = _true_of_both(outcome, later)
             if outcome.is_ok() or len(tried) == _MAX_ATTEMPTS:
                 break
             upstream = self._choose_again(request, tried, deadline)
@@ -207,6 +211,10 @@
         tried: tuple[str, ...],
         deadline: float,
     ) -> str | None:
+        now = time.monotonic()
+        standing = self.suspects.classify(request.fingerprint, now)
+        if standing is Standing.REFUSED:
+            return None
         time.sleep(_RETRY_PAUSE)
         if self._may_retry(request, deadline):
             return self._choose(request, tried)
@@ -451,6 +459,23 @@
     )
 
 
+def _true_of_both(
+    earlier: Result[Answer, RequestFailed],
+    later: Result[Answer, RequestFailed],
+) -> Result[Answer, RequestFailed]:
+    """Return the later outcome with a verdict that is true of both."""
+    if isinstance(earlier, Err) and _is_refusal(later):
+        return later.map_err(
+            lambda failure: RequestFailed(
+                str(failure),
+                earlier.err_value.verdict,
+                failure.status,
+                failure.retry_after,
+            ),
+        )
+    return later
+
+
 def _broken(reason: str) -> RequestFailed:
     return RequestFailed(reason, Verdict.RAN, 502)
 
--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -4,12 +4,14 @@
 
 __all__ = (
     'ConfigurationInvalid',
+    'ConnectionBroken',
     'LinkClosed',
     'LinkFailed',
     'MessageInvalid',
     'PrimroseyokeError',
     'RequestFailed',
     'RequestInvalid',
+    'ServiceRefused',
     'ServiceUnavailable',
     'SettingsInvalid',
 )
@@ -39,6 +41,10 @@
     """A service of the platform did not answer, or refused."""
 
 
+class ServiceRefused(ServiceUnavailable):
+    """A service accepts no connection: its process is gone."""
+
+
 class RequestInvalid(PrimroseyokeError):
     """A caller's request breaks the protocol; nothing of it was run."""
 
@@ -67,3 +73,7 @@
 
 class LinkFailed(RequestFailed):
     """The link to the upstream was down, or ended before an answer."""
+
+
+class ConnectionBroken(RequestFailed):
+    """The upstream ended the connection before the answer was whole."""
