--- /dev/null
+++ b/tests/test_maps.py
@@ -0,0 +1,298 @@
+"""Exhaustive search of expert map changes, through the aggregates themselves.
+
+Every message that was sent stays in the network: it may arrive late, again or
+never. Leaders do not look at their clocks, so each of them may be paused at any
+point and wake up later. A rank may read any prefix of the log. ``Prepared``
+replies arrive with their order or not at all: they carry no promise. The second
+leader claims after the first, since the two are alike.
+"""
+
+import functools
+import math
+
+import pytest
+from minicheck import Protocol, check_safety
+
+from primroseyoke import maps
+from primroseyoke.leases import LeaseClaim, LeaseFold
+from primroseyoke.maps import DecidedMap, Decision, Joined, MapChange
+from primroseyoke.maps import MapFold, RankMap, Stage, Use
+
+INITIAL = DecidedMap(-1, -2, 'old', 0)
+PAUSED = -math.inf
+FIELDS = ('log', 'net', 'time', 'leaders', 'ranks', 'steps', 'ran', 'restarts')
+
+
+def freeze(aggregate):
+    items = sorted(vars(aggregate).items())
+    return tuple(
+        (name, tuple(sorted(part.items())) if isinstance(part, dict) else part)
+        for name, part in items
+    )
+
+
+def thaw(owner, kind, frozen):
+    aggregate = kind.__new__(kind)
+    dicts = {'holding'} if owner is MapChange else ()
+    for name, part in frozen:
+        vars(aggregate)[name] = dict(part) if name in dicts else part
+    return aggregate
+
+
+class Group:
+    """A rank group, up to two leaders, the log and the network.
+
+    States hold small numbers in place of aggregates and messages, and the
+    outcome of each call is kept, which makes the search fast enough.
+    """
+
+    fold_class = MapFold
+    change_class = MapChange
+    rank_class = RankMap
+
+    def __init__(self, ranks, leaders=2, restarts=1, steps=2, ticks=1, stale=True, cancel=True):
+        self.size = ranks
+        self.leaders = leaders
+        self.max_step = steps
+        self.max_time = ticks
+        self.stale = stale
+        self.calls = ('learn', 'decide', 'cancel')[: 3 if cancel else 2]
+        self.numbers = {}
+        self.parts = []
+        for name in ('fold', 'append', 'lead', 'receive', 'order', 'learn'):
+            setattr(self, name, functools.cache(getattr(self, name)))
+        self.start = functools.cache(self.start)
+        joined = tuple((Joined(rank, f'{rank}.0'), 0) for rank in range(ranks))
+        log = self.number(joined)
+        started = []
+        for rank in range(ranks):
+            rank_map = self.rank_class(rank, f'{rank}.0')
+            rank_map.learn(self.fold(log, 0))
+            rank_map.finish_loading('old')
+            rank_map.choose(0)
+            started.append(self.number(freeze(rank_map)))
+        self.initial = (
+            log,
+            frozenset(self.number(record) for record, _ in joined),
+            0,
+            (),
+            tuple(started),
+            (1,) * ranks,
+            frozenset({(0, 'old')}),
+            restarts,
+        )
+
+    def number(self, part):
+        if part not in self.numbers:
+            self.numbers[part] = len(self.parts)
+            self.parts.append(part)
+        return self.numbers[part]
+
+    def fold(self, log, time):
+        fold = self.fold_class(self.size, INITIAL)
+        for offset, (record, appended_at) in enumerate(self.parts[log]):
+            fold.apply(record, offset, appended_at)
+        fold.leases.advance(time)
+        return fold
+
+    def append(self, log, time, record):
+        """Return the longer log, None if the record takes no effect."""
+        longer = (*self.parts[log], (record, time))
+        fold = self.fold(log, time)
+        offset = len(longer) - 1
+        trial = self.fold_class(self.size, INITIAL)
+        vars(trial).update(vars(fold))
+        trial.leases = LeaseFold(fold.leases.lease)
+        effect = trial.apply(record, offset, time)
+        return self.number(longer) if effect else None
+
+    def transitions(self, state):
+        log, net, time, leaders, ranks, steps, ran, restarts = state
+        if time < self.max_time:
+            yield 'tick', (log, net, time + 1, *state[3:])
+        for label, after in self.lead_transitions(state):
+            yield label, after
+        for message in net:
+            yield from self.deliver(state, message)
+        for rank in range(self.size):
+            yield from self.rank_transitions(state, rank)
+
+    def lead_transitions(self, state):
+        log, net, time, leaders, *rest = state
+        for index, leader in enumerate(leaders):
+            for call in self.calls:
+                after, sent = self.lead(leader, call, log, time)
+                if after != leader or not sent <= net:
+                    changed = put(leaders, index, after)
+                    yield (
+                        f'{call} {index}',
+                        (log, net | sent, time, changed, *rest),
+                    )
+        if len(leaders) < self.leaders:
+            index = len(leaders)
+            last = self.fold(log, time).leases.lease.fencing_number
+            longer = self.append(log, time, LeaseClaim(f'{index}', last, 1))
+            if longer:
+                change = self.change_class(
+                    f'new{index}', None, self.fold(longer, time), 0, index
+                )
+                leader, sent = self.sent(change)
+                yield (
+                    f'claim {index}',
+                    (longer, net | sent, time, (*leaders, leader), *rest),
+                )
+
+    def sent(self, change, *records):
+        """Return a leader and all that it sends, as numbers."""
+        messages = (*change.orders(PAUSED), *records)
+        return (
+            self.number(freeze(change)),
+            frozenset(self.number(message) for message in messages),
+        )
+
+    def lead(self, leader, call, log, time):
+        change = thaw(MapChange, self.change_class, self.parts[leader])
+        known = change.stage, change.latest
+        if call == 'learn':
+            change.learn(self.fold(log, time), 0)
+            if known == (change.stage, change.latest):
+                return leader, frozenset()
+            return self.sent(change)
+        decision = getattr(change, call)()
+        if isinstance(decision, Decision):
+            return self.sent(change, decision)
+        return self.sent(change)
+
+    def receive(self, leader, reply):
+        change = thaw(MapChange, self.change_class, self.parts[leader])
+        change.receive(reply)
+        return self.sent(change)
+
+    def deliver(self, state, number):
+        log, net, time, leaders, ranks, *rest = state
+        message = self.parts[number]
+        if isinstance(message, Decision | Joined):
+            longer = self.append(log, time, message)
+            if longer:
+                yield f'append {number}', (longer, *state[1:])
+        elif isinstance(message, maps.Holding):
+            yield from self.reply(state, message, f'reply {number}')
+        else:
+            rank, order = message
+            after, reply = self.order(ranks[rank], order)
+            changed = (log, net, time, leaders, put(ranks, rank, after), *rest)
+            if isinstance(reply, maps.Holding):
+                net |= {self.number(reply)}
+                changed = (log, net, *changed[2:])
+            if isinstance(reply, maps.Prepared):
+                yield from self.reply(changed, reply, f'order {number}')
+            elif changed != state:
+                yield f'order {number}', changed
+
+    def reply(self, state, reply, label):
+        log, net, time, leaders, *rest = state
+        for index, leader in enumerate(leaders):
+            after, sent = self.receive(leader, reply)
+            if after != leader:
+                changed = put(leaders, index, after)
+                yield label, (log, net | sent, time, changed, *rest)
+
+    def order(self, number, order):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        reply = rank.receive(order)
+        if isinstance(order, maps.Prepare) and reply is None:
+            reply = rank.finish_loading(order.change)
+        return self.number(freeze(rank)), reply
+
+    def learn(self, number, log, time):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        rank.learn(self.fold(log, time))
+        return self.number(freeze(rank))
+
+    def rank_transitions(self, state, rank):
+        log, net, time, leaders, ranks, steps, ran, restarts = state
+        records = self.parts[log]
+        first = self.size if self.stale else len(records)
+        for length in range(first, len(records) + 1):
+            prefix = self.number(records[:length])
+            read_at = time if length == len(records) else 0
+            after = self.learn(ranks[rank], prefix, read_at)
+            if after != ranks[rank]:
+                changed = put(ranks, rank, after)
+                yield f'learn {rank}', (*state[:4], changed, *state[5:])
+        step = steps[rank]
+        if step <= min(*steps, self.max_step):
+            after, change = self.start(ranks[rank], step)
+            if change:
+                yield (
+                    f'rank {rank} runs step {step} with {change}',
+                    (
+                        *state[:4],
+                        put(ranks, rank, after),
+                        put(steps, rank, step + 1),
+                        ran | {(step, change)},
+                        restarts,
+                    ),
+                )
+        if restarts:
+            yield self.restart(state, rank)
+
+    def start(self, number, step):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        chosen = rank.choose(step)
+        if not isinstance(chosen, Use) and chosen.load:
+            rank.finish_loading(chosen.load.change)
+            chosen = rank.choose(step)
+        if isinstance(chosen, Use):
+            return self.number(freeze(rank)), chosen.decided.change
+        return number, None
+
+    def restart(self, state, rank):
+        """Lose the memory of a rank; its unfinished step is run again."""
+        log, net, time, leaders, ranks, steps, ran, restarts = state
+        fresh = self.rank_class(rank, f'{rank}.{restarts}')
+        before = self.fold(log, time).incarnations[rank]
+        joined = self.number(Joined(rank, fresh.incarnation, before))
+        return (
+            f'restart {rank}',
+            (
+                log,
+                net | {joined},
+                time,
+                leaders,
+                put(ranks, rank, self.number(freeze(fresh))),
+                put(steps, rank, steps[rank] - 1),
+                ran,
+                restarts - 1,
+            ),
+        )
+
+
+def put(items, index, item):
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def one_map(state):
+    steps = [step for step, _ in state['ran']]
+    return len(steps) == len(set(steps))
+
+
+def never_active(state):
+    return all(change == 'old' for _, change in state['ran'])
+
+
+def search(group, most=400000):
+    """Print the size of the search, so that the figure can be read off."""
+    outcome = check_safety(
+        Protocol(
+            type(group).__name__,
+            False,
+            FIELDS,
+            group.initial,
+            group.transitions,
+            {'one_map': one_map, 'never_active': never_active},
+        ),
+        most,
+    )
+    print(outcome['reachable_states'], 'states', outcome['exhaustive'])
+    return outcome
