--- a/primroseyoke/maps.py
+++ b/primroseyoke/maps.py
@@ -7,11 +7,14 @@
 activation step on. The stream also has the records of the leader's lease and a
 ``Joined`` record for each start of a rank.
 
-The activation step is ``max(h) + 1``. No rank has passed it when the decision
-is recorded: a rank that runs stops before its ``h``, and since ranks advance in
-lock-step, a rank that promised ``h`` and died had started ``h`` at most, as the
-slowest of the others has not started ``h`` either way. Ranks that know the
-decision run the steps below the activation step on the old map.
+The activation step is the highest ``h``. No rank has passed it when the
+decision is recorded, since each stops before its own ``h``. A rank that dies
+may have started one step more than its successor knows of; as ranks advance in
+lock-step it is at most one step ahead of the slowest, so that step is unfinished
+and the successor runs it again, on the same map, before it promises anything.
+Lock-step also keeps the ``h`` of ranks that are past the asked step within one
+of each other. Ranks that know the decision run the steps below the activation
+step on the old map.
 
 The fold accepts a decision only from the lease holder of its offset, on top of
 the last decision, and with promises of the last ``Joined`` start of all ranks.
@@ -298,7 +301,7 @@
         if starts != self.incarnations:
             return False
         held = max(step for _, step in record.promises)
-        return record.step > max(held, self.latest.step)
+        return record.step >= held and record.step > self.latest.step
 
 
 class Stage(enum.Enum):
@@ -396,7 +399,7 @@
             self.lease.fencing_number,
             self.change,
             self.latest.offset,
-            max(self.holding.values()) + 1,
+            max(self.holding.values()),
             tuple(
                 (start, self.holding[rank])
                 for rank, start in enumerate(self.incarnations)
--- a/tests/test_maps.py
+++ b/tests/test_maps.py
@@ -7,8 +7,10 @@
 leader claims after the first, since the two are alike.
 """
 
+import dataclasses
 import functools
 import math
+import sys
 
 import pytest
 from minicheck import Protocol, check_safety
@@ -50,7 +52,16 @@
     change_class = MapChange
     rank_class = RankMap
 
-    def __init__(self, ranks, leaders=2, restarts=1, steps=2, ticks=1, stale=True, cancel=True):
+    def __init__(
+        self,
+        ranks,
+        leaders=2,
+        restarts=1,
+        steps=2,
+        ticks=1,
+        stale=True,
+        cancel=True,
+    ):
         self.size = ranks
         self.leaders = leaders
         self.max_step = steps
@@ -59,7 +70,18 @@
         self.calls = ('learn', 'decide', 'cancel')[: 3 if cancel else 2]
         self.numbers = {}
         self.parts = []
-        for name in ('fold', 'append', 'lead', 'receive', 'order', 'learn'):
+        for name in (
+            'fold',
+            'append',
+            'lead',
+            'receive',
+            'order',
+            'learn',
+            'awaits',
+            'is_old',
+            'can_append',
+            'alive',
+        ):
             setattr(self, name, functools.cache(getattr(self, name)))
         self.start = functools.cache(self.start)
         joined = tuple((Joined(rank, f'{rank}.0'), 0) for rank in range(ranks))
@@ -102,11 +124,50 @@
         offset = len(longer) - 1
         trial = self.fold_class(self.size, INITIAL)
         vars(trial).update(vars(fold))
-        trial.leases = LeaseFold(fold.leases.lease)
+        trial.leases = type(fold.leases)(fold.leases.lease)
         effect = trial.apply(record, offset, time)
         return self.number(longer) if effect else None
 
     def transitions(self, state):
+        for label, after in self.successors(state):
+            log, net, time, leaders, ranks, *rest = after
+            alive = self.alive(net, log, time, leaders, ranks, rest[-1])
+            yield label, (log, alive, time, leaders, ranks, *rest)
+
+    def alive(self, net, *context):
+        return frozenset(
+            number for number in net if self.is_alive(number, *context)
+        )
+
+    def is_alive(self, number, log, time, leaders, ranks, restarts):
+        """Tell whether a message can still have an effect."""
+        message = self.parts[number]
+        if isinstance(message, maps.Holding):
+            return self.awaits(leaders, message.fencing_number)
+        if isinstance(message, Joined):
+            return True
+        if isinstance(message, Decision):
+            return self.can_append(message, log, time)
+        if restarts:
+            return True
+        rank, order = message
+        return not self.is_old(ranks[rank], order)
+
+    def awaits(self, leaders, fencing_number):
+        for leader in leaders:
+            change = dict(self.parts[leader])
+            if change['lease'].fencing_number == fencing_number:
+                return change['stage'] is Stage.HOLDING
+        return False
+
+    def is_old(self, number, order):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        return rank._is_old(order)
+
+    def can_append(self, message, log, time):
+        return self.append(log, time, message) is not None
+
+    def successors(self, state):
         log, net, time, leaders, ranks, steps, ran, restarts = state
         if time < self.max_time:
             yield 'tick', (log, net, time + 1, *state[3:])
@@ -134,7 +195,11 @@
             longer = self.append(log, time, LeaseClaim(f'{index}', last, 1))
             if longer:
                 change = self.change_class(
-                    f'new{index}', None, self.fold(longer, time), 0, index
+                    f'new{index}',
+                    None,
+                    self.fold(longer, time),
+                    0,
+                    self.leaders - index - 1,
                 )
                 leader, sent = self.sent(change)
                 yield (
@@ -145,6 +210,9 @@
     def sent(self, change, *records):
         """Return a leader and all that it sends, as numbers."""
         messages = (*change.orders(PAUSED), *records)
+        if change.stage in {Stage.DECIDED, Stage.CANCELLED}:
+            change.prepared, change.holding = frozenset(), {}
+            change.next_step = 0
         return (
             self.number(freeze(change)),
             frozenset(self.number(message) for message in messages),
@@ -281,18 +349,178 @@
     return all(change == 'old' for _, change in state['ran'])
 
 
-def search(group, most=400000):
+def search(group, most=300000, stop_at_first=False):
     """Print the size of the search, so that the figure can be read off."""
+    violations = []
+
+    def holds(state):
+        if one_map(state):
+            return True
+        violations.append(state)
+        return False
+
+    def transitions(state):
+        return [] if stop_at_first and violations else group.transitions(state)
+
     outcome = check_safety(
         Protocol(
             type(group).__name__,
             False,
             FIELDS,
             group.initial,
-            group.transitions,
-            {'one_map': one_map, 'never_active': never_active},
+            transitions,
+            {'one_map': holds, 'never_active': never_active},
         ),
         most,
     )
-    print(outcome['reachable_states'], 'states', outcome['exhaustive'])
+    sys.stdout.write(
+        f'states={outcome["reachable_states"]}'
+        f' exhaustive={outcome["exhaustive"]}\n'
+    )
     return outcome
+
+
+CHECKS = {
+    'one leader, restart, stale reads': {'leaders': 1},
+    'two leaders': {'restarts': 0, 'stale': False},
+    'three ranks': {'ranks': 3, 'leaders': 1, 'restarts': 0, 'stale': False},
+}
+
+
+@pytest.mark.parametrize('name', CHECKS)
+def test_no_step_is_run_with_two_maps(name):
+    """Guards against two maps in one step, and against an idle model."""
+    outcome = search(Group(**{'ranks': 2, **CHECKS[name]}))
+    assert outcome['exhaustive']
+    assert outcome['properties']['one_map']['holds']
+    assert outcome['properties']['never_active']['holds'] is False
+
+
+class GuessingRank(RankMap):
+    def choose(self, step):
+        self.hold = None
+        return super().choose(step)
+
+
+class ObedientRank(RankMap):
+    """Follows the last order that arrives, whatever its fencing number."""
+
+    def _is_old(self, order):
+        return False
+
+    def receive(self, order):
+        if isinstance(order, maps.Hold) and order.latest == self.decided[-1]:
+            self.hold = None
+        return super().receive(order)
+
+
+class EarlyChange(MapChange):
+    """Activates without a decision record."""
+
+    def receive(self, reply):
+        super().receive(reply)
+        if self.stage is Stage.HOLDING and not self._missing(self.holding):
+            self.latest = DecidedMap(
+                99, self.latest.offset, self.change, max(self.holding.values())
+            )
+            self.stage = Stage.DECIDED
+
+
+class LowestChange(MapChange):
+    """Activates at the lowest of the promised steps."""
+
+    def decide(self):
+        decision = super().decide()
+        return decision and dataclasses.replace(
+            decision, step=min(self.holding.values())
+        )
+
+
+class LowestFold(MapFold):
+    def _is_promised(self, record):
+        held = max(step for _, step in record.promises)
+        return super()._is_promised(dataclasses.replace(record, step=held))
+
+
+class EarlyPromiseRank(RankMap):
+    """Promises before its present start has run a step."""
+
+    def receive(self, order):
+        self.next_step = max(self.next_step, 1)
+        return super().receive(order)
+
+
+class ForgetfulFold(MapFold):
+    """Counts the promises of starts that have ended."""
+
+    def _is_promised(self, record):
+        return True
+
+
+class RevivingFold(MapFold):
+    """Lets a late second append bring back an earlier start."""
+
+    def apply(self, record, offset, appended_at):
+        if isinstance(record, Joined):
+            before = self.incarnations[record.rank]
+            if before == record.incarnation or offset > 4:
+                return False
+            record = dataclasses.replace(record, against=before)
+        return super().apply(record, offset, appended_at)
+
+
+class LeaseVariant(MapFold):
+    lease_fold = LeaseFold
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.leases = self.lease_fold()
+
+
+class UnfencedLeases(LeaseFold):
+    def is_current(self, fencing_number):
+        return True
+
+
+class HastyLeases(LeaseFold):
+    """Takes a read that is behind for the end of a lease."""
+
+    def has_ended(self, fencing_number):
+        return not self.is_current(fencing_number)
+
+
+class UnfencedFold(LeaseVariant):
+    lease_fold = UnfencedLeases
+
+
+class HastyFold(LeaseVariant):
+    lease_fold = HastyLeases
+
+
+ONE = {'leaders': 1}
+TWO = {'restarts': 0, 'stale': False}
+VARIANTS = [
+    ({'change_class': EarlyChange}, ONE),
+    ({'fold_class': UnfencedFold}, TWO),
+    ({'rank_class': ObedientRank}, TWO),
+    ({'rank_class': GuessingRank}, ONE),
+    ({'change_class': LowestChange, 'fold_class': LowestFold}, ONE),
+    ({'rank_class': EarlyPromiseRank}, ONE),
+    ({'fold_class': ForgetfulFold}, ONE),
+    ({'fold_class': RevivingFold}, {**ONE, 'stale': False, 'cancel': False}),
+    ({'fold_class': HastyFold}, ONE),
+]
+
+
+@pytest.mark.parametrize(
+    ('classes', 'size'),
+    VARIANTS,
+    ids=[
+        '-'.join(kind.__name__ for kind in row[0].values()) for row in VARIANTS
+    ],
+)
+def test_unsafe_variant_runs_a_step_with_two_maps(classes, size):
+    """Guards against a model that would not notice a broken rule."""
+    group = type('Variant', (Group,), classes)(2, **size)
+    outcome = search(group, stop_at_first=True)
+    assert outcome['properties']['one_map']['holds'] is False
