--- /dev/null
+++ b/tests/test_maps.py
@@ -0,0 +1,604 @@
+"""Exhaustive search of expert map changes, through the aggregates themselves.
+
+Every message that was sent stays in the network: it may arrive late, again or
+never. Leaders do not look at their clocks, so each of them may be paused at any
+point and wake up later. A rank may read any prefix of the log. ``Prepared``
+replies arrive with their order or not at all: they carry no promise. The second
+leader claims after the first, since the two are alike.
+"""
+
+import dataclasses
+import functools
+import math
+import sys
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from minicheck import Protocol, check_safety
+
+from primroseyoke import maps
+from primroseyoke.exceptions import MessageInvalid
+from primroseyoke.leases import LeaseClaim, LeaseFold, LeaseRelease
+from primroseyoke.maps import DecidedMap, Decision, Joined, MapChange
+from primroseyoke.maps import MapFold, RankMap, Stage, Use
+
+INITIAL = DecidedMap(-1, -2, 'old', 0)
+PAUSED = -math.inf
+FIELDS = ('log', 'net', 'time', 'leaders', 'ranks', 'steps', 'ran', 'restarts')
+
+
+def freeze(aggregate):
+    items = sorted(vars(aggregate).items())
+    return tuple(
+        (name, tuple(sorted(part.items())) if isinstance(part, dict) else part)
+        for name, part in items
+    )
+
+
+def thaw(owner, kind, frozen):
+    aggregate = kind.__new__(kind)
+    dicts = {'holding'} if owner is MapChange else ()
+    for name, part in frozen:
+        vars(aggregate)[name] = dict(part) if name in dicts else part
+    return aggregate
+
+
+class Group:
+    """A rank group, up to two leaders, the log and the network.
+
+    States hold small numbers in place of aggregates and messages, and the
+    outcome of each call is kept, which makes the search fast enough.
+    """
+
+    fold_class = MapFold
+    change_class = MapChange
+    rank_class = RankMap
+
+    def __init__(
+        self,
+        ranks,
+        leaders=2,
+        restarts=1,
+        steps=2,
+        ticks=1,
+        stale=True,
+        cancel=True,
+    ):
+        self.size = ranks
+        self.leaders = leaders
+        self.max_step = steps
+        self.max_time = ticks
+        self.stale = stale
+        self.calls = ('learn', 'decide', 'cancel')[: 3 if cancel else 2]
+        self.numbers = {}
+        self.parts = []
+        for name in (
+            'fold',
+            'append',
+            'lead',
+            'receive',
+            'order',
+            'learn',
+            'awaits',
+            'is_old',
+            'alive',
+        ):
+            setattr(self, name, functools.cache(getattr(self, name)))
+        self.start = functools.cache(self.start)
+        joined = tuple((Joined(rank, f'{rank}.0'), 0) for rank in range(ranks))
+        log = self.number(joined)
+        started = []
+        for rank in range(ranks):
+            rank_map = self.rank_class(rank, f'{rank}.0')
+            rank_map.learn(self.fold(log, 0))
+            rank_map.finish_loading('old')
+            rank_map.choose(0)
+            started.append(self.number(freeze(rank_map)))
+        self.initial = (
+            log,
+            frozenset(self.number(record) for record, _ in joined),
+            0,
+            (),
+            tuple(started),
+            (1,) * ranks,
+            frozenset({(0, 'old')}),
+            restarts,
+        )
+
+    def number(self, part):
+        if part not in self.numbers:
+            self.numbers[part] = len(self.parts)
+            self.parts.append(part)
+        return self.numbers[part]
+
+    def fold(self, log, time):
+        fold = self.fold_class(self.size, INITIAL)
+        for offset, (record, appended_at) in enumerate(self.parts[log]):
+            fold.apply(record, offset, appended_at)
+        fold.leases.advance(time)
+        return fold
+
+    def append(self, log, time, number):
+        """Return the longer log, None if the record takes no effect."""
+        record = self.parts[number]
+        longer = (*self.parts[log], (record, time))
+        fold = self.fold(log, time)
+        offset = len(longer) - 1
+        trial = self.fold_class(self.size, INITIAL)
+        vars(trial).update(vars(fold))
+        trial.leases = type(fold.leases)(fold.leases.lease)
+        effect = trial.apply(record, offset, time)
+        return self.number(longer) if effect else None
+
+    def transitions(self, state):
+        for label, after in self.successors(state):
+            log, net, time, leaders, ranks, *rest = after
+            alive = self.alive(net, log, time, leaders, ranks, rest[-1])
+            yield label, (log, alive, time, leaders, ranks, *rest)
+
+    def alive(self, net, *context):
+        return frozenset(
+            number for number in net if self.is_alive(number, *context)
+        )
+
+    def is_alive(self, number, log, time, leaders, ranks, restarts):
+        """Tell whether a message can still have an effect."""
+        message = self.parts[number]
+        if isinstance(message, maps.Holding):
+            return self.awaits(leaders, number)
+        if isinstance(message, Joined):
+            return True
+        if isinstance(message, Decision):
+            return self.append(log, time, number) is not None
+        if restarts:
+            return True
+        return not self.is_old(ranks[message[0]], number)
+
+    def awaits(self, leaders, number):
+        fencing_number = self.parts[number].fencing_number
+        for leader in leaders:
+            change = dict(self.parts[leader])
+            if change['lease'].fencing_number == fencing_number:
+                return change['stage'] is Stage.HOLDING
+        return False
+
+    def is_old(self, number, message):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        return rank._is_old(self.parts[message][1])
+
+    def successors(self, state):
+        log, net, time, leaders, ranks, steps, ran, restarts = state
+        if time < self.max_time:
+            yield 'tick', (log, net, time + 1, *state[3:])
+        for label, after in self.lead_transitions(state):
+            yield label, after
+        for message in net:
+            yield from self.deliver(state, message)
+        for rank in range(self.size):
+            yield from self.rank_transitions(state, rank)
+
+    def lead_transitions(self, state):
+        log, net, time, leaders, *rest = state
+        for index, leader in enumerate(leaders):
+            for call in self.calls:
+                after, sent = self.lead(leader, call, log, time)
+                if after != leader or not sent <= net:
+                    changed = put(leaders, index, after)
+                    yield (
+                        f'{call} {index}',
+                        (log, net | sent, time, changed, *rest),
+                    )
+        if len(leaders) < self.leaders:
+            index = len(leaders)
+            last = self.fold(log, time).leases.lease.fencing_number
+            claim = self.number(LeaseClaim(f'{index}', last, 1))
+            longer = self.append(log, time, claim)
+            if longer:
+                change = self.change_class(
+                    f'new{index}',
+                    None,
+                    self.fold(longer, time),
+                    0,
+                    self.leaders - index - 1,
+                )
+                leader, sent = self.sent(change)
+                yield (
+                    f'claim {index}',
+                    (longer, net | sent, time, (*leaders, leader), *rest),
+                )
+
+    def sent(self, change, *records):
+        """Return a leader and all that it sends, as numbers."""
+        messages = (*change.orders(PAUSED), *records)
+        if change.stage in {Stage.DECIDED, Stage.CANCELLED}:
+            change.prepared, change.holding = frozenset(), {}
+            change.next_step = 0
+        return (
+            self.number(freeze(change)),
+            frozenset(self.number(message) for message in messages),
+        )
+
+    def lead(self, leader, call, log, time):
+        change = thaw(MapChange, self.change_class, self.parts[leader])
+        known = change.stage, change.latest
+        if call == 'learn':
+            change.learn(self.fold(log, time), 0)
+            if known == (change.stage, change.latest):
+                return leader, frozenset()
+            return self.sent(change)
+        decision = getattr(change, call)()
+        if isinstance(decision, Decision):
+            return self.sent(change, decision)
+        return self.sent(change)
+
+    def receive(self, leader, number):
+        change = thaw(MapChange, self.change_class, self.parts[leader])
+        change.receive(self.parts[number])
+        return self.sent(change)
+
+    def deliver(self, state, number):
+        log, net, time, leaders, ranks, *rest = state
+        message = self.parts[number]
+        if isinstance(message, Decision | Joined):
+            longer = self.append(log, time, number)
+            if longer:
+                yield f'append {number}', (longer, *state[1:])
+        elif isinstance(message, maps.Holding):
+            yield from self.reply(state, number, f'reply {number}')
+        else:
+            rank, order = message
+            after, reply = self.order(ranks[rank], number)
+            changed = (log, net, time, leaders, put(ranks, rank, after), *rest)
+            if isinstance(reply, maps.Holding):
+                net |= {self.number(reply)}
+                changed = (log, net, *changed[2:])
+            if isinstance(reply, maps.Prepared):
+                prepared = self.number(reply)
+                yield from self.reply(changed, prepared, f'order {number}')
+            elif changed != state:
+                yield f'order {number}', changed
+
+    def reply(self, state, reply, label):
+        log, net, time, leaders, *rest = state
+        for index, leader in enumerate(leaders):
+            after, sent = self.receive(leader, reply)
+            if after != leader:
+                changed = put(leaders, index, after)
+                yield label, (log, net | sent, time, changed, *rest)
+
+    def order(self, number, message):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        _, order = self.parts[message]
+        reply = rank.receive(order)
+        if isinstance(order, maps.Prepare) and reply is None:
+            reply = rank.finish_loading(order.change)
+        return self.number(freeze(rank)), reply
+
+    def learn(self, number, log, time):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        rank.learn(self.fold(log, time))
+        return self.number(freeze(rank))
+
+    def rank_transitions(self, state, rank):
+        log, net, time, leaders, ranks, steps, ran, restarts = state
+        records = self.parts[log]
+        first = self.size if self.stale else len(records)
+        for length in range(first, len(records) + 1):
+            prefix = self.number(records[:length])
+            read_at = time if length == len(records) else 0
+            after = self.learn(ranks[rank], prefix, read_at)
+            if after != ranks[rank]:
+                changed = put(ranks, rank, after)
+                yield f'learn {rank}', (*state[:4], changed, *state[5:])
+        step = steps[rank]
+        if step <= min(*steps, self.max_step):
+            after, change = self.start(ranks[rank], step)
+            if change:
+                yield (
+                    f'rank {rank} runs step {step} with {change}',
+                    (
+                        *state[:4],
+                        put(ranks, rank, after),
+                        put(steps, rank, step + 1),
+                        ran | {(step, change)},
+                        restarts,
+                    ),
+                )
+        if restarts:
+            yield self.restart(state, rank)
+
+    def start(self, number, step):
+        rank = thaw(RankMap, self.rank_class, self.parts[number])
+        chosen = rank.choose(step)
+        if not isinstance(chosen, Use) and chosen.load:
+            rank.finish_loading(chosen.load.change)
+            chosen = rank.choose(step)
+        if isinstance(chosen, Use):
+            return self.number(freeze(rank)), chosen.decided.change
+        return number, None
+
+    def restart(self, state, rank):
+        """Lose the memory of a rank; its unfinished step is run again."""
+        log, net, time, leaders, ranks, steps, ran, restarts = state
+        fresh = self.rank_class(rank, f'{rank}.{restarts}')
+        before = self.fold(log, time).incarnations[rank]
+        joined = self.number(Joined(rank, fresh.incarnation, before))
+        return (
+            f'restart {rank}',
+            (
+                log,
+                net | {joined},
+                time,
+                leaders,
+                put(ranks, rank, self.number(freeze(fresh))),
+                put(steps, rank, steps[rank] - 1),
+                ran,
+                restarts - 1,
+            ),
+        )
+
+
+def put(items, index, item):
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def one_map(state):
+    steps = [step for step, _ in state['ran']]
+    return len(steps) == len(set(steps))
+
+
+def never_active(state):
+    return all(change == 'old' for _, change in state['ran'])
+
+
+def search(group, most=300000, stop_at_first=False):
+    """Print the size of the search, so that the figure can be read off."""
+    violations = []
+
+    def holds(state):
+        if one_map(state):
+            return True
+        violations.append(state)
+        return False
+
+    def transitions(state):
+        return [] if stop_at_first and violations else group.transitions(state)
+
+    outcome = check_safety(
+        Protocol(
+            type(group).__name__,
+            False,
+            FIELDS,
+            group.initial,
+            transitions,
+            {'one_map': holds, 'never_active': never_active},
+        ),
+        most,
+    )
+    sys.stdout.write(
+        f'states={outcome["reachable_states"]}'
+        f' exhaustive={outcome["exhaustive"]}\n'
+    )
+    return outcome
+
+
+CHECKS = {
+    'one leader, restart, stale reads': {'leaders': 1},
+    'two leaders': {'restarts': 0, 'stale': False},
+    'two leaders, restart': {'steps': 1, 'stale': False, 'cancel': False},
+    'three ranks': {'ranks': 3, 'leaders': 1, 'restarts': 0, 'steps': 1},
+    'three ranks, two leaders': {
+        'ranks': 3,
+        'restarts': 0,
+        'steps': 1,
+        'stale': False,
+        'cancel': False,
+    },
+}
+
+
+@pytest.mark.parametrize('name', CHECKS)
+def test_no_step_is_run_with_two_maps(name):
+    """Guards against two maps in one step, and against an idle model."""
+    outcome = search(Group(**{'ranks': 2, **CHECKS[name]}))
+    assert outcome['exhaustive']
+    assert outcome['properties']['one_map']['holds']
+    assert outcome['properties']['never_active']['holds'] is False
+
+
+class GuessingRank(RankMap):
+    def choose(self, step):
+        self.hold = None
+        return super().choose(step)
+
+
+class ObedientRank(RankMap):
+    """Follows the last order that arrives, whatever its fencing number."""
+
+    def _is_old(self, order):
+        return False
+
+    def receive(self, order):
+        if isinstance(order, maps.Hold) and order.latest == self.decided[-1]:
+            self.hold = None
+        return super().receive(order)
+
+
+class EarlyChange(MapChange):
+    """Activates without a decision record."""
+
+    def receive(self, reply):
+        super().receive(reply)
+        if self.stage is Stage.HOLDING and not self._missing(self.holding):
+            self.latest = DecidedMap(
+                99, self.latest.offset, self.change, max(self.holding.values())
+            )
+            self.stage = Stage.DECIDED
+
+
+class LowestChange(MapChange):
+    """Activates at the lowest of the promised steps."""
+
+    def decide(self):
+        decision = super().decide()
+        return decision and dataclasses.replace(
+            decision, step=min(self.holding.values())
+        )
+
+
+class LowestFold(MapFold):
+    def _is_promised(self, record):
+        held = max(step for _, step in record.promises)
+        return super()._is_promised(dataclasses.replace(record, step=held))
+
+
+class EarlyPromiseRank(RankMap):
+    """Promises before its present start has run a step."""
+
+    def receive(self, order):
+        self.next_step = max(self.next_step, 1)
+        return super().receive(order)
+
+
+class ForgetfulFold(MapFold):
+    """Counts the promises of starts that have ended."""
+
+    def _is_promised(self, record):
+        return True
+
+
+class RevivingFold(MapFold):
+    """Lets a late second append bring back an earlier start."""
+
+    def apply(self, record, offset, appended_at):
+        if isinstance(record, Joined):
+            before = self.incarnations[record.rank]
+            if before == record.incarnation or offset > 4:
+                return False
+            record = dataclasses.replace(record, against=before)
+        return super().apply(record, offset, appended_at)
+
+
+class LeaseVariant(MapFold):
+    lease_fold = LeaseFold
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.leases = self.lease_fold()
+
+
+class UnfencedLeases(LeaseFold):
+    def is_current(self, fencing_number):
+        return True
+
+
+class HastyLeases(LeaseFold):
+    """Takes a read that is behind for the end of a lease."""
+
+    def has_ended(self, fencing_number):
+        return not self.is_current(fencing_number)
+
+
+class UnfencedFold(LeaseVariant):
+    lease_fold = UnfencedLeases
+
+
+class HastyFold(LeaseVariant):
+    lease_fold = HastyLeases
+
+
+ONE = {'leaders': 1}
+TWO = {'restarts': 0, 'stale': False}
+VARIANTS = [
+    ({'change_class': EarlyChange}, ONE),
+    ({'fold_class': UnfencedFold}, TWO),
+    ({'rank_class': ObedientRank}, TWO),
+    ({'rank_class': GuessingRank}, ONE),
+    ({'change_class': LowestChange, 'fold_class': LowestFold}, ONE),
+    ({'rank_class': EarlyPromiseRank}, ONE),
+    ({'fold_class': ForgetfulFold}, ONE),
+    ({'fold_class': RevivingFold}, {**ONE, 'stale': False, 'cancel': False}),
+    ({'fold_class': HastyFold}, ONE),
+]
+
+
+@pytest.mark.parametrize(
+    ('classes', 'size'),
+    VARIANTS,
+    ids=[
+        '-'.join(kind.__name__ for kind in row[0].values()) for row in VARIANTS
+    ],
+)
+def test_unsafe_variant_runs_a_step_with_two_maps(classes, size):
+    """Guards against a model that would not notice a broken rule."""
+    group = type('Variant', (Group,), classes)(2, **size)
+    outcome = search(group, stop_at_first=True)
+    assert outcome['properties']['one_map']['holds'] is False
+
+
+STEPS = st.lists(
+    st.sampled_from(['claim', 'joined', 'decision', 'decision', 'release']),
+    min_size=1,
+    max_size=12,
+)
+
+
+def build(kind, fold):
+    """Return a record that takes effect unless its lease is missing."""
+    number = fold.leases.lease.fencing_number
+    if kind == 'claim':
+        return LeaseClaim('leader', number, 3)
+    if kind == 'release':
+        return LeaseRelease(number)
+    if kind == 'joined':
+        return Joined(0, f'start {fold.offset}', fold.incarnations[0])
+    step = fold.latest.step + 1
+    promises = tuple((start, step) for start in fold.incarnations)
+    base = fold.latest.offset
+    return Decision(number, 'new', base, step, promises, [[[0, 1], [2]]])
+
+
+def as_stored(record):
+    """Return the content as the log service's client would read it back."""
+    return msgspec.json.decode(msgspec.json.encode(maps.record_content(record)))
+
+
+@given(STEPS, st.integers(0, 11))
+def test_fold_from_snapshot_agrees_with_whole_fold(steps, covers):
+    """Guards against a late starter that knows another map than the rest."""
+    whole, late = MapFold(2, INITIAL), MapFold(2, INITIAL)
+    covers %= len(steps)
+    for offset, kind in enumerate(steps):
+        record = maps.parse_record(as_stored(build(kind, whole)))
+        whole.apply(record, offset, offset)
+        if offset == covers:
+            late.restore(maps.parse_record(as_stored(whole.snapshot())))
+        elif offset > covers:
+            late.apply(record, offset, offset)
+    assert late.snapshot() == whole.snapshot()
+
+
+@pytest.mark.parametrize('content', [None, 3, {}, {'kind': 'claim'}])
+def test_foreign_log_entry_is_refused(content):
+    """Guards against an entry of another kind that stops a reader."""
+    with pytest.raises(MessageInvalid):
+        maps.parse_record(content)
+
+
+def test_leader_asks_for_promises_only_while_log_answers():
+    """Guards against ranks that wait through an outage of the log."""
+    fold = MapFold(1, INITIAL)
+    fold.apply(Joined(0, 'start'), 0, 100)
+    fold.apply(LeaseClaim('leader', -1, 60), 1, 100)
+    change = MapChange('new', None, fold, 100)
+    change.receive(maps.Prepared(0, 'start', 1, 'new', 5))
+    assert [type(order) for _, order in change.orders(101)] == [maps.Hold]
+    assert not change.orders(103)
+    change.learn(fold, 150)
+    assert change.orders(151)
+    change.learn(fold, 159.5)
+    assert not change.orders(159.5)
+    assert change.cancel()
+    assert change.decide() is None
