--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -20,7 +20,13 @@
     Received,
     Tick,
 )
-from .distribution import ANNOUNCE, ConfigurationActor, LogReader, PeerMessage
+from .distribution import (
+    ANNOUNCE,
+    ASK_STATE,
+    ConfigurationActor,
+    LogReader,
+    PeerMessage,
+)
 from .exceptions import ServiceUnavailable
 from .handovers import Handover
 from .links import LinkServer, Peer
@@ -127,7 +133,10 @@
             self.actor.tell(Received(peer, message))
 
     def _dump(self) -> Any:
-        return self.actor.ask(DumpState(), timeout=2)
+        attempts: Any = self.actor.ask(DumpState(), timeout=2)
+        configuration: Any = self.configuration.ask(ASK_STATE, timeout=2)
+        # The offset that the attempts go by is the one in force.
+        return {**configuration, **attempts}
 
     def _tick(self) -> None:
         self.actor.tell(Tick())
--- a/primroseyoke/balancing.py
+++ b/primroseyoke/balancing.py
@@ -98,9 +98,6 @@
     @on_receive.register
     def _(self, message: ConfigurationChanged) -> None:
         self.configuration = message.configuration
-        defaults = message.configuration.defaults
-        self.budget.rate = defaults.retry_rate
-        self.budget.burst = defaults.retry_burst
 
     @on_receive.register
     def _(self, message: Linked) -> None:
@@ -121,6 +118,11 @@
 
     @on_receive.register
     def _(self, message: SpendRetry) -> bool:
+        if self.configuration is not None:
+            target = f'client/{message.client}'
+            defaults = self.configuration.defaults_for(target)
+            self.budget.rate = defaults.retry_rate
+            self.budget.burst = defaults.retry_burst
         return self.budget.spend(message.client, time.monotonic())
 
     @on_receive.register
--- a/primroseyoke/configuration.py
+++ b/primroseyoke/configuration.py
@@ -3,15 +3,29 @@
 import collections
 import dataclasses
 import enum
-import fnmatch
+import functools
 import types
 from collections.abc import Mapping
-from typing import Annotated, Any, Literal, TypeVar
+from typing import Annotated, Any
 
 import cbor2
 import msgspec
 
 from .exceptions import ConfigurationInvalid
+from .parts import (
+    Defaults,
+    Exemption,
+    Homes,
+    Host,
+    Service,
+    Upstream,
+    Zone,
+    build_part,
+    host_of,
+    override_defaults,
+    overrides_by_target,
+)
+from .validity import HOMES_MARGIN, Change, check_change, check_parts
 
 __all__ = (
     'Configuration',
@@ -29,21 +43,13 @@
     'parse_record',
 )
 
-# A change id is remembered for this many records, so that a resent append
-# counts once; at 500 changes a day this is more than a week.
-REMEMBERED_CHANGES = 4096
-
-_Name = Annotated[str, msgspec.Meta(pattern='^[a-zA-Z0-9._-]{1,64}$')]
-_Address = Annotated[
-    str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$')
-]
-_Reason = Annotated[str, msgspec.Meta(min_length=3, max_length=500)]
-_State = Literal['in', 'out']
-_Seconds = Annotated[float, msgspec.Meta(ge=0, le=86400)]
-_Count = Annotated[int, msgspec.Meta(ge=1, le=65536)]
-_Bytes = Annotated[int, msgspec.Meta(ge=1024, le=2**40)]
-
-_Part = TypeVar('_Part')
+# Change ids and the versions of removed parts are remembered for this many
+# offsets, about two days at 500 changes a day. A record whose author has not
+# read that far is stale, so nothing that was forgotten can count again.
+REMEMBERED_OFFSETS = 1024
+_SNAPSHOT_FORMAT = 1
+# The codec, the array shape and the field types can each be at fault.
+_DECODE_ERRORS = (ValueError, TypeError, LookupError, cbor2.CBORError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,6 +58,7 @@
 
     ``against`` gives, for each part that ``parts`` changes, the version that
     the author saw (0 for a new part). A part value of ``None`` removes it.
+    ``seen`` is the offset of the last record that the author had read.
     ``appended_at`` is the log's own time in Unix seconds.
     """
 
@@ -64,97 +71,7 @@
         dict[str, dict[str, Any] | None], msgspec.Meta(min_length=1)
     ]
     against: dict[str, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Defaults:
-    """Fleet-wide defaults; times in seconds, sizes in bytes."""
-
-    key_lifetime: Annotated[float, msgspec.Meta(ge=1, le=86400)] = 600
-    freshness: Annotated[float, msgspec.Meta(ge=1, le=86400)] = 3600
-    settle: Annotated[float, msgspec.Meta(ge=2, le=172800)] = 7200
-    cold_limit: _Count = 1
-    max_running: _Count = 32
-    max_held: _Bytes = 2**28
-    max_waiting: _Count = 256
-    retry_rate: Annotated[float, msgspec.Meta(ge=0)] = 2
-    retry_burst: Annotated[float, msgspec.Meta(ge=0)] = 10
-    deadline: Annotated[float, msgspec.Meta(ge=0.1, le=3600)] = 60
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Service:
-    """A model service or a plain service.
-
-    ``non_idempotent`` lists calls that must not repeat, each as a method (or
-    ``*``) and a path pattern, for example ``POST /invoices``.
-    """
-
-    kind: Literal['model', 'plain']
-    non_idempotent: tuple[
-        Annotated[str, msgspec.Meta(pattern=r'^[A-Z*]+ /\S*$')],
-        ...,
-    ] = ()
-
-    def is_idempotent(self, method: str, path: str) -> bool:
-        """Tell whether a call may be repeated."""
-        bare_path = path.partition('?')[0]
-        return not any(
-            _call_matches(pattern, method, bare_path)
-            for pattern in self.non_idempotent
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Upstream:
-    """A model engine or a plain service process behind one agent."""
-
-    service: _Name
-    availability_zone: _Name
-    agent: _Address
-    state: Literal['in', 'leaving'] = 'in'
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Homes:
-    """Upstreams that execute keyed calls of one service.
-
-    ``members`` hold from ``since`` (Unix seconds), ``previous`` before.
-    ``stopped`` names removed members whose hosts have stopped.
-    """
-
-    members: Annotated[tuple[_Name, ...], msgspec.Meta(min_length=1)]
-    previous: tuple[_Name, ...] = ()
-    since: float = 0
-    stopped: tuple[_Name, ...] = ()
-    reason: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Zone:
-    """Whether an availability zone takes new work."""
-
-    state: _State = 'in'
-    reason: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Host:
-    """Whether the upstreams on a host take new work."""
-
-    state: _State = 'in'
-    reason: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Exemption:
-    """Defaults that do not hold for one target, with the written reason."""
-
-    target: Annotated[
-        str, msgspec.Meta(pattern='^(service|upstream|client)/.+$')
-    ]
-    override: Annotated[dict[str, Any], msgspec.Meta(min_length=1)]
-    reason: _Reason
+    seen: int = -1
 
 
 class Outcome(enum.Enum):
@@ -167,6 +84,8 @@
     INVALID = 'invalid'
     #: The change id was seen before.
     REPEATED = 'repeated'
+    #: A record before this one is missing; the fold stays as it is.
+    MISSING = 'missing'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,20 +96,7 @@
     detail: str = ''
 
 
-_PART_CLASSES: Mapping[str, type[Any]] = types.MappingProxyType(
-    {
-        'defaults': Defaults,
-        'service': Service,
-        'upstream': Upstream,
-        'homes': Homes,
-        'zone': Zone,
-        'host': Host,
-        'exception': Exemption,
-    }
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Configuration:
     """Read view of the parts in force at one offset."""
 
@@ -225,7 +131,7 @@
         if upstream is None or upstream.state != 'in':
             return False
         zone = self.parts.get(f'zone/{upstream.availability_zone}', Zone())
-        host = self.parts.get(f'host/{_host_of(upstream.agent)}', Host())
+        host = self.parts.get(f'host/{host_of(upstream.agent)}', Host())
         return bool(zone.state == 'in' and host.state == 'in')
 
     def defaults_for(self, *targets: str) -> Defaults:
@@ -234,15 +140,26 @@
         Later targets win over earlier ones, for example
         ``defaults_for('service/a', 'upstream/a-1')``.
         """
-        overrides: dict[str, Any] = {}
-        exceptions = self.group('exception')
-        for target in targets:
-            for name in sorted(exceptions):
-                if exceptions[name].target == target:
-                    overrides.update(exceptions[name].override)
-        if not overrides:
-            return self.defaults
-        return dataclasses.replace(self.defaults, **overrides)
+        return override_defaults(self.defaults, self._overrides, *targets)
+
+    @functools.cached_property
+    def _overrides(self) -> Mapping[str, Mapping[str, Any]]:
+        return overrides_by_target(self.parts)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _State:
+    """What a snapshot holds, in this order."""
+
+    format: int
+    offset: int
+    accepted: int
+    homes_from: float
+    raw: dict[str, dict[str, Any]]
+    versions: dict[str, int]
+    removed: list[tuple[str, int]]
+    changes: list[tuple[str, int]]
+    retired: dict[str, float]
 
 
 class Fold:
@@ -255,38 +172,77 @@
     def __init__(self) -> None:
         """Start before the first record."""
         self.offset = -1
+        #: Offset of the last accepted record, -1 if there is none.
+        self.accepted = -1
         self.raw: dict[str, dict[str, Any]] = {}
+        self.parts: dict[str, Any] = {}
         self.versions: dict[str, int] = {}
+        #: Versions of removed parts, so that a change written against the
+        #: removed value cannot bring it back.
+        self.removed: dict[str, int] = {}
         self.changes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self.current: Configuration | None = None
+        self.homes_from = 0.0
+        self.retired: dict[str, float] = {}
+
+    @property
+    def current(self) -> Configuration | None:
+        """Return the view in force, None before the first accepted record."""
+        if self.accepted < 0:
+            return None
+        return Configuration(
+            self.offset,
+            self.parts.get('defaults', Defaults()),
+            types.MappingProxyType(self.parts),
+        )
+
+    def version(self, name: str) -> int:
+        """Return the version to write a change of a part against."""
+        return self.versions.get(name) or self.removed.get(name, 0)
 
     def apply(self, record: Record) -> Decision:
         """Fold in the next record; offsets that were folded are skipped."""
         if record.offset <= self.offset:
             return Decision(Outcome.REPEATED, 'offset was folded before')
-        self.offset = record.offset
-        decision = self._decide(record)
-        if decision.outcome is not Outcome.REPEATED:
-            self._remember(record)
-        return decision
+        if record.offset > self.offset + 1:
+            detail = f'no record after offset {self.offset} was read'
+            return Decision(Outcome.MISSING, detail)
+        self._advance()
+        if record.seen < record.offset - REMEMBERED_OFFSETS:
+            detail = f'the author had read only up to offset {record.seen}'
+            return Decision(Outcome.STALE, detail)
+        if record.change in self.changes:
+            return Decision(Outcome.REPEATED, 'change id was seen before')
+        self.changes[record.change] = record.offset
+        return self._decide(record)
 
-    def skip(self, offset: int) -> None:
-        """Pass over an entry that is not a record."""
-        self.offset = max(self.offset, offset)
+    def read(self, offset: int, appended_at: float, content: Any) -> Decision:
+        """Fold in the next entry of the log, which may not be a record."""
+        try:
+            return self.apply(parse_record(offset, appended_at, content))
+        except ConfigurationInvalid as error:
+            if offset == self.offset + 1:
+                self._advance()
+            return Decision(Outcome.INVALID, str(error))
 
     def snapshot(self) -> bytes:
         """Return the state as CBOR; equal states give equal bytes."""
-        return cbor2.dumps(
-            [
-                self.offset,
-                sorted(self.raw.items()),
-                sorted(self.versions.items()),
-                list(self.changes.items()),
-            ],
-            canonical=True,
+        state = _State(
+            _SNAPSHOT_FORMAT,
+            self.offset,
+            self.accepted,
+            self.homes_from,
+            self.raw,
+            self.versions,
+            list(self.removed.items()),
+            list(self.changes.items()),
+            self.retired,
         )
+        fields = [
+            getattr(state, field.name) for field in dataclasses.fields(state)
+        ]
+        return cbor2.dumps(fields, canonical=True)
 
     def restore(self, content: bytes) -> bool:
         """Take over a snapshot if it is newer; tell whether it was.
@@ -294,52 +250,110 @@
         Raises:
             ConfigurationInvalid: the content is not a snapshot.
         """
-        try:
-            offset, raw, versions, changes = cbor2.loads(content)
-            if offset <= self.offset:
-                return False
-            parts = _build_parts(dict(raw))
-        except (ValueError, TypeError, cbor2.CBORError) as error:
-            raise ConfigurationInvalid(f'bad snapshot: {error}') from error
-        self.offset = offset
-        self.raw = dict(raw)
-        self.versions = dict(versions)
-        self.changes = collections.OrderedDict(changes)
-        self.current = _view(offset, parts) if parts else None
+        state = _parse_snapshot(content)
+        if state.offset <= self.offset:
+            return False
+        parts = {name: build_part(name, raw) for name, raw in state.raw.items()}
+        self.offset = state.offset
+        self.accepted = state.accepted
+        self.raw = state.raw
+        self.parts = parts
+        self.versions = state.versions
+        self.removed = dict(state.removed)
+        self.changes = collections.OrderedDict(state.changes)
+        self.homes_from = state.homes_from
+        self.retired = state.retired
         return True
 
+    def _advance(self) -> None:
+        self.offset += 1
+        forgotten = self.offset - REMEMBERED_OFFSETS
+        for remembered in (self.changes, self.removed):
+            # Both are in the order of the offsets; a version is one higher.
+            while remembered:
+                name = next(iter(remembered))
+                if remembered[name] > forgotten:
+                    break
+                remembered.pop(name)
+
     def _decide(self, record: Record) -> Decision:
-        if record.change in self.changes:
-            return Decision(Outcome.REPEATED, 'change id was seen before')
-        stale = _stale_part(record, self.versions)
+        stale = self._stale(record)
         if stale:
             return Decision(Outcome.STALE, stale)
-        raw = {**self.raw, **record.parts}
-        raw = {name: part for name, part in raw.items() if part is not None}
         try:
-            parts = _build_parts(raw)
-            _check_rules(parts, record, self.current)
+            parts = self._changed_parts(record)
         except ConfigurationInvalid as error:
             return Decision(Outcome.INVALID, str(error))
-        self._accept(record, raw, parts)
+        self._accept(record, parts)
         return Decision(Outcome.ACCEPTED)
 
-    def _accept(
-        self,
-        record: Record,
-        raw: dict[str, Any],
-        parts: dict[str, Any],
-    ) -> None:
-        self.raw = raw
-        # A removed part keeps its version, so that a change written against
-        # the removed value cannot bring it back.
-        self.versions.update(dict.fromkeys(record.parts, record.offset + 1))
-        self.current = _view(record.offset, parts)
-
-    def _remember(self, record: Record) -> None:
-        self.changes[record.change] = record.offset
-        while len(self.changes) > REMEMBERED_CHANGES:
-            self.changes.popitem(last=False)
+    def _stale(self, record: Record) -> str:
+        forgotten = record.offset - REMEMBERED_OFFSETS
+        for name in sorted(record.parts.keys() | record.against.keys()):
+            current = self.version(name)
+            seen = record.against.get(name, 0)
+            # The author may have seen the version of a removed part that is
+            # forgotten by now.
+            was_removed = not current and seen <= forgotten
+            if seen != current and not was_removed:
+                return f'{name} is at version {current}, not {seen}'
+        return ''
+
+    def _changed_parts(self, record: Record) -> dict[str, Any]:
+        parts = dict(self.parts)
+        for name, raw in record.parts.items():
+            if raw is not None:
+                parts[name] = build_part(name, raw)
+            elif parts.pop(name, None) is None:
+                raise ConfigurationInvalid(f'{name}: there is no such part')
+        check_parts(parts)
+        check_change(
+            parts,
+            Change(
+                record.appended_at,
+                self.parts,
+                record.parts,
+                self.homes_from,
+                self.retired,
+            ),
+        )
+        return parts
+
+    def _accept(self, record: Record, parts: dict[str, Any]) -> None:
+        self._remember_homes(record, parts)
+        self.accepted = record.offset
+        # Views share the old dicts, so the new ones are copies.
+        self.raw = dict(self.raw)
+        self.parts = parts
+        for name, raw in record.parts.items():
+            self.removed.pop(name, None)
+            self.versions.pop(name, None)
+            if raw is None:
+                self.raw.pop(name)
+                self.removed[name] = record.offset + 1
+            else:
+                self.raw[name] = raw
+                self.versions[name] = record.offset + 1
+
+    def _remember_homes(self, record: Record, parts: dict[str, Any]) -> None:
+        """Keep what later changes of homes must wait for.
+
+        A process that has not read this record still goes by the values
+        before it, until its configuration is no longer fresh.
+        """
+        before = self.parts.get('defaults', Defaults())
+        settled = record.appended_at + before.settle
+        if parts.get('defaults', Defaults()) != before:
+            self.homes_from = max(self.homes_from, settled)
+        self.retired = {
+            name: until
+            for name, until in self.retired.items()
+            if until > record.appended_at
+        }
+        for name in record.parts:
+            if name.startswith('homes/') and name not in parts:
+                until = settled + before.key_lifetime + HOMES_MARGIN
+                self.retired[name] = until
 
 
 def parse_record(offset: int, appended_at: float, content: Any) -> Record:
@@ -357,128 +371,13 @@
         raise ConfigurationInvalid(f'not a record: {error}') from error
 
 
-def _call_matches(pattern: str, method: str, path: str) -> bool:
-    pattern_method, _, pattern_path = pattern.partition(' ')
-    if pattern_method not in {'*', method}:
-        return False
-    return fnmatch.fnmatchcase(path, pattern_path)
-
-
-def _host_of(address: str) -> str:
-    return address.rpartition(':')[0]
-
-
-def _view(offset: int, parts: dict[str, Any]) -> Configuration:
-    return Configuration(
-        offset,
-        parts.get('defaults', Defaults()),
-        types.MappingProxyType(parts),
-    )
-
-
-def _stale_part(record: Record, versions: Mapping[str, int]) -> str:
-    for name in record.parts:
-        current = versions.get(name, 0)
-        seen = record.against.get(name, 0)
-        if seen != current:
-            return f'{name} is at version {current}, not {seen}'
-    return ''
-
-
-def _build_parts(raw: Mapping[str, Any]) -> dict[str, Any]:
-    parts = {name: _build_part(name, part) for name, part in raw.items()}
-    for name, part in parts.items():
-        if isinstance(part, Exemption):
-            _check_override(name, part)
-    return parts
-
-
-def _build_part(name: str, raw: Any) -> Any:
-    kind, _, rest = name.partition('/')
-    part_class = _PART_CLASSES.get(kind)
-    if part_class is None or bool(rest) == (kind == 'defaults'):
-        raise ConfigurationInvalid(f'{name}: unknown part')
-    return _convert(name, raw, part_class)
-
-
-def _convert(name: str, raw: Any, part_class: type[_Part]) -> _Part:
-    known = {
-        field.name
-        for field in dataclasses.fields(part_class)  # type: ignore[arg-type]
-    }
-    unknown = sorted(set(raw) - known)
-    if unknown:
-        raise ConfigurationInvalid(f'{name}: unknown field {unknown[0]}')
+def _parse_snapshot(content: bytes) -> _State:
     try:
-        return msgspec.convert(raw, part_class)
-    except msgspec.ValidationError as error:
-        raise ConfigurationInvalid(f'{name}: {error}') from error
-
-
-def _check_override(name: str, exemption: Exemption) -> None:
-    _convert(name, exemption.override, Defaults)
-
-
-def _check_rules(
-    parts: Mapping[str, Any],
-    record: Record,
-    before: Configuration | None,
-) -> None:
-    _check_references(parts)
-    _check_zones(parts)
-    defaults = parts.get('defaults', Defaults())
-    if defaults.settle < 2 * defaults.freshness:
-        raise ConfigurationInvalid('defaults: settle is below 2 * freshness')
-    for name in record.parts:
-        homes = parts.get(name)
-        if isinstance(homes, Homes) and before is not None:
-            _check_homes(name, homes, record, before)
-
-
-def _check_references(parts: Mapping[str, Any]) -> None:
-    for name, part in parts.items():
-        if (
-            isinstance(part, Upstream)
-            and f'service/{part.service}' not in parts
-        ):
-            raise ConfigurationInvalid(f'{name}: unknown service')
-        if isinstance(part, Homes):
-            _check_members(name, part, parts)
-
-
-def _check_members(name: str, homes: Homes, parts: Mapping[str, Any]) -> None:
-    for member in homes.members:
-        if f'upstream/{member}' not in parts:
-            raise ConfigurationInvalid(f'{name}: unknown upstream {member}')
-
-
-def _check_zones(parts: Mapping[str, Any]) -> None:
-    zones = {
-        part.availability_zone
-        for part in parts.values()
-        if isinstance(part, Upstream)
-    }
-    states = [parts.get(f'zone/{zone}', Zone()).state for zone in zones]
-    if states and 'in' not in states:
-        raise ConfigurationInvalid('no availability zone would stay in')
-
-
-def _check_homes(
-    name: str,
-    homes: Homes,
-    record: Record,
-    before: Configuration,
-) -> None:
-    current = before.parts.get(name)
-    if current is None:
-        return
-    if record.appended_at < current.since:
-        raise ConfigurationInvalid(f'{name}: the last change is not settled')
-    if homes.previous != current.members:
-        raise ConfigurationInvalid(f'{name}: previous differs from members')
-    removed = set(current.members) - set(homes.members)
-    added = set(homes.members) - set(current.members)
-    if not added and removed == set(homes.stopped) and homes.reason:
-        return
-    if homes.since < record.appended_at + before.defaults.settle:
-        raise ConfigurationInvalid(f'{name}: since is too early')
+        fields = cbor2.loads(content)
+        if fields[0] != _SNAPSHOT_FORMAT:
+            raise ConfigurationInvalid(f'snapshot of format {fields[0]!r}')
+        names = [field.name for field in dataclasses.fields(_State)]
+        named = dict(zip(names, fields, strict=True))
+        return msgspec.convert(named, _State)
+    except _DECODE_ERRORS as error:
+        raise ConfigurationInvalid(f'bad snapshot: {error}') from error
--- a/primroseyoke/ctl.py
+++ b/primroseyoke/ctl.py
@@ -10,10 +10,11 @@
 from absl import app, flags
 
 from . import __version__
-from .configuration import Outcome
+from .configuration import Configuration, Outcome
 from .exceptions import ConfigurationInvalid, PrimroseyokeError, SettingsInvalid
 from .hostlists import HostList
 from .operators import HostState, Operator
+from .parts import host_of
 from .records import LogService
 from .settings import Address, load_settings
 
@@ -30,12 +31,26 @@
   watch OFFSET    wait until a change is in force everywhere
   status          print one line for each host
   dump IP:PORT    print the state of one process
+
+publish, take-out and bring-back need --reason and wait until the change is in
+force everywhere, unless --nowait is given. With --seen=OFFSET (the offset that
+show printed), check and publish refuse a file if one of its parts was changed
+after that offset.
+
+Exit codes:
+  0  done
+  1  refused: the change is invalid, or a part was changed meanwhile
+  2  wrong use or wrong settings
+  3  not in force everywhere when --timeout ended; the change stays published
+  4  no answer from the log, the host list or the process; after publish,
+     take-out or bring-back the change may be in the log: see show
 """
 
 _EXIT_REFUSED = 1
 _EXIT_BAD_SETTINGS = 2
 _EXIT_NOT_IN_FORCE = 3
 _EXIT_UNAVAILABLE = 4
+_SHORTEST_REASON = 3
 
 FLAGS = flags.FLAGS
 
@@ -58,42 +73,54 @@
 
     def check(self, path: str) -> int:
         """Check a change file."""
-        decision = self.operator.check(_read_parts(path), 'check')
+        decision = self.operator.check(_read_parts(path), 'check', FLAGS.seen)
         outcome = decision.outcome.value
         _print(f'{outcome} {decision.detail}'.strip())
         return 0 if decision.outcome is Outcome.ACCEPTED else _EXIT_REFUSED
 
     def publish(self, path: str) -> int:
         """Publish a change file and wait until it is in force."""
-        return self._publish(_read_parts(path))
+        return self._publish(_read_parts(path), _reason(), FLAGS.seen)
 
     def take_out(self, part: str) -> int:
         """Stop new work for a zone, a host or an upstream."""
-        return self._publish(self._with_state(part, 'out', 'leaving'))
+        return self._set_state(part, 'out')
 
     def bring_back(self, part: str) -> int:
         """Give new work to a zone, a host or an upstream again."""
-        return self._publish(self._with_state(part, 'in', 'in'))
+        return self._set_state(part, 'in')
 
     def show(self) -> int:
         """Print the configuration."""
         self.operator.refresh()
-        document = {
-            'offset': self.operator.fold.offset,
-            'parts': self.operator.fold.raw,
-            'versions': self.operator.fold.versions,
+        fold = self.operator.fold
+        exceptions = {
+            name: {**raw, 'version': fold.version(name)}
+            for name, raw in sorted(fold.raw.items())
+            if name.startswith('exception/')
         }
-        _print(msgspec.json.format(msgspec.json.encode(document)).decode())
+        _print_json(
+            {
+                'offset': fold.offset,
+                'exceptions': exceptions,
+                'parts': {
+                    name: raw
+                    for name, raw in sorted(fold.raw.items())
+                    if name not in exceptions
+                },
+                'versions': dict(sorted(fold.versions.items())),
+            },
+        )
         return 0
 
     def watch(self, offset: str) -> int:
         """Wait until a change is in force."""
         if not offset.isdecimal():
-            raise ConfigurationInvalid(f'not an offset: {offset}')
+            raise SettingsInvalid(f'not an offset: {offset}')
         behind: list[HostState] = []
         for behind_now in self.operator.watch(int(offset), FLAGS.timeout):
             behind = behind_now
-            names = ' '.join(state.host.name for state in behind)
+            names = ', '.join(map(_behind, behind))
             _print(f'offset {offset}: not yet at: {names}' if behind else '')
         if behind:
             return _EXIT_NOT_IN_FORCE
@@ -104,24 +131,22 @@
         """Print one line for each listed host."""
         for state in self.operator.states():
             host = state.host
-            known = 'no answer'
-            if state.state is not None:
-                offset = state.state['offset']
-                known = f'offset {offset}'
-            _print(
-                f'{host.name} {host.role} {host.availability_zone}'
-                f' {host.state} {known}',
-            )
+            place = f'{host.name} {host.role} {host.availability_zone}'
+            _print(f'{place} {host.state} {_known(state)}')
         return 0
 
     def dump(self, address: str) -> int:
         """Print the state of one process."""
-        state = msgspec.json.encode(self.operator.dump(address))
-        _print(msgspec.json.format(state).decode())
+        _print_json(self.operator.dump(address))
         return 0
 
-    def _publish(self, parts: Mapping[str, Any]) -> int:
-        published = self.operator.publish(parts, _reason())
+    def _publish(
+        self,
+        parts: Mapping[str, Any],
+        reason: str,
+        seen: int | None,
+    ) -> int:
+        published = self.operator.publish(parts, reason, seen)
         decision = published.decision
         outcome = decision.outcome.value
         _print(f'offset {published.offset}: {outcome}')
@@ -130,29 +155,35 @@
             return _EXIT_REFUSED
         return self.watch(str(published.offset)) if FLAGS.wait else 0
 
-    def _with_state(
-        self, part: str, state: str, leaving: str
-    ) -> dict[str, Any]:
-        kind = part.partition('/')[0]
+    def _set_state(self, part: str, state: str) -> int:
+        reason = _reason()
         self.operator.refresh()
-        raw = dict(self.operator.fold.raw.get(part, {}))
-        if kind == 'upstream' and raw:
-            return {part: {**raw, 'state': leaving}}
-        if kind in {'zone', 'host'}:
-            return {part: {**raw, 'state': state, 'reason': _reason()}}
-        raise ConfigurationInvalid(f'{part}: no such zone, host or upstream')
+        fold = self.operator.fold
+        if part not in _known_places(fold.current):
+            raise ConfigurationInvalid(
+                f'{part}: no upstream is in such a zone, on such a host or has'
+                ' such a name',
+            )
+        changed = {**fold.raw.get(part, {})}
+        if part.startswith('upstream/'):
+            changed['state'] = 'leaving' if state == 'out' else state
+        else:
+            changed.update(state=state, reason=reason)
+        # What another operator changes from now on must not be undone.
+        return self._publish({part: changed}, reason, fold.offset)
 
 
-_COMMANDS: Mapping[str, Callable[..., int]] = MappingProxyType(
+# Each command with the number of its arguments.
+_COMMANDS: Mapping[str, tuple[Callable[..., int], int]] = MappingProxyType(
     {
-        'check': Command.check,
-        'publish': Command.publish,
-        'take-out': Command.take_out,
-        'bring-back': Command.bring_back,
-        'show': Command.show,
-        'watch': Command.watch,
-        'status': Command.status,
-        'dump': Command.dump,
+        'check': (Command.check, 1),
+        'publish': (Command.publish, 1),
+        'take-out': (Command.take_out, 1),
+        'bring-back': (Command.bring_back, 1),
+        'show': (Command.show, 0),
+        'watch': (Command.watch, 1),
+        'status': (Command.status, 0),
+        'dump': (Command.dump, 1),
     }
 )
 
@@ -162,33 +193,40 @@
     flags.DEFINE_string('settings', '', 'INI settings file')
     flags.DEFINE_string('reason', '', 'why the change is made')
     flags.DEFINE_bool('wait', True, 'wait until the change is in force')  # noqa: WPS425
-    flags.DEFINE_float('timeout', 30, 'longest wait in seconds')
+    flags.DEFINE_float('timeout', 30, 'longest wait in seconds', lower_bound=0)
+    flags.DEFINE_integer('seen', None, 'offset that the file was written from')
     flags.DEFINE_bool('version', False, 'print the version and exit')  # noqa: WPS425
     sys.modules['__main__'].__doc__ = _USAGE
-    app.run(_run)
+    app.run(_run, flags_parser=_parse_flags)
+
+
+def _parse_flags(arguments: list[str]) -> list[str]:
+    try:
+        return FLAGS(arguments)
+    except flags.Error as error:
+        sys.stderr.write(f'primroseyoke-ctl: {error}\n')
+        sys.exit(_EXIT_BAD_SETTINGS)
 
 
 def _run(arguments: list[str]) -> None:
     if FLAGS.version:
         _print(f'primroseyoke-ctl {__version__}')
         return
-    if len(arguments) < 2 or arguments[1] not in _COMMANDS:
+    name, *rest = arguments[1:] or ['']
+    command, count = _COMMANDS.get(name, (None, 0))
+    if command is None or len(rest) != count:
         sys.stderr.write(_USAGE)
         sys.exit(_EXIT_BAD_SETTINGS)
-    sys.exit(_execute(arguments[1], arguments[2:]))
-
-
-def _execute(name: str, arguments: list[str]) -> int:
     try:
-        return _COMMANDS[name](Command(_operator()), *arguments)
+        code = command(Command(_operator()), *rest)
     except PrimroseyokeError as error:
-        return _complain(error)
-    except TypeError:
-        sys.stderr.write(_USAGE)
-        return _EXIT_BAD_SETTINGS
+        code = _complain(error)
+    sys.exit(code)
 
 
 def _operator() -> Operator:
+    if not FLAGS.settings:
+        raise SettingsInvalid('--settings=FILE is needed')
     settings = load_settings(FLAGS.settings, {'ctl': CtlSettings}).ctl
     return Operator(
         LogService(str(settings.log_service)),
@@ -200,15 +238,42 @@
 def _read_parts(path: str) -> dict[str, Any]:
     try:
         with open(path, 'rb') as stream:
-            return msgspec.json.decode(stream.read(), type=dict[str, Any])
+            parts = msgspec.json.decode(
+                stream.read(),
+                type=dict[str, dict[str, Any] | None],
+            )
     except (OSError, msgspec.MsgspecError) as error:
         raise ConfigurationInvalid(f'{path}: {error}') from error
+    if not parts:
+        raise ConfigurationInvalid(f'{path}: names no part')
+    return parts
 
 
 def _reason() -> str:
-    if not FLAGS.reason:
-        raise ConfigurationInvalid('a change needs --reason')
-    return str(FLAGS.reason)
+    reason = str(FLAGS.reason).strip()
+    if len(reason) < _SHORTEST_REASON:
+        raise SettingsInvalid('a change needs --reason=TEXT that says why')
+    return reason
+
+
+def _known_places(configuration: Configuration | None) -> set[str]:
+    """Return the parts that can be taken out."""
+    places = set()
+    upstreams = configuration.group('upstream') if configuration else {}
+    for name, upstream in upstreams.items():
+        places.add(f'upstream/{name}')
+        places.add(f'zone/{upstream.availability_zone}')
+        places.add(f'host/{host_of(upstream.agent)}')
+    return places
+
+
+def _known(state: HostState) -> str:
+    if state.state is None:
+        return 'no answer'
+    waiting = ''
+    if state.state.get('needs_snapshot'):
+        waiting = ', waits for a snapshot'
+    return f'offset {state.offset}{waiting}'
 
 
 def _complain(error: PrimroseyokeError) -> int:
@@ -220,6 +285,15 @@
     return _EXIT_UNAVAILABLE
 
 
+def _behind(state: HostState) -> str:
+    name = state.host.name
+    return f'{name} ({_known(state)})'
+
+
+def _print_json(document: Any) -> None:
+    _print(msgspec.json.format(msgspec.json.encode(document)).decode())
+
+
 def _print(text: str) -> None:
     if text:
         sys.stdout.write(f'{text}\n')
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -125,7 +125,8 @@
         """
         configuration = self._configuration(request)
         service = _find_service(configuration, request)
-        timeout = request.timeout or configuration.defaults.deadline
+        defaults = configuration.defaults_for(f'service/{request.service}')
+        timeout = request.timeout or defaults.deadline
         deadline = time.monotonic() + timeout
         if service.is_idempotent(request.method, request.path):
             return self._execute_anywhere(request, deadline)
--- a/primroseyoke/distribution.py
+++ b/primroseyoke/distribution.py
@@ -9,10 +9,16 @@
 
 import pykka
 
-from .configuration import Configuration, Fold, Outcome, parse_record
+from .configuration import Configuration, Fold, Outcome
 from .exceptions import ConfigurationInvalid, ServiceUnavailable
 from .messages import Announce, Hello, Message, Pull, Snapshot, Welcome
 from .records import LogPage, LogService
+from .snapshots import (
+    CONFIGURATION_STREAM,
+    SnapshotWriter,
+    StoredSnapshot,
+    read_stream,
+)
 
 __all__ = (
     'CONFIGURATION_STREAM',
@@ -24,9 +30,12 @@
 
 log = logging.getLogger(__name__)
 
-CONFIGURATION_STREAM = 'configuration'
 #: Asks the actor for its announcement.
 ASK_OFFSET = 'ask-offset'
+#: Asks the actor for its snapshot, a ``Snapshot`` message.
+ASK_SNAPSHOT = 'ask-snapshot'
+#: Asks the actor for what a state dump shows.
+ASK_STATE = 'ask-state'
 #: Tells the actor to send its announcement to all peers.
 ANNOUNCE = 'announce'
 # Half of the bound of 13 s is left for hosts that learn from peers.
@@ -66,15 +75,30 @@
         self.broadcast = broadcast
         self.fold = Fold()
         self.confirmed_at = 0.0
+        #: Whether the log no longer holds the record after ``fold.offset``.
+        self.needs_snapshot = False
 
     def on_receive(self, message: Any) -> Any:
-        """Handle a page of the log or a message of a peer."""
+        """Handle what the log or a peer sent, or a question."""
         if isinstance(message, LogPage):
             return self._read_page(message)
+        if isinstance(message, StoredSnapshot):
+            return self._restore(message.content, 0)
         if isinstance(message, PeerMessage):
             return self._read_peer(message)
-        if message == ANNOUNCE:
+        return self._answer(message)
+
+    def _answer(self, question: Any) -> Any:
+        if question == ANNOUNCE:
             return self.broadcast(self._announcement())
+        if question == ASK_SNAPSHOT:
+            return self._snapshot()
+        if question == ASK_STATE:
+            return {
+                'offset': self.fold.offset,
+                'confirmed_at': self.confirmed_at,
+                'needs_snapshot': self.needs_snapshot,
+            }
         return self._announcement()
 
     def _announcement(self) -> Announce:
@@ -83,23 +107,27 @@
     def _read_page(self, page: LogPage) -> None:
         before = self.fold.offset
         if page.first > before + 1:
-            # The records between are gone; a peer's snapshot covers them.
-            log.warning('records before offset %d have expired', page.first)
+            self._wait_for_snapshot(page)
+            return
+        self.needs_snapshot = False
         for entry in page.records:
             self._apply(entry.offset, entry.appended_at, entry.content)
-        if self.fold.offset >= page.next - 1:
+        # A log that ends before this offset confirms nothing.
+        if self.fold.offset == page.next - 1:
             self._confirm(page.now)
         if self.fold.offset > before:
             self._publish()
 
+    def _wait_for_snapshot(self, page: LogPage) -> None:
+        if not self.needs_snapshot:
+            log.warning(
+                'the log begins at offset %d: waiting for a snapshot',
+                page.first,
+            )
+        self.needs_snapshot = True
+
     def _apply(self, offset: int, appended_at: float, content: Any) -> None:
-        try:
-            record = parse_record(offset, appended_at, content)
-        except ConfigurationInvalid as error:
-            log.warning('record %d skipped: %s', offset, error)
-            self.fold.skip(offset)
-            return
-        decision = self.fold.apply(record)
+        decision = self.fold.read(offset, appended_at, content)
         if decision.outcome is not Outcome.ACCEPTED:
             log.info(
                 'record %d is %s: %s',
@@ -111,7 +139,7 @@
     def _read_peer(self, received: PeerMessage) -> None:
         message = received.message
         if isinstance(message, Snapshot):
-            self._take_snapshot(message)
+            self._restore(message.content, message.confirmed_at)
         elif isinstance(message, Announce):
             self._compare(message, received.answer)
         elif not isinstance(message, Pull):
@@ -129,14 +157,15 @@
         elif message.offset == self.fold.offset:
             self._confirm(message.confirmed_at)
 
-    def _take_snapshot(self, message: Snapshot) -> None:
+    def _restore(self, content: bytes, confirmed_at: float) -> None:
         try:
-            newer = self.fold.restore(message.content)
+            newer = self.fold.restore(content)
         except ConfigurationInvalid as error:
-            log.warning('snapshot of a peer refused: %s', error)
+            log.warning('snapshot refused: %s', error)
             return
         if newer:
-            self._confirm(message.confirmed_at)
+            self.needs_snapshot = False
+            self._confirm(confirmed_at)
             self._publish()
 
     def _snapshot(self) -> Snapshot:
@@ -157,11 +186,8 @@
         self.broadcast(self._announcement())
 
     def _notify(self) -> None:
-        if self.fold.current is not None:
-            current = dataclasses.replace(
-                self.fold.current,
-                offset=self.fold.offset,
-            )
+        current = self.fold.current
+        if current is not None:
             self.subscriber(ConfigurationChanged(current, self.confirmed_at))
 
 
@@ -173,6 +199,7 @@
         service: LogService,
         actor: pykka.ActorRef[ConfigurationActor],
         wanted: Callable[[], bool],
+        writes_snapshots: bool = False,
     ) -> None:
         """Read while ``wanted`` says so, and pass the pages to ``actor``."""
         self.service = service
@@ -185,6 +212,9 @@
             daemon=True,
         )
         self.reachable = False
+        self.writer: SnapshotWriter | None = None
+        if writes_snapshots:
+            self.writer = SnapshotWriter(service, self._take_snapshot)
 
     def start(self) -> None:
         """Start reading."""
@@ -215,12 +245,11 @@
 
     def _read_to_end(self) -> None:
         announcement: Any = self.actor.ask(ASK_OFFSET)
-        offset = announcement.offset + 1
-        while True:
-            page = self.service.read(CONFIGURATION_STREAM, offset)
-            self.actor.tell(page)
-            if not page.records:
-                return
-            offset = page.records[-1].offset + 1
-            if offset >= page.next:
-                return
+        for found in read_stream(self.service, announcement.offset + 1):
+            self.actor.tell(found)
+            if self.writer is not None and isinstance(found, LogPage):
+                self.writer.check(found)
+
+    def _take_snapshot(self) -> tuple[int, bytes]:
+        snapshot: Any = self.actor.ask(ASK_SNAPSHOT)
+        return snapshot.offset, snapshot.content
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -83,6 +83,7 @@
             LogService(str(settings.log_service)),
             self.configuration,
             lambda: True,
+            writes_snapshots=True,
         )
         self.callers = _server(settings.listen, self._answer, settings)
         self.admin = _server(settings.admin, self._answer_admin, settings, 2)
--- a/primroseyoke/operators.py
+++ b/primroseyoke/operators.py
@@ -10,11 +10,11 @@
 import msgspec
 import urllib3
 
-from .configuration import Decision, Fold, Outcome, Record, parse_record
-from .distribution import CONFIGURATION_STREAM
+from .configuration import Decision, Fold, Outcome
 from .exceptions import ConfigurationInvalid, ServiceUnavailable
 from .hostlists import HostList, ListedHost
-from .records import LogService
+from .records import LogPage, LogService
+from .snapshots import CONFIGURATION_STREAM, StoredSnapshot, read_stream
 
 __all__ = ('HostState', 'Operator', 'Published')
 
@@ -41,9 +41,15 @@
     host: ListedHost
     state: Mapping[str, Any] | None
 
+    @property
+    def offset(self) -> int | None:
+        """Return the offset in force there, None if it did not say."""
+        offset = self.state.get('offset') if self.state else None
+        return offset if isinstance(offset, int) else None
+
     def has(self, offset: int) -> bool:
         """Tell whether a change is in force there."""
-        return self.state is not None and self.state['offset'] >= offset
+        return self.offset is not None and self.offset >= offset
 
 
 class Operator:
@@ -71,37 +77,50 @@
         """Read the configuration stream to its end.
 
         Raises:
-            ServiceUnavailable: the log did not answer.
+            ServiceUnavailable: the log did not answer, or has neither the
+                next record nor a snapshot that covers it.
         """
-        while True:
-            page = self.log_service.read(
-                CONFIGURATION_STREAM,
-                self.fold.offset + 1,
-            )
-            for entry in page.records:
-                self._apply(entry.offset, entry.appended_at, entry.content)
-            if self.fold.offset >= page.next - 1:
-                return
+        for found in read_stream(self.log_service, self.fold.offset + 1):
+            if isinstance(found, StoredSnapshot):
+                self.fold.restore(found.content)
+            else:
+                self._read_page(found)
 
-    def check(self, parts: Parts, reason: str) -> Decision:
-        """Return what the fold would make of a change, without publishing."""
+    def check(
+        self,
+        parts: Parts,
+        reason: str,
+        seen: int | None = None,
+    ) -> Decision:
+        """Return what the fold would make of a change, without publishing.
+
+        Args:
+            parts: new values by part name, None to remove a part.
+            reason: why the change is made.
+            seen: the offset at which the author read the parts; by default
+                the end of the log.
+        """
         self.refresh()
+        for name in sorted(parts):
+            changed_at = self.fold.version(name) - 1
+            if seen is not None and changed_at > seen:
+                detail = f'{name} was changed at offset {changed_at}'
+                return Decision(Outcome.STALE, f'{detail}, after {seen}')
         trial = Fold()
-        if self.fold.current is not None:
-            trial.restore(self.fold.snapshot())
+        trial.restore(self.fold.snapshot())
         content = self._content(parts, reason)
-        offset = self.fold.offset + 1
-        try:
-            record = parse_record(offset, time.time(), content)
-        except ConfigurationInvalid as error:
-            return Decision(Outcome.INVALID, str(error))
-        return trial.apply(record)
+        return trial.read(self.fold.offset + 1, time.time(), content)
 
-    def publish(self, parts: Parts, reason: str) -> Published:
+    def publish(
+        self,
+        parts: Parts,
+        reason: str,
+        seen: int | None = None,
+    ) -> Published:
         """Publish a change and read the decision back from the log.
 
         An append whose answer is lost is sent again under the same change id,
-        which counts once.
+        which counts once. The arguments are those of ``check``.
 
         Raises:
             ConfigurationInvalid: the change would be refused; nothing was
@@ -109,7 +128,7 @@
             ServiceUnavailable: the log did not answer; the change may be in
                 the log.
         """
-        decision = self.check(parts, reason)
+        decision = self.check(parts, reason, seen)
         if decision.outcome is not Outcome.ACCEPTED:
             raise ConfigurationInvalid(decision.detail)
         content = self._content(parts, reason)
@@ -179,17 +198,23 @@
             'author': self.author,
             'reason': reason,
             'parts': dict(parts),
-            'against': {
-                name: self.fold.versions.get(name, 0) for name in parts
-            },
+            'against': {name: self.fold.version(name) for name in parts},
+            'seen': self.fold.offset,
         }
 
-    def _apply(self, offset: int, appended_at: float, content: Any) -> None:
-        try:
-            record: Record = parse_record(offset, appended_at, content)
-        except ConfigurationInvalid:
-            self.fold.skip(offset)
-            return
-        decision = self.fold.apply(record)
-        published = Published(offset, decision)
-        self.decisions.setdefault(record.change, published)
+    def _read_page(self, page: LogPage) -> None:
+        if page.first > self.fold.offset + 1:
+            raise ServiceUnavailable(
+                f'the log begins at offset {page.first} and has no snapshot'
+                ' of the records before; an entry will append one',
+            )
+        for entry in page.records:
+            decision = self.fold.read(
+                entry.offset,
+                entry.appended_at,
+                entry.content,
+            )
+            if isinstance(entry.content, dict):
+                change = str(entry.content.get('change'))
+                published = Published(entry.offset, decision)
+                self.decisions.setdefault(change, published)
--- a/primroseyoke/records.py
+++ b/primroseyoke/records.py
@@ -3,12 +3,14 @@
 The service speaks HTTP with JSON bodies: ``POST /streams/<stream>`` appends the
 body and answers ``{"offset", "appended_at"}``; ``GET
 /streams/<stream>?from=<offset>&limit=<count>`` answers ``{"records": [{"offset",
-"appended_at", "content"}], "first", "next", "now"}``. Times are the log's own,
-in Unix seconds, and do not decrease with the offset.
+"appended_at", "content"}], "first", "next", "now"}``. The offsets of a stream
+are consecutive. Times are the log's own, in Unix seconds, and do not decrease
+with the offset.
 """
 
 import dataclasses
-from typing import Any
+import json
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -20,6 +22,8 @@
 
 _PAGE_SIZE = 500
 
+_Answer = TypeVar('_Answer')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogRecord:
@@ -44,6 +48,12 @@
     now: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Appended:
+    offset: int
+    appended_at: float
+
+
 class LogService:
     """Appends to and reads from streams of the log service."""
 
@@ -62,25 +72,65 @@
         Raises:
             ServiceUnavailable: no answer came; the record may be in the log.
         """
-        answer = self._call('POST', stream, '', msgspec.json.encode(content))
-        return LogRecord(answer['offset'], answer['appended_at'], content)
-
-    def read(self, stream: str, offset: int) -> LogPage:
-        """Read records from ``offset`` on, at most 500.
+        body = msgspec.json.encode(content)
+        answer = self._call('POST', stream, '', body, _Appended)
+        return LogRecord(answer.offset, answer.appended_at, content)
+
+    def read(
+        self,
+        stream: str,
+        offset: int,
+        limit: int = _PAGE_SIZE,
+    ) -> LogPage:
+        """Read at most ``limit`` records from ``offset`` on.
 
         Raises:
             ServiceUnavailable: no answer, or one that cannot be understood.
         """
-        query = f'?from={offset}&limit={_PAGE_SIZE}'
-        return msgspec.convert(self._call('GET', stream, query, b''), LogPage)
-
-    def _call(self, method: str, stream: str, query: str, body: bytes) -> Any:
+        query = f'?from={offset}&limit={limit}'
+        return self._call('GET', stream, query, b'', LogPage)
+
+    def _call(
+        self,
+        method: str,
+        stream: str,
+        query: str,
+        body: bytes,
+        answer_class: type[_Answer],
+    ) -> _Answer:
         path = quote(stream, safe='')
         url = f'http://{self.address}/streams/{path}{query}'
         try:
             response = self.pool.request(method, url, body=body or None)
-            if response.status != 200:
-                raise ServiceUnavailable(f'log service: {response.status}')
-            return msgspec.json.decode(response.data)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        except urllib3.exceptions.HTTPError as error:
             raise ServiceUnavailable(f'log service: {error}') from error
+        if response.status != 200:
+            raise ServiceUnavailable(f'log service: {response.status}')
+        try:
+            return msgspec.convert(_decode(response.data), answer_class)
+        except ValueError as error:
+            raise ServiceUnavailable(f'log service: {error}') from error
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        # One record with a lone surrogate or a number out of range must not
+        # hide the others on its page: such content becomes None, everywhere.
+        return _decode_records(json.loads(body))
+
+
+def _decode_records(page: Any) -> Any:
+    if isinstance(page, dict):
+        for entry in page.get('records', ()):
+            entry['content'] = _plain(entry['content'])
+    return page
+
+
+def _plain(content: Any) -> Any:
+    text = json.dumps(content)
+    try:
+        return msgspec.json.decode(text)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/primroseyoke/snapshots.py
@@ -0,0 +1,186 @@
+"""Snapshots of the folded configuration in the log.
+
+They have a stream of their own: a reader that is up to date never downloads
+one, duplicates cost readers nothing, and a reader that starts behind the first
+retained record finds the newest without reading the rest. The content is
+``{"offset", "content"}``: the last offset that the snapshot covers, and the
+state as base64 of zlib-compressed CBOR.
+"""
+
+import base64
+import dataclasses
+import logging
+import zlib
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+
+from .configuration import Fold
+from .exceptions import ConfigurationInvalid
+from .records import LogPage, LogRecord, LogService
+
+__all__ = (
+    'CONFIGURATION_STREAM',
+    'SNAPSHOT_STREAM',
+    'SnapshotWriter',
+    'StoredSnapshot',
+    'newest_snapshot',
+    'read_stream',
+)
+
+log = logging.getLogger(__name__)
+
+CONFIGURATION_STREAM = 'configuration'
+SNAPSHOT_STREAM = 'configuration-snapshots'
+# While nothing changes, a snapshot is written again before it expires; the
+# log keeps records for much longer than this many seconds.
+RENEWAL = 3600.0
+_COVERED_SHARE = 4
+# Larger than any offset; the answer then only tells the bounds of a stream.
+_BEYOND_END = 2**53
+# Records that are not snapshots are passed over, at most this many.
+_LOOK_BACK = 8
+_MAX_STATE_BYTES = 2**24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredSnapshot:
+    """A snapshot in the log; ``content`` is what ``Fold.restore`` takes."""
+
+    offset: int
+    appended_at: float
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Document:
+    offset: int
+    content: bytes
+
+
+def newest_snapshot(service: LogService) -> StoredSnapshot | None:
+    """Return the newest usable snapshot that the log retains.
+
+    Raises:
+        ServiceUnavailable: the log did not answer.
+    """
+    bounds = service.read(SNAPSHOT_STREAM, _BEYOND_END, 1)
+    earliest = max(bounds.first, bounds.next - _LOOK_BACK)
+    for offset in range(bounds.next - 1, earliest - 1, -1):
+        for entry in service.read(SNAPSHOT_STREAM, offset, 1).records:
+            try:
+                return _parse(entry)
+            except ConfigurationInvalid as error:
+                log.warning('snapshot %d passed over: %s', offset, error)
+    return None
+
+
+def read_stream(
+    service: LogService,
+    offset: int,
+) -> Iterator[LogPage | StoredSnapshot]:
+    """Yield what takes a fold from before ``offset`` to the end of the log.
+
+    A snapshot stands in for expired records. If there is none, the only page
+    begins behind ``offset``.
+
+    Raises:
+        ServiceUnavailable: the log did not answer.
+    """
+    more = True
+    while more:
+        page = service.read(CONFIGURATION_STREAM, offset)
+        found = _stand_in(service, page) if page.first > offset else page
+        yield found or page
+        following = _following(found)
+        more = following is not None and following < page.next
+        offset = following or offset
+
+
+def _following(found: LogPage | StoredSnapshot | None) -> int | None:
+    """Return the offset to read on from, None if there is nothing more."""
+    if isinstance(found, StoredSnapshot):
+        return found.offset + 1
+    if found is None or not found.records:
+        return None
+    return found.records[-1].offset + 1
+
+
+def _stand_in(service: LogService, page: LogPage) -> StoredSnapshot | None:
+    """Return a snapshot that reaches the records of a page."""
+    newest = newest_snapshot(service)
+    if newest is None or not page.first <= newest.offset + 1 <= page.next:
+        return None
+    return newest
+
+
+class SnapshotWriter:
+    """Appends a snapshot when the retained ones cover too little.
+
+    Any number of processes may do so at once: a snapshot names the offset
+    that it covers, and equal offsets have equal states.
+    """
+
+    def __init__(
+        self,
+        service: LogService,
+        take: Callable[[], tuple[int, bytes]],
+    ) -> None:
+        """Get the offset and the state of the fold from ``take``."""
+        self.service = service
+        self.take = take
+        self.covered = -1
+        self.appended_at = 0.0
+
+    def check(self, page: LogPage) -> None:
+        """Append a snapshot if one is due at the end of the stream.
+
+        Raises:
+            ServiceUnavailable: the log did not answer.
+        """
+        if not self._is_due(page):
+            return
+        # Another process may have appended one since the last check.
+        newest = newest_snapshot(self.service)
+        self.covered = -1 if newest is None else newest.offset
+        self.appended_at = 0.0 if newest is None else newest.appended_at
+        offset, state = self.take()
+        # A fold that misses records has nothing to cover.
+        if self._is_due(page) and offset >= page.next - 1:
+            self._append(offset, state)
+
+    def _is_due(self, page: LogPage) -> bool:
+        ends_stream = not page.records or _following(page) == page.next
+        if not page.next or not ends_stream:
+            return False
+        uncovered = page.next - 1 - self.covered
+        if page.now - self.appended_at > RENEWAL:
+            return True
+        window = page.next - page.first
+        return uncovered > 0 and uncovered * _COVERED_SHARE >= window
+
+    def _append(self, offset: int, state: bytes) -> None:
+        content = base64.b64encode(zlib.compress(state)).decode()
+        document = {'offset': offset, 'content': content}
+        appended = self.service.append(SNAPSHOT_STREAM, document)
+        self.covered = offset
+        self.appended_at = appended.appended_at
+        log.info('snapshot of offset %d appended', offset)
+
+
+def _parse(entry: LogRecord) -> StoredSnapshot:
+    try:
+        document = msgspec.convert(entry.content, _Document)
+        # The bound keeps a bad record from filling the memory.
+        unpacked = zlib.decompressobj().decompress(
+            document.content,
+            _MAX_STATE_BYTES,
+        )
+    except (msgspec.ValidationError, zlib.error) as error:
+        raise ConfigurationInvalid(f'not a snapshot: {error}') from error
+    trial = Fold()
+    trial.restore(unpacked)
+    if trial.offset != document.offset:
+        raise ConfigurationInvalid('the snapshot is of another offset')
+    return StoredSnapshot(document.offset, entry.appended_at, unpacked)
--- a/primroseyoke/states.py
+++ b/primroseyoke/states.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .balancing import DumpRouting
-from .distribution import ASK_OFFSET
+from .distribution import ASK_STATE
 
 if TYPE_CHECKING:
     from .entry import Entry
@@ -13,12 +13,11 @@
 
 def entry_state(entry: 'Entry') -> dict[str, Any]:
     """Return what an entry knows, for operators."""
-    announcement: Any = entry.configuration.ask(ASK_OFFSET, timeout=2)
+    configuration: Any = entry.configuration.ask(ASK_STATE, timeout=2)
     return {
         'host': entry.settings.name,
         'availability_zone': entry.settings.availability_zone,
-        'offset': announcement.offset,
-        'confirmed_at': announcement.confirmed_at,
+        **configuration,
         'log_reachable': entry.reader.reachable,
         'draining': entry.stopped.is_set(),
         'links': {
--- /dev/null
+++ b/primroseyoke/validity.py
@@ -0,0 +1,209 @@
+"""Rules that hold between the parts of a configuration."""
+
+import dataclasses
+import math
+from collections.abc import Collection, Mapping
+from typing import Any
+
+from .exceptions import ConfigurationInvalid
+from .parts import (
+    Defaults,
+    Exemption,
+    Homes,
+    Upstream,
+    Zone,
+    check_limits,
+    override_defaults,
+    overrides_by_target,
+)
+
+__all__ = ('HOMES_MARGIN', 'Change', 'check_change', 'check_parts')
+
+# A key of a stopped home can carry a time this many seconds after the stop:
+# the difference between two clocks (1 s) and a caller's lead (2 s).
+HOMES_MARGIN = 3.0
+# A slip such as milliseconds would block the homes of a service for good.
+_LATEST_SINCE = 604800.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What the rules about a change need beside the new parts.
+
+    ``before`` are the parts in force, ``changed`` the names that change.
+    ``homes_from`` is the earliest ``since`` that earlier values of ``settle``
+    leave; ``retired`` maps removed homes to the time until which they stay
+    removed. Times are the log's.
+    """
+
+    appended_at: float
+    before: Mapping[str, Any]
+    changed: Collection[str]
+    homes_from: float = 0
+    retired: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
+def check_parts(parts: Mapping[str, Any]) -> None:
+    """Check references and everything else that one state shows.
+
+    Raises:
+        ConfigurationInvalid: the text names the part.
+    """
+    agents: dict[str, str] = {}
+    for name, part in parts.items():
+        if isinstance(part, Upstream):
+            _check_upstream(name, part, parts, agents)
+        elif isinstance(part, Homes):
+            _check_members(name, part, parts)
+    _check_exceptions(parts)
+    _check_zones(parts)
+
+
+def check_change(parts: Mapping[str, Any], change: Change) -> None:
+    """Check what depends on the parts before the change.
+
+    Raises:
+        ConfigurationInvalid: the text names the part.
+    """
+    for name in sorted(change.changed):
+        homes = parts.get(name)
+        if isinstance(homes, Homes):
+            _check_homes(name, homes, change)
+    moved = {
+        upstream.removeprefix('upstream/')
+        for upstream in change.changed
+        if _is_moved(change.before.get(upstream), parts.get(upstream))
+    }
+    if moved:
+        _check_moved(moved, parts, change)
+
+
+def _check_upstream(
+    name: str,
+    upstream: Upstream,
+    parts: Mapping[str, Any],
+    agents: dict[str, str],
+) -> None:
+    if f'service/{upstream.service}' not in parts:
+        service = upstream.service
+        raise ConfigurationInvalid(f'{name}: unknown service {service}')
+    other = agents.setdefault(upstream.agent, name)
+    if other != name:
+        raise ConfigurationInvalid(f'{name}: {other} has the same agent')
+
+
+def _check_members(name: str, homes: Homes, parts: Mapping[str, Any]) -> None:
+    service = name.removeprefix('homes/')
+    if f'service/{service}' not in parts:
+        raise ConfigurationInvalid(f'{name}: unknown service {service}')
+    if len(set(homes.members)) < len(homes.members):
+        raise ConfigurationInvalid(f'{name}: a member is named twice')
+    for member in homes.members:
+        upstream = parts.get(f'upstream/{member}')
+        if upstream is None or upstream.service != service:
+            raise ConfigurationInvalid(
+                f'{name}: {member} is no upstream of this service',
+            )
+
+
+def _check_exceptions(parts: Mapping[str, Any]) -> None:
+    overrides = overrides_by_target(parts)
+    defaults = parts.get('defaults', Defaults())
+    for name, part in parts.items():
+        if isinstance(part, Exemption):
+            targets = _targets(name, part.target, parts)
+            check_limits(name, override_defaults(defaults, overrides, *targets))
+
+
+def _targets(name: str, target: str, parts: Mapping[str, Any]) -> list[str]:
+    """Return a target after the targets whose overrides it inherits."""
+    if target.startswith('client/'):
+        return [target]
+    part = parts.get(target)
+    if part is None:
+        raise ConfigurationInvalid(f'{name}: unknown target {target}')
+    if isinstance(part, Upstream):
+        return [f'service/{part.service}', target]
+    return [target]
+
+
+def _check_zones(parts: Mapping[str, Any]) -> None:
+    zones = {
+        part.availability_zone
+        for part in parts.values()
+        if isinstance(part, Upstream)
+    }
+    states = [parts.get(f'zone/{zone}', Zone()).state for zone in zones]
+    if states and 'in' not in states:
+        raise ConfigurationInvalid('no availability zone would stay in')
+
+
+def _check_homes(name: str, homes: Homes, change: Change) -> None:
+    current = change.before.get(name)
+    if current is None:
+        _check_new_homes(name, homes, change)
+        return
+    if change.appended_at < current.since:
+        raise ConfigurationInvalid(f'{name}: the last change is not settled')
+    if homes.previous != current.members:
+        raise ConfigurationInvalid(f'{name}: previous differs from members')
+    earliest = _earliest_since(homes, current, change)
+    if not earliest <= homes.since <= earliest + _LATEST_SINCE:
+        raise ConfigurationInvalid(
+            f'{name}: since must be at least {math.ceil(earliest)}'
+            ' and at most 7 days later',
+        )
+
+
+def _earliest_since(homes: Homes, current: Homes, change: Change) -> float:
+    """Return when no process can use the current homes any more.
+
+    Stopped hosts accept no key, but they may have executed keys whose time
+    lies before the stop; those must stay with them.
+    """
+    removed = set(current.members) - set(homes.members)
+    added = set(homes.members) - set(current.members)
+    if not added and removed == set(homes.stopped) and homes.reason:
+        return change.appended_at + HOMES_MARGIN
+    defaults = change.before.get('defaults', Defaults())
+    settled: float = change.appended_at + defaults.settle
+    return max(settled, change.homes_from)
+
+
+def _check_new_homes(name: str, homes: Homes, change: Change) -> None:
+    if homes.previous:
+        raise ConfigurationInvalid(f'{name}: there are no previous homes')
+    until = change.retired.get(name, 0)
+    if change.appended_at < until:
+        raise ConfigurationInvalid(
+            f'{name}: was removed and cannot return before {until:.0f}',
+        )
+
+
+def _is_moved(before: Any, after: Any) -> bool:
+    if not isinstance(before, Upstream):
+        return False
+    return after is None or before.agent != after.agent
+
+
+def _check_moved(
+    moved: set[str],
+    parts: Mapping[str, Any],
+    change: Change,
+) -> None:
+    """Check that a home keeps its address.
+
+    The agents at the old and the new address could both execute a key.
+    """
+    lifetime = change.before.get('defaults', Defaults()).key_lifetime
+    for name, homes in parts.items():
+        if not isinstance(homes, Homes):
+            continue
+        bound = set(homes.members)
+        if change.appended_at < homes.since + lifetime + HOMES_MARGIN:
+            bound.update(set(homes.previous) - set(homes.stopped))
+        if bound & moved:
+            upstreams = ', '.join(sorted(bound & moved))
+            raise ConfigurationInvalid(
+                f'{name}: a home must keep its agent: {upstreams}',
+            )
