--- a/primroseyoke/configuration.py
+++ b/primroseyoke/configuration.py
@@ -322,8 +322,7 @@
     def _accept(self, record: Record, parts: dict[str, Any]) -> None:
         self._remember_homes(record, parts)
         self.accepted = record.offset
-        # Views share the old dicts, so the new ones are copies.
-        self.raw = dict(self.raw)
+        # Views share the old dict, so it must not change.
         self.parts = parts
         for name, raw in record.parts.items():
             self.removed.pop(name, None)
--- a/primroseyoke/ctl.py
+++ b/primroseyoke/ctl.py
@@ -80,7 +80,8 @@
 
     def publish(self, path: str) -> int:
         """Publish a change file and wait until it is in force."""
-        return self._publish(_read_parts(path), _reason(), FLAGS.seen)
+        reason = _reason()
+        return self._publish(_read_parts(path), reason, FLAGS.seen)
 
     def take_out(self, part: str) -> int:
         """Stop new work for a zone, a host or an upstream."""
@@ -238,14 +239,16 @@
 def _read_parts(path: str) -> dict[str, Any]:
     try:
         with open(path, 'rb') as stream:
-            parts = msgspec.json.decode(
-                stream.read(),
-                type=dict[str, dict[str, Any] | None],
-            )
+            parts = msgspec.json.decode(stream.read(), type=dict[str, Any])
     except (OSError, msgspec.MsgspecError) as error:
         raise ConfigurationInvalid(f'{path}: {error}') from error
     if not parts:
         raise ConfigurationInvalid(f'{path}: names no part')
+    for name, part in parts.items():
+        if not isinstance(part, dict | None):
+            raise ConfigurationInvalid(
+                f'{path}: {name}: found {part!r}, expected an object or null',
+            )
     return parts
 
 
--- a/primroseyoke/distribution.py
+++ b/primroseyoke/distribution.py
@@ -11,8 +11,10 @@
 
 from .configuration import Configuration, Fold, Outcome
 from .exceptions import ConfigurationInvalid, ServiceUnavailable
+from .hostlists import HostList
 from .messages import Announce, Hello, Message, Pull, Snapshot, Welcome
 from .records import LogPage, LogService
+from .settings import Address
 from .snapshots import (
     CONFIGURATION_STREAM,
     SnapshotWriter,
@@ -26,6 +28,7 @@
     'ConfigurationChanged',
     'LogReader',
     'PeerMessage',
+    'find_peers',
 )
 
 log = logging.getLogger(__name__)
@@ -43,6 +46,8 @@
 _LONGEST_INTERVAL = 6.0
 _BACK_OFF = 1.5
 _JITTER = 0.2
+# Some of the listed agents may be gone, so one would not do.
+_FIRST_PEERS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,3 +258,21 @@
     def _take_snapshot(self) -> tuple[int, bytes]:
         snapshot: Any = self.actor.ask(ASK_SNAPSHOT)
         return snapshot.offset, snapshot.content
+
+
+def find_peers(host_list: Address) -> dict[str, str]:
+    """Return the addresses of some listed agents, by upstream.
+
+    With the log down, they are where a new entry can get its configuration.
+    Without a host list (port 0) or an answer there are none.
+    """
+    if not host_list.port:
+        return {}
+    try:
+        hosts = HostList(str(host_list)).hosts()
+    except ServiceUnavailable as error:
+        log.warning('%s', error)
+        return {}
+    agents = [host for host in hosts if host.role == 'agent']
+    chosen = random.sample(agents, min(_FIRST_PEERS, len(agents)))
+    return {host.name: host.address for host in chosen}
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -22,6 +22,7 @@
     ConfigurationChanged,
     LogReader,
     PeerMessage,
+    find_peers,
 )
 from .exceptions import RequestFailed, RequestInvalid
 from .links import Link, LinkPool
@@ -56,6 +57,7 @@
     balancer_delay: Annotated[float, msgspec.Meta(ge=0, le=600)] = 5
     drain_timeout: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 300
     statsd: Address = Address('127.0.0.1', 0)
+    host_list: Address = Address('127.0.0.1', 0)
     log_level: str = 'INFO'
 
 
@@ -85,6 +87,7 @@
             lambda: True,
             writes_snapshots=True,
         )
+        self.host_list = settings.host_list
         self.callers = _server(settings.listen, self._answer, settings)
         self.admin = _server(settings.admin, self._answer_admin, settings, 2)
 
@@ -93,6 +96,7 @@
         self.pool.events.start()
         self.reader.start()
         repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
+        repeat(_ANNOUNCE_INTERVAL, self._find_peers, self.finished)
         for server in (self.callers, self.admin):
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
@@ -118,6 +122,15 @@
     def _announce(self) -> None:
         self.configuration.tell(ANNOUNCE)
 
+    def _find_peers(self) -> None:
+        if self.dispatcher.configuration is None:
+            # In the loop's thread, so that links of a configuration come later.
+            self.pool.events.call(self._want_peers, find_peers(self.host_list))
+
+    def _want_peers(self, addresses: Mapping[str, str]) -> None:
+        if self.dispatcher.configuration is None:
+            self.pool.want(addresses)
+
     def _reconfigure(self, changed: ConfigurationChanged) -> None:
         self.dispatcher.configuration = changed.configuration
         self.routing.tell(changed)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """The fold: validity rules, determinism, and what it forgets."""
 
+import copy
 import itertools
 import unittest.mock
 
@@ -343,7 +344,7 @@
         st.sampled_from(['new', 'new', 'new', 'resent', 'garbage']),
         st.sampled_from([0, 1, 5, 30]),
     ),
-    min_size=1,
+    min_size=12,
     max_size=40,
 )
 
@@ -414,6 +415,7 @@
             st.sampled_from(['read', 'resend', 'gap', 'restart', 'jump']),
             st.integers(0, 50),
         ),
+        min_size=6,
     ),
 )
 @pytest.mark.usefixtures('small_memory')
@@ -422,9 +424,11 @@
     entries, _, _ = build_stream(steps)
     straight = Fold()
     snapshots = []
+    states = []
     for entry in entries:
         straight.read(*entry)
         snapshots.append(straight.snapshot())
+        states.append(copy.deepcopy(vars(straight)))
     fold = Fold()
     rest = [(len(entries), 'read', 0)]
     for (count, action, at), _ in zip(
@@ -451,5 +455,6 @@
         assert fold.offset >= before
         if fold.offset >= 0:
             assert fold.snapshot() == snapshots[fold.offset]
+            assert vars(fold) == states[fold.offset]
     assert fold.snapshot() == snapshots[-1]
     assert fold.current.parts == straight.current.parts
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,117 @@
+"""The operators' command: messages and exit codes."""
+
+import json
+
+import pytest
+
+from tests.fleet import Fleet
+
+ZONES = ('zone-a', 'zone-b')
+EXEMPTION = {
+    'target': 'upstream/app-1',
+    'override': {'max_running': 4},
+    'reason': 'small host',
+}
+
+
+@pytest.fixture(scope='module')
+def fleet():
+    with Fleet() as started:
+        started.service('app', 'plain', ZONES)
+        started.entry('entry-a', ZONES[0])
+        published = started.publish(
+            {**started.parts, 'exception/app-1': EXEMPTION}
+        )
+        assert published.returncode == 0, published
+        yield started
+
+
+def change_file(fleet, parts):
+    path = fleet.folder / 'parts.json'
+    path.write_text(parts if isinstance(parts, str) else json.dumps(parts))
+    return str(path)
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'code', 'message'),
+    [
+        (['publish', 'none.json'], 2, 'a change needs --reason=TEXT'),
+        (['take-out', 'zone/zone-a'], 2, 'a change needs --reason=TEXT'),
+        (['take-out', 'zone/zone-c', '--reason=test'], 1, 'no upstream is in'),
+        (['bring-back', 'host/9.9.9.9', '--reason=test'], 1, 'no upstream is'),
+        (['check', 'none.json'], 1, 'none.json'),
+        (['check'], 2, 'Commands:'),
+        (['show', 'more'], 2, 'Commands:'),
+        (['unknown'], 2, 'Exit codes:'),
+        (['show', '--no-such-flag'], 2, 'no-such-flag'),
+        (['show', '--timeout=-1'], 2, 'timeout'),
+        (['watch', 'x'], 2, 'not an offset: x'),
+        (['dump', '127.0.0.1:1'], 4, '127.0.0.1:1'),
+        (['show', '--settings='], 2, '--settings=FILE is needed'),
+        (['show', '--settings=none.ini'], 2, 'none.ini'),
+        (['watch', '99', '--timeout=0'], 3, 'entry-a (offset 0)'),
+    ],
+)
+def test_wrong_use_says_what_is_wrong(fleet, arguments, code, message):
+    """Guards against unclear messages and undocumented exit codes."""
+    ended = fleet.ctl(*arguments)
+    assert ended.returncode == code, ended
+    assert message in ended.stdout + ended.stderr
+    assert 'Traceback' not in ended.stderr
+
+
+@pytest.mark.parametrize(
+    ('parts', 'message'),
+    [
+        ('{', 'truncated'),
+        ('[]', 'Expected `object`'),
+        ('{}', 'names no part'),
+        ({'zone/zone-a': 5}, 'zone'),
+        ({'zone/zone-a': {'stat': 'out'}}, 'accepted: reason, state'),
+        ({'zone/zone-a': {'state': 'off'}}, "Invalid enum value 'off'"),
+        ({'service/app': None}, 'unknown service app'),
+    ],
+)
+def test_check_of_a_bad_file_names_the_fault(fleet, parts, message):
+    """Guards against a bad change that is only noticed after publishing."""
+    ended = fleet.ctl('check', change_file(fleet, parts))
+    assert ended.returncode == 1, ended
+    assert message in ended.stdout + ended.stderr
+
+
+def test_zone_goes_out_and_comes_back(fleet):
+    """Guards against a last zone taken out, and a state that sticks."""
+    reason = '--reason=maintenance'
+    assert fleet.ctl('take-out', 'zone/zone-a', reason).returncode == 0
+    last = fleet.ctl('take-out', 'zone/zone-b', reason)
+    assert last.returncode == 1
+    assert 'no availability zone would stay in' in last.stderr
+    assert fleet.ctl('take-out', 'upstream/app-2', reason).returncode == 0
+    shown = json.loads(fleet.ctl('show').stdout)
+    assert shown['exceptions']['exception/app-1']['reason'] == 'small host'
+    assert 'exception/app-1' not in shown['parts']
+    assert shown['parts']['zone/zone-a'] == {
+        'state': 'out',
+        'reason': 'maintenance',
+    }
+    path = change_file(fleet, {'zone/zone-a': {}})
+    late = fleet.ctl('publish', path, reason, '--seen=0')
+    assert late.returncode == 1
+    assert 'zone/zone-a was changed at offset 1' in late.stderr
+    for part in ('zone/zone-a', 'upstream/app-2'):
+        assert fleet.ctl('bring-back', part, reason).returncode == 0
+    status = fleet.ctl('status').stdout.splitlines()
+    assert len(status) == 3
+    assert all(line.endswith('live offset 4') for line in status)
+
+
+def test_watch_names_a_host_that_gives_no_answer(fleet):
+    """Guards against a change taken for complete while a host is silent."""
+    fleet.ctl('show')
+    fleet.processes['app-2'].kill()
+    fleet.list_hosts = lambda: None
+    ended = fleet.ctl('watch', '0', '--timeout=0')
+    assert ended.returncode == 3
+    assert 'not yet at: app-2 (no answer)' in ended.stdout
+    fleet.log.fault(down=True)
+    assert fleet.ctl('show').returncode == 4
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,245 @@
+"""Configuration between processes: the actor and a model of it."""
+
+import functools
+import signal
+import typing
+
+import pytest
+from minicheck import Protocol, check_liveness, check_safety
+
+from primroseyoke.configuration import Fold
+from primroseyoke.distribution import (
+    ASK_STATE,
+    ConfigurationActor,
+    PeerMessage,
+)
+from primroseyoke.messages import Announce, Pull, Snapshot
+from primroseyoke.records import LogPage, LogRecord
+from tests.conftest import ZONES, is_linked
+from tests.fleet import chat, free_port, wait_for
+
+RECORDS = tuple(
+    LogRecord(
+        offset,
+        100.0 + offset,
+        {
+            'change': f'change-{offset}',
+            'author': 'test',
+            'reason': 'test',
+            'parts': {'zone/a': {'reason': str(offset)}},
+            'against': {'zone/a': offset},
+            'seen': offset - 1,
+        },
+    )
+    for offset in range(2)
+)
+
+
+def actor_at(offset):
+    """Return an actor that has read the log up to an offset."""
+    actor = ConfigurationActor(lambda changed: None, lambda message: None)
+    for entry in RECORDS[: offset + 1]:
+        actor.fold.read(entry.offset, entry.appended_at, entry.content)
+    return actor
+
+
+def page(start, first=0, following=len(RECORDS), now=200.0):
+    start = max(start, first)
+    return LogPage(RECORDS[start:following], first, following, now)
+
+
+def test_actor_waits_for_a_snapshot_and_says_so():
+    """Guards against folding records without those before them."""
+    actor = actor_at(-1)
+    actor.on_receive(page(0, first=1))
+    state = {'offset': -1, 'confirmed_at': 0.0, 'needs_snapshot': True}
+    assert actor.on_receive(ASK_STATE) == state
+    answers = []
+    content = actor_at(0).fold.snapshot()
+    message = PeerMessage(Snapshot(0, 150.0, content), answers.append)
+    actor.on_receive(message)
+    state = {'offset': 0, 'confirmed_at': 150.0, 'needs_snapshot': False}
+    assert actor.on_receive(ASK_STATE) == state
+
+
+def test_log_that_ends_early_confirms_nothing():
+    """Guards against freshness from a log that lost records."""
+    actor = actor_at(1)
+    actor.on_receive(page(0, following=1))
+    assert actor.confirmed_at == 0
+    assert actor.fold.offset == 1
+
+
+@functools.lru_cache(maxsize=None)
+def receive(offset, kind, sent):
+    """Return the offset after a message and the message that answers it."""
+    actor = actor_at(offset)
+    answers = []
+    content = actor_at(sent).fold.snapshot()
+    message = {
+        'announce': Announce(sent, 0.0),
+        'pull': Pull(sent),
+        'snapshot': Snapshot(sent, 0.0, content),
+    }[kind]
+    actor.on_receive(PeerMessage(message, answers.append))
+    answer = None
+    if answers:
+        answer = (type(answers[0]).__name__.lower(), answers[0].offset)
+    return actor.fold.offset, answer
+
+
+@functools.lru_cache(maxsize=None)
+def read_log(offset, length):
+    actor = actor_at(offset)
+    actor.on_receive(page(offset + 1, following=length))
+    return actor.fold.offset
+
+
+class State(typing.NamedTuple):
+    length: int = 0
+    up: bool = True
+    entry: int = -1
+    cut_entry: int = -1
+    agent: int = -1
+    network: tuple = (None,) * 4
+    reverted: bool = False
+
+
+# Receiver and sender of each channel, as indexes into the state.
+CHANNELS = ((4, 2), (2, 4), (4, 3), (3, 4))
+
+
+def transitions(state):
+    length, up, entry, _, _, network, _ = state
+    replaced = state._replace
+    yield 'log fails or returns', replaced(up=not up)
+    if up and length < len(RECORDS):
+        yield 'append', replaced(length=length + 1)
+    if up:
+        yield 'entry reads', moved(state, 2, read_log(entry, length))
+    for process in ('entry', 'cut_entry', 'agent'):
+        # A new process at the same place has read nothing.
+        yield f'{process} restarts', replaced(**{process: -1})
+    for number, (receiver, sender) in enumerate(CHANNELS):
+        announce = put(network, number, ('announce', state[sender]))
+        # Replaces what was there: a message can be lost.
+        yield 'announce', replaced(network=announce)
+        if network[number] is not None:
+            yield 'deliver', deliver(state, number, receiver)
+
+
+def deliver(state, number, receiver):
+    """Deliver a message; it stays in the network and can come again."""
+    network = state[5]
+    offset, answer = receive(state[receiver], *network[number])
+    if answer is not None:
+        back = number ^ 1
+        network = put(network, back, answer)
+    return moved(state._replace(network=network), receiver, offset)
+
+
+def moved(state, process, offset):
+    return state._replace(
+        **{State._fields[process]: offset},
+        reverted=state.reverted or offset < state[process],
+    )
+
+
+def put(network, number, message):
+    return (*network[:number], message, *network[number + 1 :])
+
+
+@pytest.fixture(scope='module')
+def model():
+    return Protocol(
+        name='distribution',
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: list(transitions(state)),
+        invariants={
+            'no process reverts': lambda state: not state['reverted'],
+            'no process is ahead of the log': lambda state: (
+                max(state['entry'], state['cut_entry'], state['agent'])
+                < state['length']
+            ),
+        },
+        goal=lambda state: (
+            state['entry']
+            == state['cut_entry']
+            == state['agent']
+            == len(RECORDS) - 1
+        ),
+    )
+
+
+def test_model_never_reverts_and_can_always_converge(model):
+    """Guards against a message, old or repeated, that sets a process back.
+
+    The second entry never reads the log: it learns through the agent.
+    """
+    safety = check_safety(model, max_states=2000000)
+    for name, found in safety['properties'].items():
+        assert found['holds'] is True, (name, found)
+    assert check_liveness(model)['holds'] is True
+
+
+@pytest.fixture
+def draft_fleet(fleet):
+    """Two zones; the entry of the second has no path to the log."""
+    fleet.service('draft', 'model', ZONES, tokens=2)
+    cut = {'log_service': f'127.0.0.1:{free_port()}'}
+    fleet.entries = [
+        fleet.entry('entry-a', ZONES[0]),
+        fleet.entry('entry-b', ZONES[1], **cut),
+    ]
+    fleet.list_hosts()
+    published = fleet.publish()
+    assert published.returncode == 0, published
+    return fleet
+
+
+def offset_of(process):
+    return process.state()['offset']
+
+
+def test_replaced_hosts_take_configuration_from_peers(draft_fleet):
+    """Guards against new hosts that cannot serve while the log is down."""
+    fleet = draft_fleet
+    fleet.log.fault(down=True)
+    fleet.processes['draft-1'].kill()
+    fleet.entries[0].kill()
+    agent = fleet.restart_agent('draft-1')
+    fleet.list_hosts()
+    entry = fleet.entry('entry-c', ZONES[0])
+    wait_for(lambda: is_linked(entry), 10, 'links of the new entry')
+    wait_for(lambda: agent.state()['accepting'], 10, 'the new agent')
+    assert not entry.state()['log_reachable']
+    assert offset_of(entry) == offset_of(agent) == 0
+    assert chat(entry, 'draft', 'x').status == 200
+
+
+def test_zone_that_was_cut_off_does_not_revert(draft_fleet):
+    """Guards against old announcements that set processes back."""
+    fleet = draft_fleet
+    zone = [fleet.processes['draft-2'], fleet.entries[1]]
+    rest = [fleet.processes['draft-1'], fleet.entries[0]]
+    for process in zone:
+        process.send(signal.SIGSTOP)
+    taken = fleet.ctl('take-out', 'zone/zone-b', '--reason=cut off', '--nowait')
+    assert taken.returncode == 0, taken
+    wait_for(lambda: all(offset_of(process) == 1 for process in rest), 13)
+    fleet.log.fault(down=True)
+    for process in zone:
+        process.send(signal.SIGCONT)
+    seen = []
+
+    def has_rejoined():
+        seen.append([offset_of(process) for process in [*rest, *zone]])
+        return seen[-1] == [1] * 4
+
+    wait_for(has_rejoined, 13, 'the zone to rejoin')
+    assert all(offsets[:2] == [1, 1] for offsets in seen)
+    agent = zone[0].state()
+    assert agent['refusal'] == 'the upstream is out of service'
+    assert chat(fleet.entries[1], 'draft', 'x').status == 200
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,224 @@
+"""Snapshots in the log, and reading a log whose records have expired."""
+
+import base64
+import http.client
+import json
+import threading
+import zlib
+
+import pytest
+
+from primroseyoke.configuration import Fold, Outcome
+from primroseyoke.exceptions import ServiceUnavailable
+from primroseyoke.operators import Operator
+from primroseyoke.records import LogService
+from primroseyoke.snapshots import (
+    CONFIGURATION_STREAM,
+    RENEWAL,
+    SNAPSHOT_STREAM,
+    SnapshotWriter,
+    StoredSnapshot,
+    read_stream,
+)
+from tests.standins.logservice import LogService as Standin
+
+
+@pytest.fixture
+def standin():
+    started = Standin().start()
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def service(standin):
+    return LogService(standin.address)
+
+
+def operator(standin):
+    return Operator(LogService(standin.address), None, 'test')
+
+
+def follow(fold, service):
+    """Bring a fold to the end of the log; return the last page."""
+    found = None
+    for found in read_stream(service, fold.offset + 1):
+        if isinstance(found, StoredSnapshot):
+            fold.restore(found.content)
+        else:
+            for entry in found.records:
+                fold.read(entry.offset, entry.appended_at, entry.content)
+    return found
+
+
+def publish_zones(standin, count):
+    publisher = operator(standin)
+    for number in range(count):
+        publisher.publish({f'zone/z{number}': {}}, 'test')
+    return publisher.fold
+
+
+def writer_of(fold, service):
+    return SnapshotWriter(service, lambda: (fold.offset, fold.snapshot()))
+
+
+def test_reader_of_an_expired_log_gets_the_same_state(standin, service):
+    """Guards against a fold that starts in the middle of the stream."""
+    straight = publish_zones(standin, 9)
+    early = Fold()
+    follow(early, service)
+    writer_of(early, service).check(service.read(CONFIGURATION_STREAM, 9))
+    publish_zones(standin, 3)
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 7}
+    late = Fold()
+    follow(late, service)
+    straight = Fold()
+    standin.faults['expired'] = {}
+    follow(straight, service)
+    assert late.offset == 11
+    assert late.snapshot() == straight.snapshot()
+
+
+def test_reader_waits_while_there_is_no_snapshot(standin, service):
+    """Guards against records that are folded without those before them."""
+    publish_zones(standin, 3)
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 2}
+    with pytest.raises(ServiceUnavailable, match='begins at offset 2'):
+        operator(standin).refresh()
+
+
+def test_snapshot_is_written_once_a_quarter_is_uncovered(standin, service):
+    """Guards against a window without a snapshot, and against too many."""
+    fold = publish_zones(standin, 20)
+    writer = writer_of(fold, service)
+    covered = []
+    for number in range(20, 40):
+        publish_zones(standin, 0)
+        operator(standin).publish({f'zone/z{number}': {}}, 'test')
+        page = follow(fold, service)
+        writer.check(page)
+        covered.append(writer.covered)
+        assert (page.next - 1 - writer.covered) * 4 < page.next
+    assert 2 <= len(set(covered)) <= 4
+
+
+def test_snapshots_of_many_writers_do_no_harm(standin, service):
+    """Guards against a state that depends on who wrote the snapshot."""
+    fold = publish_zones(standin, 5)
+    page = service.read(CONFIGURATION_STREAM, 5)
+    writers = [
+        threading.Thread(
+            target=writer_of(fold, LogService(standin.address)).check,
+            args=(page,),
+        )
+        for _ in range(8)
+    ]
+    for writer in writers:
+        writer.start()
+    for writer in writers:
+        writer.join()
+    assert 1 <= service.read(SNAPSHOT_STREAM, 0).next <= 8
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 5}
+    late = Fold()
+    follow(late, service)
+    assert late.snapshot() == fold.snapshot()
+
+
+def packed(content):
+    return base64.b64encode(zlib.compress(content)).decode()
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [
+        None,
+        {'offset': 2, 'content': '!'},
+        {'offset': 2, 'content': packed(b'x')},
+        {'offset': 2, 'content': packed(bytes(2**25))},
+        {'offset': 9, 'content': packed(Fold().snapshot())},
+    ],
+)
+def test_bad_snapshot_records_are_passed_over(standin, service, garbage):
+    """Guards against one bad record that blocks every new process."""
+    fold = publish_zones(standin, 3)
+    writer_of(fold, service).check(service.read(CONFIGURATION_STREAM, 3))
+    service.append(SNAPSHOT_STREAM, garbage)
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 3}
+    late = Fold()
+    follow(late, service)
+    assert late.snapshot() == fold.snapshot()
+
+
+def test_idle_log_keeps_a_snapshot(standin, service):
+    """Guards against a last snapshot that expires while nothing changes."""
+    fold = publish_zones(standin, 2)
+    writer = writer_of(fold, service)
+    writer.check(service.read(CONFIGURATION_STREAM, 2))
+    writer.check(service.read(CONFIGURATION_STREAM, 2))
+    assert service.read(SNAPSHOT_STREAM, 0).next == 1
+    writer.appended_at -= RENEWAL + 1
+    standin.faults['expired'] = {SNAPSHOT_STREAM: 1, CONFIGURATION_STREAM: 2}
+    writer.check(service.read(CONFIGURATION_STREAM, 2))
+    late = Fold()
+    follow(late, service)
+    assert late.snapshot() == fold.snapshot()
+
+
+@pytest.mark.parametrize('poison', [r'"\ud800"', '1e400', 'NaN', '{"a":1e999}'])
+def test_undecodable_entry_does_not_hide_the_others(standin, service, poison):
+    """Guards against one entry that ends all reading."""
+    publish_zones(standin, 1)
+    connection = http.client.HTTPConnection(standin.address)
+    connection.request('POST', f'/streams/{CONFIGURATION_STREAM}', poison)
+    connection.getresponse().read()
+    publish_zones(standin, 2)
+    fold = Fold()
+    follow(fold, service)
+    assert fold.offset == 3
+    assert set(fold.raw) == {'zone/z0', 'zone/z1'}
+
+
+@pytest.mark.parametrize('answer', [{}, {'records': 5}, [], 'x'])
+def test_answer_of_another_shape_is_unavailable(standin, service, answer):
+    """Guards against a reader thread that dies of a foreign answer."""
+    standin.handle = lambda handler: handler.reply(200, answer)
+    with pytest.raises(ServiceUnavailable):
+        service.read(CONFIGURATION_STREAM, 0)
+    with pytest.raises(ServiceUnavailable):
+        service.append(CONFIGURATION_STREAM, {})
+
+
+def test_append_whose_answer_is_lost_counts_once(standin):
+    """Guards against a change that is applied twice, or taken for lost."""
+    publisher = operator(standin)
+    standin.faults['lose_answers'] = 2
+    published = publisher.publish({'zone/a': {}}, 'test')
+    assert published.decision.outcome is Outcome.ACCEPTED
+    assert published.offset == 0
+    stream = standin.streams[CONFIGURATION_STREAM]
+    assert len(stream) == 3
+    assert publisher.fold.accepted == 0
+    assert json.dumps(publisher.fold.raw) == '{"zone/a": {}}'
+
+
+def test_of_two_racing_operators_one_is_told_which_part_moved(standin):
+    """Guards against a change that silently replaces another."""
+    first, second = operator(standin), operator(standin)
+    append = first.log_service.append
+
+    def append_after_the_other(stream, content):
+        second.publish({'zone/a': {'state': 'out'}}, 'second')
+        return append(stream, content)
+
+    first.log_service.append = append_after_the_other
+    lost = first.publish({'zone/a': {}, 'zone/b': {}}, 'first')
+    assert lost.decision.outcome is Outcome.STALE
+    assert lost.decision.detail == 'zone/a is at version 1, not 0'
+    first.log_service.append = append
+    first.refresh()
+    assert first.fold.raw == {'zone/a': {'state': 'out'}}
+    first.publish({'zone/b': {}}, 'again')
+    assert standin.streams[CONFIGURATION_STREAM][-1]['content']['seen'] == 1
+    late = first.check({'zone/a': {}}, 'late', seen=-1)
+    assert late.outcome is Outcome.STALE
+    assert late.detail == 'zone/a was changed at offset 0, after -1'
