--- a/primroseyoke/configuration.py
+++ b/primroseyoke/configuration.py
@@ -167,6 +167,12 @@
 
     The result depends on the records alone, so hosts that read the same
     records hold the same configuration without talking to each other.
+
+    A record that passes the version check and breaks a validity rule never
+    becomes the version that later records are checked against; see "Integrity
+    Dangers in Certification-Based Replication Protocols", technical report
+    ITI-ITE-08/13. With 10 % invalid records of racing operators, the other
+    way refuses about 1.8 % of the correct records (bench/configuration.py).
     """
 
     def __init__(self) -> None:
--- a/primroseyoke/distribution.py
+++ b/primroseyoke/distribution.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -19,7 +20,9 @@
     CONFIGURATION_STREAM,
     SnapshotWriter,
     StoredSnapshot,
+    pack_state,
     read_stream,
+    unpack_state,
 )
 
 __all__ = (
@@ -46,6 +49,8 @@
 _LONGEST_INTERVAL = 6.0
 _BACK_OFF = 1.5
 _JITTER = 0.2
+# A pull that got no snapshot in this time is sent to the next peer.
+_PULL_TIMEOUT = 1.0
 # Some of the listed agents may be gone, so one would not do.
 _FIRST_PEERS = 4
 
@@ -82,6 +87,9 @@
         self.confirmed_at = 0.0
         #: Whether the log no longer holds the record after ``fold.offset``.
         self.needs_snapshot = False
+        # The highest offset that was asked for, and until when it may come.
+        self.asked = (-1, 0.0)
+        self.packed: Snapshot | None = None
 
     def on_receive(self, message: Any) -> Any:
         """Handle what the log or a peer sent, or a question."""
@@ -144,7 +152,7 @@
     def _read_peer(self, received: PeerMessage) -> None:
         message = received.message
         if isinstance(message, Snapshot):
-            self._restore(message.content, message.confirmed_at)
+            self._take_snapshot(message)
         elif isinstance(message, Announce):
             self._compare(message, received.answer)
         elif not isinstance(message, Pull):
@@ -158,10 +166,26 @@
         answer: Callable[[Message], None],
     ) -> None:
         if message.offset > self.fold.offset:
-            answer(Pull(self.fold.offset))
+            self._pull(message.offset, answer)
         elif message.offset == self.fold.offset:
             self._confirm(message.confirmed_at)
 
+    def _pull(self, offset: int, answer: Callable[[Message], None]) -> None:
+        """Ask one peer, not each that announces the same change."""
+        now = time.monotonic()
+        asked, until = self.asked
+        if offset > asked or now >= until:
+            self.asked = (offset, now + _PULL_TIMEOUT)
+            answer(Pull(self.fold.offset))
+
+    def _take_snapshot(self, message: Snapshot) -> None:
+        try:
+            state = unpack_state(message.content)
+        except ConfigurationInvalid as error:
+            log.warning('snapshot refused: %s', error)
+            return
+        self._restore(state, message.confirmed_at)
+
     def _restore(self, content: bytes, confirmed_at: float) -> None:
         try:
             newer = self.fold.restore(content)
@@ -174,11 +198,13 @@
             self._publish()
 
     def _snapshot(self) -> Snapshot:
-        return Snapshot(
-            self.fold.offset,
-            self.confirmed_at,
-            self.fold.snapshot(),
-        )
+        # Many peers ask for the same snapshot within a second.
+        packed = self.packed
+        if packed is None or packed.offset != self.fold.offset:
+            content = pack_state(self.fold.snapshot())
+            packed = Snapshot(self.fold.offset, 0, content)
+            self.packed = packed
+        return dataclasses.replace(packed, confirmed_at=self.confirmed_at)
 
     def _confirm(self, confirmed_at: float) -> None:
         if confirmed_at > self.confirmed_at:
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -207,7 +207,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Folded configuration up to ``offset``; ``content`` is its CBOR form."""
+    """Folded configuration up to ``offset``; ``content`` is compressed."""
 
     offset: int
     confirmed_at: float
--- a/primroseyoke/records.py
+++ b/primroseyoke/records.py
@@ -108,7 +108,7 @@
             raise ServiceUnavailable(f'log service: {response.status}')
         try:
             return msgspec.convert(_decode(response.data), answer_class)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise ServiceUnavailable(f'log service: {error}') from error
 
 
--- a/primroseyoke/snapshots.py
+++ b/primroseyoke/snapshots.py
@@ -26,7 +26,9 @@
     'SnapshotWriter',
     'StoredSnapshot',
     'newest_snapshot',
+    'pack_state',
     'read_stream',
+    'unpack_state',
 )
 
 log = logging.getLogger(__name__)
@@ -59,6 +61,24 @@
     content: bytes
 
 
+def pack_state(state: bytes) -> bytes:
+    """Return the compressed form in which a state travels."""
+    return zlib.compress(state)
+
+
+def unpack_state(content: bytes) -> bytes:
+    """Return the state in its compressed form.
+
+    Raises:
+        ConfigurationInvalid: the content cannot be decompressed.
+    """
+    try:
+        # The bound keeps bad content from filling the memory.
+        return zlib.decompressobj().decompress(content, _MAX_STATE_BYTES)
+    except zlib.error as error:
+        raise ConfigurationInvalid(f'not a snapshot: {error}') from error
+
+
 def newest_snapshot(service: LogService) -> StoredSnapshot | None:
     """Return the newest usable snapshot that the log retains.
 
@@ -161,7 +181,7 @@
         return uncovered > 0 and uncovered * _COVERED_SHARE >= window
 
     def _append(self, offset: int, state: bytes) -> None:
-        content = base64.b64encode(zlib.compress(state)).decode()
+        content = base64.b64encode(pack_state(state)).decode()
         document = {'offset': offset, 'content': content}
         appended = self.service.append(SNAPSHOT_STREAM, document)
         self.covered = offset
@@ -172,13 +192,9 @@
 def _parse(entry: LogRecord) -> StoredSnapshot:
     try:
         document = msgspec.convert(entry.content, _Document)
-        # The bound keeps a bad record from filling the memory.
-        unpacked = zlib.decompressobj().decompress(
-            document.content,
-            _MAX_STATE_BYTES,
-        )
-    except (msgspec.ValidationError, zlib.error) as error:
+    except msgspec.ValidationError as error:
         raise ConfigurationInvalid(f'not a snapshot: {error}') from error
+    unpacked = unpack_state(document.content)
     trial = Fold()
     trial.restore(unpacked)
     if trial.offset != document.offset:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,6 +4,7 @@
 import signal
 import typing
 
+import freezegun
 import pytest
 from minicheck import Protocol, check_liveness, check_safety
 
@@ -15,6 +16,7 @@
 )
 from primroseyoke.messages import Announce, Pull, Snapshot
 from primroseyoke.records import LogPage, LogRecord
+from primroseyoke.snapshots import pack_state
 from tests.conftest import ZONES, is_linked
 from tests.fleet import chat, free_port, wait_for
 
@@ -55,9 +57,11 @@
     state = {'offset': -1, 'confirmed_at': 0.0, 'needs_snapshot': True}
     assert actor.on_receive(ASK_STATE) == state
     answers = []
-    content = actor_at(0).fold.snapshot()
+    content = pack_state(actor_at(0).fold.snapshot())
     message = PeerMessage(Snapshot(0, 150.0, content), answers.append)
     actor.on_receive(message)
+    bad = PeerMessage(Snapshot(9, 300.0, b'x'), answers.append)
+    actor.on_receive(bad)
     state = {'offset': 0, 'confirmed_at': 150.0, 'needs_snapshot': False}
     assert actor.on_receive(ASK_STATE) == state
 
@@ -75,7 +79,7 @@
     """Return the offset after a message and the message that answers it."""
     actor = actor_at(offset)
     answers = []
-    content = actor_at(sent).fold.snapshot()
+    content = pack_state(actor_at(sent).fold.snapshot())
     message = {
         'announce': Announce(sent, 0.0),
         'pull': Pull(sent),
@@ -95,6 +99,18 @@
     return actor.fold.offset
 
 
+def test_one_peer_is_asked_for_a_change():
+    """Guards against a snapshot from each of hundreds of linked peers."""
+    actor = actor_at(-1)
+    answers = []
+    with freezegun.freeze_time() as clock:
+        for offset, seconds in ((0, 0), (0, 0.9), (1, 0), (1, 0), (1, 1)):
+            clock.tick(seconds)
+            message = Announce(offset, 0.0)
+            actor.on_receive(PeerMessage(message, answers.append))
+    assert len(answers) == 3
+
+
 class State(typing.NamedTuple):
     length: int = 0
     up: bool = True
