--- a/primroseyoke/snapshots.py
+++ b/primroseyoke/snapshots.py
@@ -147,7 +147,7 @@
         service: LogService,
         take: Callable[[], tuple[int, bytes]],
     ) -> None:
-        """Get the offset and the state of the fold from ``take``."""
+        """Get the offset and the packed state of the fold from ``take``."""
         self.service = service
         self.take = take
         self.covered = -1
@@ -165,10 +165,10 @@
         newest = newest_snapshot(self.service)
         self.covered = -1 if newest is None else newest.offset
         self.appended_at = 0.0 if newest is None else newest.appended_at
-        offset, state = self.take()
+        offset, packed = self.take()
         # A fold that misses records has nothing to cover.
         if self._is_due(page) and offset >= page.next - 1:
-            self._append(offset, state)
+            self._append(offset, packed)
 
     def _is_due(self, page: LogPage) -> bool:
         ends_stream = not page.records or _following(page) == page.next
@@ -180,8 +180,8 @@
         window = page.next - page.first
         return uncovered > 0 and uncovered * _COVERED_SHARE >= window
 
-    def _append(self, offset: int, state: bytes) -> None:
-        content = base64.b64encode(pack_state(state)).decode()
+    def _append(self, offset: int, packed: bytes) -> None:
+        content = base64.b64encode(packed).decode()
         document = {'offset': offset, 'content': content}
         appended = self.service.append(SNAPSHOT_STREAM, document)
         self.covered = offset
