Test that take-out does not undo another operator's change

Cause: the change that writes a part back without the offset it was read at passed all tests. Change: one test with two operators; it fails without the offset.

--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -6,8 +6,9 @@
 import pytest
 import urllib3
 
+from primroseyoke import ctl
 from primroseyoke.configuration import Fold, Outcome
-from primroseyoke.exceptions import ServiceUnavailable
+from primroseyoke.exceptions import ConfigurationInvalid, ServiceUnavailable
 from primroseyoke.operators import Operator
 from primroseyoke.records import LogService
 from primroseyoke.snapshots import (
@@ -185,3 +186,22 @@
     late = first.check({'zone/a': {}}, 'late', seen=-1)
     assert late.outcome is Outcome.STALE
     assert late.detail == 'zone/a was changed at offset 0, after -1'
+
+
+def test_taking_out_does_not_undo_another_change(standin, monkeypatch):
+    """Guards against an old value of a part that is written back."""
+    monkeypatch.setattr(ctl, '_reason', lambda: 'test')
+    first, second = operator(standin), operator(standin)
+    old = dict(service='app', availability_zone='a', agent='127.0.0.1:80')
+    parts = {'service/app': {'kind': 'plain'}, 'upstream/u': old}
+    first.publish(parts, 'first')
+    publish = first.publish
+
+    def publish_after_the_other(*arguments):
+        moved = {**old, 'agent': '127.0.0.2:80'}
+        second.publish({'upstream/u': moved}, 'second')
+        return publish(*arguments)
+
+    first.publish = publish_after_the_other
+    with pytest.raises(ConfigurationInvalid, match='changed at offset 1'):
+        ctl.Command(first).take_out('upstream/u')
