--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -18,6 +18,7 @@
     DumpState,
     PeerLost,
     Received,
+    SealKeys,
     Tick,
 )
 from .distribution import (
@@ -50,9 +51,17 @@
 log = logging.getLogger(__name__)
 
 _TICK = 0.1
-_ANNOUNCE_INTERVAL = 2.0
+# Changes are announced at once; this repairs what was lost, and renews the
+# time at which the configuration was confirmed.
+_ANNOUNCE_INTERVAL = 10.0
 _LOAD_INTERVAL = 0.5
+# Load travels on answers as well, so an unchanged report is rarely news: with
+# 128 links, reports at each poll alone would take 19 KB/s of an entry.
+_LOAD_REPORT_INTERVAL = 5.0
+_NEWS_SHARE = 0.25
 _DRAIN_GRACE = 1.0
+# Far below any retention time of the log that keeps a day of records.
+_RENEW_INTERVAL = 3600.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,6 +87,8 @@
         self.stopped = threading.Event()
         self.finished = threading.Event()
         self.incarnation = uuid.uuid4().hex
+        self.reported = Load()
+        self.reported_at = 0.0
         self.actor = AttemptsActor.start(
             settings.name,
             str(settings.upstream),
@@ -110,7 +121,11 @@
         repeat(_TICK, self._tick, self.finished)
         repeat(_LOAD_INTERVAL, self._poll_load, self.finished)
         repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
-        threading.Thread(target=self._open_keys, daemon=True).start()
+        threading.Thread(
+            target=self._open_keys,
+            args=(time.time(),),
+            daemon=True,
+        ).start()
         log.info('agent listens on %s', self.settings.listen)
         self.stopped.wait()
         self._drain()
@@ -149,26 +164,33 @@
             self.actor.tell(self.upstream.load())
         except ServiceUnavailable as error:
             log.debug('%s', error)
-        self.server.broadcast(LoadReport(self._load()))
+        load = self._load()
+        now = time.monotonic()
+        overdue = now - self.reported_at >= _LOAD_REPORT_INTERVAL
+        if overdue or _is_news(self.reported, load):
+            self.reported = load
+            self.reported_at = now
+            self.server.broadcast(LoadReport(load))
 
     def _load(self) -> Load:
         return cast(Load, self.actor.ask(AskLoad()))
 
-    def _open_keys(self) -> None:
-        opened = self.handover.open(self.stopped)
+    def _open_keys(self, listening_since: float) -> None:
+        opened = self.handover.open(listening_since, self.stopped)
         if opened is not None:
             self.actor.tell(opened)
+            repeat(_RENEW_INTERVAL, self.handover.renew, self.stopped)
 
     def _drain(self) -> None:
         self.actor.tell(Drain())
         self.server.broadcast(LoadReport(self._load()))
         deadline = time.monotonic() + self.settings.drain_timeout
-        remaining: Any = self.actor.ask(AskRemaining())
-        while remaining.attempts and time.monotonic() < deadline:
+        while self.actor.ask(AskRemaining()) and time.monotonic() < deadline:
             time.sleep(_TICK)
-            remaining = self.actor.ask(AskRemaining())
-        if not remaining.attempts:
-            self.handover.close(remaining.rows, time.time())
+        # Requests that still arrive must not change what is handed over.
+        sealed: Any = self.actor.ask(SealKeys())
+        if not sealed.attempts:
+            self.handover.close(sealed.rows, sealed.floor, time.time())
         # The last replies are still on their way to the entries.
         time.sleep(_DRAIN_GRACE)
         self.finished.set()
@@ -178,6 +200,18 @@
         log.info('agent stopped')
 
 
+def _is_news(before: Load, after: Load) -> bool:
+    """Tell whether entries should hear of a load before the next interval."""
+    if before.accepting != after.accepting:
+        return True
+    step = max(before.limit, 1) * _NEWS_SHARE
+    if abs(after.limit - before.limit) >= step:
+        return True
+    occupied_before = before.running + before.waiting
+    occupied_after = after.running + after.waiting
+    return abs(occupied_after - occupied_before) >= max(step, 1)
+
+
 def main() -> None:
     """Run the program."""
     run_program('agent', AgentSettings, Agent)
--- a/primroseyoke/balancing.py
+++ b/primroseyoke/balancing.py
@@ -54,7 +54,9 @@
     """Ask for an upstream and count the request there."""
 
     service: str
+    client: str
     excluded: tuple[str, ...]
+    prefix: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,12 +120,8 @@
 
     @on_receive.register
     def _(self, message: SpendRetry) -> bool:
-        if self.configuration is not None:
-            target = f'client/{message.client}'
-            defaults = self.configuration.defaults_for(target)
-            self.budget.rate = defaults.retry_rate
-            self.budget.burst = defaults.retry_burst
-        return self.budget.spend(message.client, time.monotonic())
+        budget = self._budget(message.client)
+        return budget.spend(message.client, time.monotonic())
 
     @on_receive.register
     def _(self, message: DumpRouting) -> dict[str, Any]:
@@ -140,7 +138,19 @@
             self.configuration,
             message.service,
             message.excluded,
+            message.prefix,
         )
+        if not message.excluded:
+            budget = self._budget(message.client)
+            budget.earn(message.client, time.monotonic())
         if choice is not None:
             self.router.begin(choice)
         return choice
+
+    def _budget(self, client: str) -> RetryBudget:
+        """Return the budget with the limits of a client."""
+        if self.configuration is not None:
+            defaults = self.configuration.defaults_for(f'client/{client}')
+            self.budget.rate = defaults.retry_rate
+            self.budget.burst = defaults.retry_burst
+        return self.budget
--- a/primroseyoke/configuration.py
+++ b/primroseyoke/configuration.py
@@ -25,7 +25,7 @@
     override_defaults,
     overrides_by_target,
 )
-from .validity import HOMES_MARGIN, Change, check_change, check_parts
+from .validity import Change, check_change, check_parts
 
 __all__ = (
     'Configuration',
@@ -154,12 +154,10 @@
     format: int
     offset: int
     accepted: int
-    homes_from: float
     raw: dict[str, dict[str, Any]]
     versions: dict[str, int]
     removed: list[tuple[str, int]]
     changes: list[tuple[str, int]]
-    retired: dict[str, float]
 
 
 class Fold:
@@ -189,8 +187,6 @@
         self.changes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self.homes_from = 0.0
-        self.retired: dict[str, float] = {}
 
     @property
     def current(self) -> Configuration | None:
@@ -238,12 +234,10 @@
             _SNAPSHOT_FORMAT,
             self.offset,
             self.accepted,
-            self.homes_from,
             self.raw,
             self.versions,
             list(self.removed.items()),
             list(self.changes.items()),
-            self.retired,
         )
         fields = [
             getattr(state, field.name) for field in dataclasses.fields(state)
@@ -267,8 +261,6 @@
         self.versions = state.versions
         self.removed = dict(state.removed)
         self.changes = collections.OrderedDict(state.changes)
-        self.homes_from = state.homes_from
-        self.retired = state.retired
         return True
 
     def _advance(self) -> None:
@@ -319,14 +311,11 @@
                 record.appended_at,
                 self.parts,
                 record.parts,
-                self.homes_from,
-                self.retired,
             ),
         )
         return parts
 
     def _accept(self, record: Record, parts: dict[str, Any]) -> None:
-        self._remember_homes(record, parts)
         self.accepted = record.offset
         # Views share the old dict, so it must not change.
         self.parts = parts
@@ -340,26 +329,6 @@
                 self.raw[name] = raw
                 self.versions[name] = record.offset + 1
 
-    def _remember_homes(self, record: Record, parts: dict[str, Any]) -> None:
-        """Keep what later changes of homes must wait for.
-
-        A process that has not read this record still goes by the values
-        before it, until its configuration is no longer fresh.
-        """
-        before = self.parts.get('defaults', Defaults())
-        settled = record.appended_at + before.settle
-        if parts.get('defaults', Defaults()) != before:
-            self.homes_from = max(self.homes_from, settled)
-        self.retired = {
-            name: until
-            for name, until in self.retired.items()
-            if until > record.appended_at
-        }
-        for name in record.parts:
-            if name.startswith('homes/') and name not in parts:
-                until = settled + before.key_lifetime + HOMES_MARGIN
-                self.retired[name] = until
-
 
 def parse_record(offset: int, appended_at: float, content: Any) -> Record:
     """Return the record in the content of one log entry.
--- a/primroseyoke/ctl.py
+++ b/primroseyoke/ctl.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 import msgspec
-from absl import app, flags
+from absl import flags
 
-from . import __version__
 from .configuration import Configuration, Outcome
 from .exceptions import ConfigurationInvalid, PrimroseyokeError, SettingsInvalid
 from .hostlists import HostList
 from .operators import HostState, Operator
 from .parts import host_of
+from .programs import parse_flags
 from .records import LogService
 from .settings import Address, load_settings
 
@@ -191,29 +191,11 @@
 
 def main() -> None:
     """Run the program."""
-    flags.DEFINE_string('settings', '', 'INI settings file')
     flags.DEFINE_string('reason', '', 'why the change is made')
     flags.DEFINE_bool('wait', True, 'wait until the change is in force')  # noqa: WPS425
     flags.DEFINE_float('timeout', 30, 'longest wait in seconds', lower_bound=0)
     flags.DEFINE_integer('seen', None, 'offset that the file was written from')
-    flags.DEFINE_bool('version', False, 'print the version and exit')  # noqa: WPS425
-    sys.modules['__main__'].__doc__ = _USAGE
-    app.run(_run, flags_parser=_parse_flags)
-
-
-def _parse_flags(arguments: list[str]) -> list[str]:
-    try:
-        return FLAGS(arguments)
-    except flags.Error as error:
-        sys.stderr.write(f'primroseyoke-ctl: {error}\n')
-        sys.exit(_EXIT_BAD_SETTINGS)
-
-
-def _run(arguments: list[str]) -> None:
-    if FLAGS.version:
-        _print(f'primroseyoke-ctl {__version__}')
-        return
-    name, *rest = arguments[1:] or ['']
+    name, *rest = parse_flags('ctl', _USAGE) or ['']
     command, count = _COMMANDS.get(name, (None, 0))
     if command is None or len(rest) != count:
         sys.stderr.write(_USAGE)
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -38,7 +38,11 @@
 
 log = logging.getLogger(__name__)
 
-_ANNOUNCE_INTERVAL = 2.0
+# Changes are announced at once; this repairs what was lost, and renews the
+# time at which the configuration was confirmed.
+_ANNOUNCE_INTERVAL = 10.0
+# A new entry without the log looks for agents this often, in seconds.
+_PEERS_INTERVAL = 2.0
 READY_PATH = '/ready'
 
 
@@ -96,7 +100,7 @@
         self.pool.events.start()
         self.reader.start()
         repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
-        repeat(_ANNOUNCE_INTERVAL, self._find_peers, self.finished)
+        repeat(_PEERS_INTERVAL, self._find_peers, self.finished)
         for server in (self.callers, self.admin):
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
@@ -115,6 +119,7 @@
         self.callers.stop()
         self.finished.set()
         self.reader.stop()
+        self.pool.stop()
         self.admin.stop()
         pykka.ActorRegistry.stop_all(timeout=2)
         log.info('entry stopped')
@@ -168,7 +173,7 @@
             answer = self._execute(environ, start_response)
         except (RequestInvalid, RequestFailed) as error:
             self.metrics.count(f'refused.{error.status}')
-            return problem(start_response, error)
+            return problem(environ, start_response, error)
         self.metrics.time('head', time.monotonic() - started)
         return answer
 
--- a/primroseyoke/validity.py
+++ b/primroseyoke/validity.py
@@ -17,11 +17,11 @@
     overrides_by_target,
 )
 
-__all__ = ('HOMES_MARGIN', 'Change', 'check_change', 'check_parts')
+__all__ = ('Change', 'check_change', 'check_parts')
 
-# A key of a stopped home can carry a time this many seconds after the stop:
-# the difference between two clocks (1 s) and a caller's lead (2 s).
-HOMES_MARGIN = 3.0
+# Covers the bounds on clocks and delays of keys (SKEW, AHEAD and DELAY of
+# ``keys``, which imports the configuration), in seconds.
+KEY_DELAYS = 15.0
 # A slip such as milliseconds would block the homes of a service for good.
 _LATEST_SINCE = 604800.0
 
@@ -30,17 +30,19 @@
 class Change:
     """What the rules about a change need beside the new parts.
 
-    ``before`` are the parts in force, ``changed`` the names that change.
-    ``homes_from`` is the earliest ``since`` that earlier values of ``settle``
-    leave; ``retired`` maps removed homes to the time until which they stay
-    removed. Times are the log's.
+    ``before`` are the parts in force, ``changed`` the names that change;
+    ``appended_at`` is the log's time.
     """
 
     appended_at: float
     before: Mapping[str, Any]
     changed: Collection[str]
-    homes_from: float = 0
-    retired: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+    @property
+    def defaults(self) -> Defaults:
+        """Return the defaults before the change."""
+        defaults: Defaults = self.before.get('defaults', Defaults())
+        return defaults
 
 
 def check_parts(parts: Mapping[str, Any]) -> None:
@@ -65,6 +67,9 @@
     Raises:
         ConfigurationInvalid: the text names the part.
     """
+    for home, part in change.before.items():
+        if isinstance(part, Homes):
+            _check_fixed(home, parts, change)
     for name in sorted(change.changed):
         homes = parts.get(name)
         if isinstance(homes, Homes):
@@ -138,16 +143,34 @@
         raise ConfigurationInvalid('no availability zone would stay in')
 
 
+def _check_fixed(name: str, parts: Mapping[str, Any], change: Change) -> None:
+    """Check what the at-most-once rules take for fixed.
+
+    Hosts that have not received a change act on the old values for up to
+    ``freshness``, and callers resend for the ``key_lifetime`` they know.
+    """
+    if name not in parts:
+        raise ConfigurationInvalid(f'{name}: homes cannot be removed')
+    defaults = parts.get('defaults', Defaults())
+    for field in ('key_lifetime', 'freshness'):
+        if getattr(defaults, field) != getattr(change.defaults, field):
+            raise ConfigurationInvalid(f'defaults: {field} is fixed by {name}')
+
+
+def _settled_at(homes: Homes, change: Change) -> float:
+    """Return when no key of the homes before ``since`` is accepted."""
+    return homes.since + change.defaults.key_lifetime + KEY_DELAYS
+
+
 def _check_homes(name: str, homes: Homes, change: Change) -> None:
     current = change.before.get(name)
     if current is None:
-        _check_new_homes(name, homes, change)
         return
-    if change.appended_at < current.since:
-        raise ConfigurationInvalid(f'{name}: the last change is not settled')
     if homes.previous != current.members:
         raise ConfigurationInvalid(f'{name}: previous differs from members')
-    earliest = _earliest_since(homes, current, change)
+    if change.appended_at < _settled_at(current, change):
+        raise ConfigurationInvalid(f'{name}: the last change is not settled')
+    earliest = change.appended_at + _settle(homes, current, change)
     if not earliest <= homes.since <= earliest + _LATEST_SINCE:
         raise ConfigurationInvalid(
             f'{name}: since must be at least {math.ceil(earliest)}'
@@ -155,8 +178,8 @@
         )
 
 
-def _earliest_since(homes: Homes, current: Homes, change: Change) -> float:
-    """Return when no process can use the current homes any more.
+def _settle(homes: Homes, current: Homes, change: Change) -> float:
+    """Return how long processes may still go by the current homes.
 
     Stopped hosts accept no key, but they may have executed keys whose time
     lies before the stop; those must stay with them.
@@ -164,20 +187,8 @@
     removed = set(current.members) - set(homes.members)
     added = set(homes.members) - set(current.members)
     if not added and removed == set(homes.stopped) and homes.reason:
-        return change.appended_at + HOMES_MARGIN
-    defaults = change.before.get('defaults', Defaults())
-    settled: float = change.appended_at + defaults.settle
-    return max(settled, change.homes_from)
-
-
-def _check_new_homes(name: str, homes: Homes, change: Change) -> None:
-    if homes.previous:
-        raise ConfigurationInvalid(f'{name}: there are no previous homes')
-    until = change.retired.get(name, 0)
-    if change.appended_at < until:
-        raise ConfigurationInvalid(
-            f'{name}: was removed and cannot return before {until:.0f}',
-        )
+        return KEY_DELAYS
+    return change.defaults.settle
 
 
 def _is_moved(before: Any, after: Any) -> bool:
@@ -195,12 +206,11 @@
 
     The agents at the old and the new address could both execute a key.
     """
-    lifetime = change.before.get('defaults', Defaults()).key_lifetime
     for name, homes in parts.items():
         if not isinstance(homes, Homes):
             continue
         bound = set(homes.members)
-        if change.appended_at < homes.since + lifetime + HOMES_MARGIN:
+        if change.appended_at < _settled_at(homes, change):
             bound.update(set(homes.previous) - set(homes.stopped))
         if bound & moved:
             upstreams = ', '.join(sorted(bound & moved))
