--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -22,7 +22,13 @@
     Tick,
 )
 from .crashes import poll_load
-from .distribution import ANNOUNCE, ConfigurationActor, LogReader, PeerMessage
+from .distribution import (
+    ANNOUNCE,
+    ASK_STATE,
+    ConfigurationActor,
+    LogReader,
+    PeerMessage,
+)
 from .handovers import Handover
 from .links import LinkServer, Peer
 from .messages import (
@@ -142,7 +148,10 @@
             self.actor.tell(Received(peer, message))
 
     def _dump(self) -> Any:
-        return self.actor.ask(DumpState(), timeout=2)
+        attempts: Any = self.actor.ask(DumpState(), timeout=2)
+        configuration: Any = self.configuration.ask(ASK_STATE, timeout=2)
+        # The offset that the attempts go by is the one in force.
+        return {**configuration, **attempts}
 
     def _tick(self) -> None:
         self.actor.tell(Tick())
--- a/primroseyoke/balancing.py
+++ b/primroseyoke/balancing.py
@@ -100,9 +100,6 @@
     @on_receive.register
     def _(self, message: ConfigurationChanged) -> None:
         self.configuration = message.configuration
-        defaults = message.configuration.defaults
-        self.budget.rate = defaults.retry_rate
-        self.budget.burst = defaults.retry_burst
 
     @on_receive.register
     def _(self, message: Linked) -> None:
@@ -123,7 +120,8 @@
 
     @on_receive.register
     def _(self, message: SpendRetry) -> bool:
-        return self.budget.spend(message.client, time.monotonic())
+        budget = self._budget(message.client)
+        return budget.spend(message.client, time.monotonic())
 
     @on_receive.register
     def _(self, message: DumpRouting) -> dict[str, Any]:
@@ -143,7 +141,16 @@
             message.prefix,
         )
         if not message.excluded:
-            self.budget.earn(message.client, time.monotonic())
+            budget = self._budget(message.client)
+            budget.earn(message.client, time.monotonic())
         if choice is not None:
             self.router.begin(choice)
         return choice
+
+    def _budget(self, client: str) -> RetryBudget:
+        """Return the budget with the limits of a client."""
+        if self.configuration is not None:
+            defaults = self.configuration.defaults_for(f'client/{client}')
+            self.budget.rate = defaults.retry_rate
+            self.budget.burst = defaults.retry_burst
+        return self.budget
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -23,6 +23,7 @@
     ConfigurationChanged,
     LogReader,
     PeerMessage,
+    find_peers,
 )
 from .exceptions import RequestFailed, RequestInvalid
 from .links import Link, LinkPool
@@ -49,6 +50,8 @@
 # Changes are announced at once; this repairs what was lost, and renews the
 # time at which the configuration was confirmed.
 _ANNOUNCE_INTERVAL = 10.0
+# A new entry without the log looks for agents this often, in seconds.
+_PEERS_INTERVAL = 2.0
 READY_PATH = '/ready'
 
 
@@ -67,6 +70,7 @@
     balancer_delay: Annotated[float, msgspec.Meta(ge=0, le=600)] = 5
     drain_timeout: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 300
     statsd: Address = Address('127.0.0.1', 0)
+    host_list: Address = Address('127.0.0.1', 0)
     log_level: str = 'INFO'
 
 
@@ -94,7 +98,9 @@
             LogService(str(settings.log_service)),
             self.configuration,
             lambda: True,
+            writes_snapshots=True,
         )
+        self.host_list = settings.host_list
         self.callers = _server(settings.listen, self._answer, settings)
         self.admin = _server(settings.admin, self._answer_admin, settings, 2)
 
@@ -103,6 +109,7 @@
         self.pool.events.start()
         self.reader.start()
         repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
+        repeat(_PEERS_INTERVAL, self._find_peers, self.finished)
         for server in (self.callers, self.admin):
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
@@ -129,6 +136,15 @@
     def _announce(self) -> None:
         self.configuration.tell(ANNOUNCE)
 
+    def _find_peers(self) -> None:
+        if self.dispatcher.configuration is None:
+            # In the loop's thread, so that links of a configuration come later.
+            self.pool.events.call(self._want_peers, find_peers(self.host_list))
+
+    def _want_peers(self, addresses: Mapping[str, str]) -> None:
+        if self.dispatcher.configuration is None:
+            self.pool.want(addresses)
+
     def _reconfigure(self, changed: ConfigurationChanged) -> None:
         self.dispatcher.configuration = changed.configuration
         self.routing.tell(changed)
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,207 @@
+"""Snapshots in the log, and reading a log whose records have expired."""
+
+import base64
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+import urllib3
+
+from primroseyoke import ctl
+from primroseyoke.configuration import Fold, Outcome
+from primroseyoke.exceptions import ConfigurationInvalid, ServiceUnavailable
+from primroseyoke.operators import Operator
+from primroseyoke.records import LogService
+from primroseyoke.snapshots import (
+    CONFIGURATION_STREAM,
+    RENEWAL,
+    SNAPSHOT_STREAM,
+    SnapshotWriter,
+    StoredSnapshot,
+    newest_snapshot,
+    pack_state,
+    read_stream,
+)
+from tests.standins.logservice import LogService as Standin
+
+
+@pytest.fixture
+def standin():
+    started = Standin().start()
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def service(standin):
+    return LogService(standin.address)
+
+
+def operator(standin):
+    return Operator(LogService(standin.address), None, 'test')
+
+
+def follow(fold, service):
+    """Bring a fold to the end of the log; return the last page."""
+    found = None
+    for found in read_stream(service, fold.offset + 1):
+        if isinstance(found, StoredSnapshot):
+            fold.restore(found.content)
+        else:
+            for entry in found.records:
+                fold.read(entry.offset, entry.appended_at, entry.content)
+    return found
+
+
+def publish_zones(standin, count):
+    publisher = operator(standin)
+    for number in range(count):
+        publisher.publish({f'zone/z{number}': {}}, 'test')
+    return publisher.fold
+
+
+def writer_of(fold, service):
+    return SnapshotWriter(
+        service, lambda: (fold.offset, pack_state(fold.snapshot()))
+    )
+
+
+def test_reader_of_an_expired_log_gets_the_same_state(standin, service):
+    """Guards against a fold that starts in the middle of the stream.
+
+    Eight writers at once: a state must not depend on whose snapshot it is.
+    """
+    publish_zones(standin, 3)
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 2}
+    with pytest.raises(ServiceUnavailable, match='begins at offset 2'):
+        operator(standin).refresh()
+    standin.faults['expired'] = {}
+    early = Fold()
+    page = follow(early, service)
+    writer = writer_of(early, service)
+    with ThreadPoolExecutor(8) as executor:
+        list(executor.map(writer.check, [page] * 8))
+    publish_zones(standin, 3)
+    follow(early, service)
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 3}
+    late = Fold()
+    follow(late, service)
+    assert late.offset == 5
+    assert late.snapshot() == early.snapshot()
+
+
+def test_snapshots_are_neither_missing_nor_many(standin, service):
+    """Guards against a window without a snapshot, also when log is idle."""
+    fold = publish_zones(standin, 20)
+    writer = writer_of(fold, service)
+    covered = set()
+    for _ in range(20):
+        publish_zones(standin, 1)
+        page = follow(fold, service)
+        writer.check(page)
+        covered.add(writer.covered)
+        assert (page.next - 1 - writer.covered) * 4 < page.next
+    assert 2 <= len(covered) <= 4
+    writer.appended_at -= RENEWAL + 1
+    standin.faults['expired'] = {SNAPSHOT_STREAM: len(covered)}
+    writer.check(page)
+    assert newest_snapshot(service).offset == fold.offset
+
+
+def packed(content):
+    return base64.b64encode(pack_state(content)).decode()
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [
+        None,
+        {'offset': 2, 'content': '!'},
+        {'offset': 2, 'content': packed(b'x')},
+        {'offset': 2, 'content': packed(bytes(2**25))},
+        {'offset': 9, 'content': packed(Fold().snapshot())},
+    ],
+)
+def test_bad_snapshot_records_are_passed_over(standin, service, garbage):
+    """Guards against one bad record that blocks every new process."""
+    fold = publish_zones(standin, 3)
+    writer_of(fold, service).check(service.read(CONFIGURATION_STREAM, 3))
+    service.append(SNAPSHOT_STREAM, garbage)
+    standin.faults['expired'] = {CONFIGURATION_STREAM: 3}
+    late = Fold()
+    follow(late, service)
+    assert late.snapshot() == fold.snapshot()
+
+
+@pytest.mark.parametrize('poison', [r'"\ud800"', '1e400', 'NaN', '{"a":1e999}'])
+def test_undecodable_entry_does_not_hide_the_others(standin, service, poison):
+    """Guards against one entry that ends all reading."""
+    publish_zones(standin, 1)
+    url = f'http://{standin.address}/streams/{CONFIGURATION_STREAM}'
+    urllib3.request('POST', url, body=poison)
+    publish_zones(standin, 2)
+    fold = Fold()
+    follow(fold, service)
+    assert fold.offset == 3
+    assert fold.accepted == 3
+
+
+@pytest.mark.parametrize('answer', [{}, {'records': 5}, [], 'x'])
+def test_answer_of_another_shape_is_unavailable(standin, service, answer):
+    """Guards against a reader thread that dies of a foreign answer."""
+    standin.handle = lambda handler: handler.reply(200, answer)
+    with pytest.raises(ServiceUnavailable):
+        service.read(CONFIGURATION_STREAM, 0)
+    with pytest.raises(ServiceUnavailable):
+        service.append(CONFIGURATION_STREAM, {})
+
+
+def test_append_whose_answer_is_lost_counts_once(standin):
+    """Guards against a change that is applied twice, or taken for lost."""
+    publisher = operator(standin)
+    standin.faults['lose_answers'] = 2
+    published = publisher.publish({'zone/a': {}}, 'test')
+    assert published.decision.outcome is Outcome.ACCEPTED
+    assert len(standin.streams[CONFIGURATION_STREAM]) == 3
+    assert publisher.fold.accepted == published.offset == 0
+
+
+def test_of_two_racing_operators_one_is_told_which_part_moved(standin):
+    """Guards against a change that silently replaces another."""
+    first, second = operator(standin), operator(standin)
+    append = first.log_service.append
+
+    def append_after_the_other(stream, content):
+        second.publish({'zone/a': {'state': 'out'}}, 'second')
+        return append(stream, content)
+
+    first.log_service.append = append_after_the_other
+    lost = first.publish({'zone/a': {}, 'zone/b': {}}, 'first')
+    assert lost.decision.outcome is Outcome.STALE
+    assert lost.decision.detail == 'zone/a is at version 1, not 0'
+    first.log_service.append = append
+    first.refresh()
+    assert first.fold.raw == {'zone/a': {'state': 'out'}}
+    first.publish({'zone/b': {}}, 'again')
+    assert standin.streams[CONFIGURATION_STREAM][-1]['content']['seen'] == 1
+    late = first.check({'zone/a': {}}, 'late', seen=-1)
+    assert late.outcome is Outcome.STALE
+    assert late.detail == 'zone/a was changed at offset 0, after -1'
+
+
+def test_taking_out_does_not_undo_another_change(standin, monkeypatch):
+    """Guards against an old value of a part that is written back."""
+    monkeypatch.setattr(ctl, '_reason', lambda: 'test')
+    first, second = operator(standin), operator(standin)
+    old = dict(service='app', availability_zone='a', agent='127.0.0.1:80')
+    parts = {'service/app': {'kind': 'plain'}, 'upstream/u': old}
+    first.publish(parts, 'first')
+    publish = first.publish
+
+    def publish_after_the_other(*arguments):
+        moved = {**old, 'agent': '127.0.0.2:80'}
+        second.publish({'upstream/u': moved}, 'second')
+        return publish(*arguments)
+
+    first.publish = publish_after_the_other
+    with pytest.raises(ConfigurationInvalid, match='changed at offset 1'):
+        ctl.Command(first).take_out('upstream/u')
