Test that a cancelled posting goes on and keeps its whole answer

Cause: the bytes of a cancelled answer were counted twice, so that a later chunk was left out of the row and a resend got an answer without its end.

Change: one test of Execution with a caller that goes away in the middle.

Conclusion: it fails if kept bytes are counted by the digest's length, and if cancel closes the upstream's answer.

--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,6 +1,7 @@
 """Key rows against a version that forgets nothing."""
 
 import math
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -11,8 +12,10 @@
     Homes,
     Record,
 )
+from primroseyoke.executions import Execution
 from primroseyoke.keys import Execute, KeyedCall, KeyTable, Reject, Replay
 from primroseyoke.keys import StoredAnswer
+from primroseyoke.messages import Body, Load, Start
 from primroseyoke.verdicts import Verdict
 
 LIFETIME = 10
@@ -142,3 +145,34 @@
     assert repeats[2].verdict is Verdict.RAN
     table.expire(1100)
     assert table.answer_bytes == 0
+
+
+def test_cancelled_call_goes_on_and_keeps_its_whole_answer():
+    """Guards against a posting cut off, or replayed without its end."""
+    chunks = (b'x' * 2500, b'y' * 1500)
+    ended = []
+
+    def read_chunks():
+        yield chunks[0]
+        yield chunks[1]
+
+    def close():
+        raise AssertionError('a posting was cut off')
+
+    answer = SimpleNamespace(
+        status=200, headers=(), chunks=read_chunks, close=close
+    )
+    client = SimpleNamespace(open_answer=lambda request: answer)
+    start = Start(
+        *(1, 's', 'POST', '/x', (), b'', 'c', 'key', 0, 9, False, 2000, 1),
+        sent_at=0,
+    )
+
+    def send(message):
+        if isinstance(message, Body):
+            # All credit is spent; the entry goes away.
+            execution.cancel()
+
+    execution = Execution(start, client, send, ended.append, Load)
+    execution.run(timeout=1)
+    assert ended[0].answer.body == b''.join(chunks)
