--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -51,6 +51,7 @@
     'Received',
     'SealKeys',
     'Tick',
+    'ending_of',
 )
 
 # An answer reserves this much at the upstream beside the request itself.
@@ -179,9 +180,10 @@
         before = self.configuration
         self.configuration = message.configuration
         self.confirmed_at = message.confirmed_at
-        if before is not None and not before.takes_work(self.upstream):
+        was_out = before is not None and not before.takes_work(self.upstream)
+        if was_out and self.configuration.takes_work(self.upstream):
             # It may have been replaced while it was out of service.
-            self.admission.restart_ramp()
+            self.admission.restart_ramp(crashed=False)
         defaults = self._defaults()
         too_large = self.admission.change_limits(
             Limits(
@@ -248,7 +250,7 @@
     def _(self, message: ExecutionEnded) -> None:
         place = self.numbers.pop(message.execution.start.attempt)
         job = self.jobs.pop(place)
-        self.admission.finish(job.number, _ending(message))
+        self.admission.finish(job.number, ending_of(message))
         if message.failure is not None and _is_broken(message):
             self._hold(job, message.failure)
         elif message.failure is not None:
@@ -584,7 +586,8 @@
     return isinstance(ended.failure, ConnectionBroken) and not closed_here
 
 
-def _ending(ended: ExecutionEnded) -> Ending:
+def ending_of(ended: ExecutionEnded) -> Ending:
+    """Return how an execution ended, as far as the limits are concerned."""
     if ended.answer is not None:
         status = ended.answer.status
         overloaded = status == _OVERLOADED_STATUS
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -27,7 +27,7 @@
 from .suspects import Standing, SuspectTable
 from .verdicts import Verdict
 
-__all__ = ('Answer', 'Dispatcher')
+__all__ = ('Answer', 'Dispatcher', 'later_failure')
 
 log = logging.getLogger(__name__)
 
@@ -200,7 +200,7 @@
             start = _start(request, deadline, idempotent=True)
             later = self._attempt(upstream, start, deadline)
             later = later.and_then(_prefetched)
-            outcome = _true_of_both(outcome, later)
+            outcome = true_of_both(outcome, later)
             if outcome.is_ok() or len(tried) == _MAX_ATTEMPTS:
                 break
             upstream = self._choose_again(request, tried, deadline)
@@ -460,7 +460,7 @@
     )
 
 
-def _true_of_both(
+def true_of_both(
     earlier: Result[Answer, RequestFailed],
     later: Result[Answer, RequestFailed],
 ) -> Result[Answer, RequestFailed]:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -295,6 +295,15 @@
     assert (len(running), admission.limit) == (16, 1)
 
 
+@pytest.mark.parametrize(('crashed', 'pace'), [(True, 2), (False, 1)])
+def test_only_a_crash_slows_the_next_ramp(crashed, pace):
+    """Guards against a zone that returns more slowly each time it was out."""
+    admission = warm(running=8)
+    for _ in range(2):
+        admission.restart_ramp(crashed=crashed)
+    assert (admission.limit, admission.pace) == (1, pace)
+
+
 def test_restarted_agent_counts_what_still_runs():
     """Guards against a full upstream that gets the whole limit again."""
     admission = warm(running=5)
@@ -336,6 +345,19 @@
     assert order == [1, 2, 50, 3, 51, 4, 52]
 
 
+def test_client_with_fewest_running_is_next():
+    """Guards against one client's long requests that take every place."""
+    admission = warm(running=4)
+    for uptime in (11, 12):
+        admission.observe_load(UpstreamLoad('one', uptime, 0), 0)
+    fill(admission, 3, 'many')
+    fill(admission, 1, 'few', first=10)
+    fill(admission, 2, 'many', first=20)
+    fill(admission, 2, 'few', first=30)
+    admission.finish(1, Ending.FAILED)
+    assert [ticket.attempt for ticket in admission.advance(0)[0]] == [30]
+
+
 def test_full_queue_keeps_room_for_other_clients():
     """Guards against a client whose queue keeps all others out."""
     admission = warm(Limits(max_waiting=10))
