Read upstreams at full speed and merge waiting chat events

Cause: the agent held the engine's answer back to the speed of its reader, and every waiting token was kept and sent as an event of its own. Change: a bounded buffer per answer with limits per answer, client and process; waiting events that differ only in the text become one. The thread of an answer is free once the upstream has finished; credit sends the rest.

--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -10,6 +10,7 @@
 import msgspec
 import pykka
 
+from .answers import ByteLimits
 from .attempts import (
     AskLoad,
     AskRemaining,
@@ -51,7 +52,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class AgentSettings:
-    """Section ``[agent]``."""
+    """Section ``[agent]``; times in seconds, sizes in bytes.
+
+    ``answer_bytes``, ``client_bytes`` and ``process_bytes`` limit what waits
+    here for slow readers: of one answer, of one client, and of all. At a limit
+    the agent stops reading the answers that wait, and the upstream keeps them
+    until their readers catch up.
+    """
 
     name: str
     availability_zone: str
@@ -60,6 +67,9 @@
     log_service: Address
     threads: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 64
     drain_timeout: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 300
+    answer_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 2**18
+    client_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 2**21
+    process_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 2**23
     log_level: str = 'INFO'
 
 
@@ -76,6 +86,11 @@
             settings.name,
             str(settings.upstream),
             settings.threads,
+            ByteLimits(
+                settings.answer_bytes,
+                settings.client_bytes,
+                settings.process_bytes,
+            ),
         )
         self.upstream = UpstreamClient(str(settings.upstream), connections=1)
         self.server = LinkServer(
--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -10,13 +10,19 @@
 import pykka
 
 from .admission import Admission, Limits, Ticket, UpstreamLoad
+from .answers import ByteLimits
 from .configuration import Configuration, Defaults
 from .distribution import ConfigurationChanged
 from .exceptions import RequestFailed
-from .executions import Execution, ExecutionEnded, replay_messages
+from .executions import (
+    AnswerMemory,
+    Execution,
+    ExecutionEnded,
+    replay_messages,
+)
 from .handovers import KeysOpened
 from .keys import Claim, Execute, KeyedCall, KeyTable, Reject, Replay, Row
-from .links import Peer, Reply
+from .links import Peer
 from .messages import Cancel, Credit, Load, Message, Refused, Start
 from .services import UpstreamClient
 from .verdicts import Verdict
@@ -88,19 +94,30 @@
 
 @dataclasses.dataclass(slots=True)
 class _Job:
-    """An attempt between its arrival and its end."""
+    """An attempt between its arrival and its end.
+
+    ``ended`` is set when the upstream has finished and the rest of the answer
+    waits for credit.
+    """
 
     peer: Peer
     start: Start
     call: KeyedCall | None
     deadline: float
     execution: Execution | None = None
+    ended: bool = False
 
 
 class AttemptsActor(pykka.ThreadingActor):
     """Owns the limits, the queue and the keys of one upstream."""
 
-    def __init__(self, upstream: str, address: str, threads: int) -> None:
+    def __init__(
+        self,
+        upstream: str,
+        address: str,
+        threads: int,
+        limits: ByteLimits,
+    ) -> None:
         """Start cold, with no keys accepted."""
         super().__init__()
         self.upstream = upstream
@@ -114,6 +131,7 @@
         self.numbers: dict[int, tuple[Peer, int]] = {}
         self.next_number = 0
         self.draining = False
+        self.memory = AnswerMemory(limits)
         self.client = UpstreamClient(address, threads)
         self.executor = ThreadPoolExecutor(
             threads,
@@ -161,7 +179,8 @@
         if isinstance(message.message, Cancel):
             self._cancel(job)
         elif job.execution is not None:
-            job.execution.window.grant(message.message.size)
+            job.execution.grant(message.message.size)
+            self._end_if_sent(job)
 
     @on_receive.register
     def _(self, message: PeerLost) -> None:
@@ -171,10 +190,12 @@
 
     @on_receive.register
     def _(self, message: ExecutionEnded) -> None:
-        job = self._remove(message.execution)
+        execution = message.execution
+        job = self.jobs[self.numbers[execution.number]]
         completed = message.failure is None and not message.cancelled
-        self.admission.finish(message.execution.start.attempt, completed)
+        self.admission.finish(execution.number, completed)
         if message.failure is not None:
+            self._remove(execution)
             self._fail(job, message.failure)
         else:
             self._complete(job, message)
@@ -222,6 +243,7 @@
             'foreign_running': admission.foreign,
             'keys': len(self.keys.rows),
             'keys_floor': repr(self.keys.floor),
+            'answers': self._dump_answers(),
         }
 
     def load(self) -> Load:
@@ -234,6 +256,22 @@
             self._accepting(),
         )
 
+    def _dump_answers(self) -> dict[str, Any]:
+        limits = self.memory.limits
+        with self.memory.changed:
+            clients = dict(limits.clients)
+        return {
+            'open': len(self.jobs) - len(self.admission.waiting),
+            'read_to_the_end': sum(job.ended for job in self.jobs.values()),
+            'held_bytes': limits.held,
+            'held_bytes_by_client': clients,
+            'limits': {
+                'answer': limits.answer,
+                'client': limits.client,
+                'process': limits.process,
+            },
+        }
+
     def _offset(self) -> int:
         return self.configuration.offset if self.configuration else -1
 
@@ -328,25 +366,34 @@
     def _execute(self, ticket: Ticket) -> None:
         job = self.jobs[self.numbers[ticket.attempt]]
         execution = Execution(
-            dataclasses.replace(job.start, attempt=ticket.attempt),
+            ticket.attempt,
+            job.start,
             self.client,
-            functools.partial(_send_as, job.peer, job.start.attempt),
+            job.peer.send,
             self.actor_ref.tell,
             self.load,
+            self.memory,
         )
         job.execution = execution
+        job.start = dataclasses.replace(job.start, body=b'')
         timeout = max(job.deadline - time.monotonic(), _SHORTEST_TIMEOUT)
         self.executor.submit(execution.run, timeout)
 
-    def _remove(self, execution: Execution) -> _Job:
-        place = self.numbers.pop(execution.start.attempt)
-        return self.jobs.pop(place)
+    def _remove(self, execution: Execution) -> None:
+        place = self.numbers.pop(execution.number)
+        self.jobs.pop(place)
 
     def _complete(self, job: _Job, ended: ExecutionEnded) -> None:
         if job.call is not None:
             self.keys.finish(job.call, ended.answer)
-        end = ended.execution.end_message(self.load())
-        job.peer.send(dataclasses.replace(end, attempt=job.start.attempt))
+        job.ended = True
+        self._end_if_sent(job)
+
+    def _end_if_sent(self, job: _Job) -> None:
+        execution = job.execution
+        if job.ended and execution is not None and execution.is_sent():
+            self._remove(execution)
+            job.peer.send(execution.end_message(self.load()))
 
     def _fail(self, job: _Job, failure: RequestFailed) -> None:
         if failure.verdict is Verdict.NOT_RUN:
@@ -356,12 +403,12 @@
         if job.call is not None:
             self.keys.lose(job.call)
         assert job.execution is not None  # noqa: S101
-        failed = job.execution.failed_message(failure, self.load())
-        job.peer.send(dataclasses.replace(failed, attempt=job.start.attempt))
+        job.peer.send(job.execution.failed_message(failure, self.load()))
 
     def _cancel(self, job: _Job) -> None:
         if job.execution is not None:
             job.execution.cancel()
+            self._end_if_sent(job)
             return
         for number, place in tuple(self.numbers.items()):
             if place == (job.peer, job.start.attempt):
@@ -401,7 +448,3 @@
         for number in tuple(self.admission.waiting):
             self.admission.withdraw(number)
             self._refuse(self.jobs[self.numbers[number]], refusal, 503)
-
-
-def _send_as(peer: Peer, attempt: int, reply: Reply) -> None:
-    peer.send(dataclasses.replace(reply, attempt=attempt))
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -23,24 +23,33 @@
 
 log = logging.getLogger(__name__)
 
-WINDOW_BYTES = 16384
+# A chat stream needs one window for each round trip to the agent, and what
+# fills the window can no longer be merged.
+CHAT_WINDOW_BYTES = 16384
+# A plain answer up to this size is received whole before its head is sent.
+PLAIN_WINDOW_BYTES = 65536
+# These answers have no body, whatever Content-Length says (RFC 9110).
+_BODILESS = frozenset((204, 304))
 _MAX_ATTEMPTS = 4
 _RETRY_PAUSE = 0.05
-# An answer up to this size is received whole before its head is sent.
-_PREFETCH_BYTES = 65536
 # An issued key whose home is linked is found after a few tries.
 _KEY_TRIES = 64
 
 
 class Answer:
-    """An answer whose head has arrived."""
+    """An answer whose head has arrived.
+
+    Its agent may have sent up to ``window`` bytes that the caller has not
+    taken; these are all the bytes that the entry holds of it.
+    """
 
     def __init__(
         self,
         attempt: Attempt,
         head: Head,
+        start: Start,
         deadline: float,
-        on_end: Callable[[], None],
+        on_end: Callable[['Answer'], None],
     ) -> None:
         """Receive the body of an attempt until ``deadline`` (monotonic)."""
         self.on_end = on_end
@@ -49,58 +58,86 @@
         self.headers: Headers = head.headers
         self.replayed = head.replayed
         self.deadline = deadline
+        self.window = start.window
+        self.chosen = start.idempotent
+        self.length = _declared_length(head, start.method)
         self.check = AnswerCheck()
         self.ended = False
+        self.closed = False
+        self.taken = 0
+        self.granted = 0
         self.prefetched: list[bytes] = []
 
+    def held_bytes(self) -> int:
+        """Return how many received bytes the caller has not taken."""
+        return self.attempt.received - self.taken
+
     def prefetch(self) -> None:
         """Receive the body of a short answer that is not an event stream.
 
-        Until the head is sent to the caller, the request can be retried.
+        Until the head is sent to the caller, the request can be retried. An
+        answer that does not fit into the window is received only so far.
 
         Raises:
             RequestFailed: the answer is not whole.
         """
         if _is_event_stream(self.headers):
             return
-        size = 0
         for chunk in self._received():
             self.prefetched.append(chunk)
-            size += len(chunk)
-            if size > _PREFETCH_BYTES:
+            if self.check.length >= self.window:
                 return
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the body; grants credit for each piece that was taken.
+        """Yield the body; grants credit for the pieces that were taken.
 
         Raises:
             RequestFailed: the answer is not whole.
         """
-        yield from self.prefetched
-        self.prefetched.clear()
-        yield from self._received()
+        while self.prefetched:
+            yield from self._until_taken(self.prefetched.pop(0))
+        for chunk in self._received():
+            yield from self._until_taken(chunk)
 
     def close(self) -> None:
         """Give up an answer that was not taken to its end."""
+        if self.closed:
+            return
+        self.closed = True
         if not self.ended:
             self.attempt.cancel()
-        self.on_end()
+        self.on_end(self)
+
+    def _until_taken(self, chunk: bytes) -> Iterator[bytes]:
+        yield chunk
+        self.taken += len(chunk)
+        # Half a window at a time keeps the agent busy with few messages.
+        ungranted = self.taken - self.granted
+        if not self.ended and ungranted * 2 >= self.window:
+            self.granted = self.taken
+            self.attempt.grant(ungranted)
 
     def _received(self) -> Iterator[bytes]:
-        if self.ended:
-            return
-        reply = _next_reply(self.attempt, self.deadline)
-        while isinstance(reply, Body):
+        while not self.ended:
+            reply = _next_reply(self.attempt, self.deadline)
+            if not isinstance(reply, Body):
+                self._finish(reply)
+                return
             if reply.position != self.check.add(reply.content):
                 raise _broken('bytes of the answer are missing')
+            if self.check.length == self.length:
+                # With its last byte, the caller takes the answer for whole.
+                self._finish(_next_reply(self.attempt, self.deadline))
             yield reply.content
-            self.attempt.grant(len(reply.content))
-            reply = _next_reply(self.attempt, self.deadline)
-        self.ended = True
+
+    def _finish(self, reply: Any) -> None:
+        """Check the reply that ends the answer."""
+        self.ended = isinstance(reply, End | Refused | Failed | LinkLost)
         if not isinstance(reply, End):
             raise _failure(reply)
-        if not self.check.matches(reply.length, reply.digest):
-            raise _broken('the answer does not match its digest')
+        whole = self.check.matches(reply.length, reply.digest)
+        if not whole or self.length not in {None, reply.length}:
+            raise _broken('the answer does not match its length and digest')
 
 
 class Dispatcher:
@@ -115,6 +152,7 @@
         self.pool = pool
         self.routing = routing
         self.configuration: Configuration | None = None
+        self.answers: set[Answer] = set()
 
     def execute(self, request: CallerRequest) -> Answer:
         """Return the answer to a request once its head is there.
@@ -262,7 +300,7 @@
             key_time=request.key_time,
             deadline=max(deadline - time.monotonic(), 0),
             idempotent=idempotent,
-            window=WINDOW_BYTES,
+            window=CHAT_WINDOW_BYTES if request.chat else PLAIN_WINDOW_BYTES,
             fingerprint=request.fingerprint,
         )
         try:
@@ -271,15 +309,15 @@
             if idempotent:
                 raise _failure(LinkLost(sent=False)) from error
             raise
-        return self._wait_for_head(attempt, deadline, idempotent)
+        return self._wait_for_head(attempt, start, deadline)
 
     def _wait_for_head(
         self,
         attempt: Attempt,
+        start: Start,
         deadline: float,
-        idempotent: bool,
     ) -> Answer:
-        ended = Ended(attempt.link.upstream, idempotent)
+        ended = Ended(attempt.link.upstream, start.idempotent)
         try:
             reply = _next_reply(attempt, deadline)
         except RequestFailed:
@@ -287,17 +325,20 @@
             self.routing.tell(ended)
             raise
         if isinstance(reply, Head):
-            return Answer(
-                attempt,
-                reply,
-                deadline,
-                lambda: self.routing.tell(ended),
-            )
+            answer = Answer(attempt, reply, start, deadline, self._forget)
+            self.answers.add(answer)
+            return answer
         self.routing.tell(ended)
-        if isinstance(reply, LinkLost) and not idempotent:
+        if isinstance(reply, LinkLost) and not start.idempotent:
             raise LinkClosed('the link to the home was lost')
+        if isinstance(reply, Body):
+            attempt.cancel()
         raise _failure(reply)
 
+    def _forget(self, answer: Answer) -> None:
+        self.answers.discard(answer)
+        self.routing.tell(Ended(answer.attempt.link.upstream, answer.chosen))
+
 
 def _find_service(
     configuration: Configuration,
@@ -331,6 +372,15 @@
     )
 
 
+def _declared_length(head: Head, method: str) -> int | None:
+    if method == 'HEAD' or head.status in _BODILESS:
+        return None
+    for name, text in head.headers:
+        if name.lower() == 'content-length':
+            return int(text)
+    return None
+
+
 def _next_reply(attempt: Attempt, deadline: float) -> Any:
     timeout = max(deadline - time.monotonic(), 0)
     try:
@@ -353,6 +403,12 @@
         )
     if isinstance(reply, Failed):
         return RequestFailed(reply.reason, reply.verdict, reply.status)
+    if not isinstance(reply, LinkLost):
+        return RequestFailed(
+            'a reply of the agent is out of order',
+            Verdict.MAY_HAVE_RUN,
+            502,
+        )
     verdict = Verdict.MAY_HAVE_RUN if reply.sent else Verdict.NOT_RUN
     return RequestFailed('the link to the upstream was lost', verdict, 502, 1)
 
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import pykka
-from cheroot import wsgi
 
 from . import __version__
 from .balancing import Linked, LoadSeen, RoutingActor, Unlinked
@@ -30,6 +29,7 @@
 from .programs import repeat, run_program
 from .records import LogService
 from .routing import choose_links
+from .servers import caller_server, prepare
 from .settings import Address
 from .states import entry_state
 
@@ -43,7 +43,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
-    """Section ``[entry]``; times in seconds."""
+    """Section ``[entry]``; times in seconds.
+
+    ``threads`` is the number of requests that can be in progress, slow readers
+    included. A caller that takes nothing for ``reader_timeout`` is cut off.
+    """
 
     name: str
     availability_zone: str
@@ -84,8 +88,18 @@
             self.configuration,
             lambda: True,
         )
-        self.callers = _server(settings.listen, self._answer, settings)
-        self.admin = _server(settings.admin, self._answer_admin, settings, 2)
+        self.callers = caller_server(
+            settings.listen,
+            self._answer,
+            settings.threads,
+            settings.reader_timeout,
+        )
+        self.admin = caller_server(
+            settings.admin,
+            self._answer_admin,
+            2,
+            settings.reader_timeout,
+        )
 
     def run(self) -> None:
         """Serve until a signal, then drain."""
@@ -93,7 +107,7 @@
         self.reader.start()
         repeat(_ANNOUNCE_INTERVAL, self._announce, self.finished)
         for server in (self.callers, self.admin):
-            server.prepare()
+            prepare(server)
             threading.Thread(target=server.serve, daemon=True).start()
         log.info('entry listens on %s', self.settings.listen)
         self.stopped.wait()
@@ -171,8 +185,13 @@
         headers = list(answer.headers)
         if answer.replayed:
             headers.append(('Idempotent-Replayed', 'true'))
-        start_response(f'{answer.status} Status', headers)
-        return _AnswerBody(answer)
+        body = _AnswerBody(answer)
+        try:
+            start_response(f'{answer.status} Status', headers)
+        except Exception:
+            body.close()
+            raise
+        return body
 
     def _answer_ready(
         self,
@@ -210,39 +229,17 @@
         self.answer = answer
 
     def __iter__(self) -> Iterator[bytes]:
-        return self.answer.chunks()
+        # The server does not close a body that failed before its first bytes
+        # if the caller has gone away, too.
+        try:
+            yield from self.answer.chunks()
+        finally:
+            self.close()
 
     def close(self) -> None:
         self.answer.close()
 
 
-def _server(
-    listen: Address,
-    application: Callable[..., Any],
-    settings: EntrySettings,
-    threads: int = 0,
-) -> wsgi.Server:
-    server = wsgi.Server(
-        (listen.host, listen.port),
-        application,
-        numthreads=threads or settings.threads,
-        request_queue_size=128,
-        timeout=settings.reader_timeout,
-        server_name='primroseyoke',
-    )
-    server.error_log = _log_server_error  # type: ignore[method-assign]
-    return server
-
-
-def _log_server_error(
-    msg: str = '',
-    level: int = logging.INFO,
-    traceback: bool = False,
-) -> None:
-    """Log a fault of the HTTP server, such as a caller that went away."""
-    log.log(level, 'HTTP server: %s', msg.strip(), exc_info=traceback)
-
-
 def main() -> None:
     """Run the program."""
     run_program('entry', EntrySettings, Entry)
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -100,6 +100,7 @@
         self.link = link
         self.replies: queue.SimpleQueue[Reply | LinkLost] = queue.SimpleQueue()
         self.sent = False
+        self.received = 0
 
     def next_reply(self, timeout: float) -> Reply | LinkLost:
         """Return the next reply.
@@ -217,7 +218,9 @@
             return
         if isinstance(message, Refused | End | Failed):
             self.attempts.pop(message.attempt)
-        if not isinstance(message, Body):
+        if isinstance(message, Body):
+            attempt.received += len(message.content)
+        else:
             self.pool.on_message(self, message)
         attempt.replies.put(message)
 
--- a/primroseyoke/services.py
+++ b/primroseyoke/services.py
@@ -79,6 +79,20 @@
                 502,
             ) from error
 
+    def is_event_stream(self) -> bool:
+        """Tell whether the body is server-sent events that may change length."""
+        names = {name.lower(): text for name, text in self.headers}
+        content_type = names.get('content-type', '')
+        return (
+            content_type.startswith('text/event-stream')
+            and 'content-length' not in names
+            and 'content-encoding' not in names
+        )
+
+    def release(self) -> None:
+        """Close the connection if the body was not read to its end."""
+        self.response.close()
+
     def close(self) -> None:
         """Stop receiving; called from any thread."""
         try:
@@ -133,6 +147,14 @@
                 Verdict.MAY_HAVE_RUN,
                 502,
             ) from error
+        if not response.chunked and response.length_remaining is None:
+            # The end of such an answer looks the same as a broken connection.
+            response.close()
+            raise RequestFailed(
+                'the upstream does not tell where its answer ends',
+                Verdict.MAY_HAVE_RUN,
+                502,
+            )
         return UpstreamAnswer(response)
 
     def load(self) -> UpstreamLoad:
--- a/primroseyoke/states.py
+++ b/primroseyoke/states.py
@@ -13,6 +13,7 @@
 
 def entry_state(entry: 'Entry') -> dict[str, Any]:
     """Return what an entry knows, for operators."""
+    answers = tuple(entry.dispatcher.answers)
     announcement: Any = entry.configuration.ask(ASK_OFFSET, timeout=2)
     return {
         'host': entry.settings.name,
@@ -29,5 +30,9 @@
             }
             for upstream, link in sorted(entry.pool.links.items())
         },
+        'answers': {
+            'open': len(answers),
+            'held_bytes': sum(answer.held_bytes() for answer in answers),
+        },
         'routing': entry.routing.ask(DumpRouting(), timeout=2),
     }
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,155 @@
+"""Answers in memory: merged events, limits."""
+
+import json
+import re
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from primroseyoke.answers import AnswerBuffer, ByteLimits
+
+MODEL = {'id': 'c1', 'object': 'chat.completion.chunk', 'model': 'm'}
+
+
+def delta(text, choice=(), top=(), **fields):
+    choices = [
+        {'index': 0, 'delta': {'content': text, **fields}, **dict(choice)}
+    ]
+    return {**MODEL, 'choices': choices, **dict(top)}
+
+
+def event(document, end=b'\n\n', ascii_only=True):
+    text = json.dumps(document, ensure_ascii=ascii_only)
+    return b'data: %b%b' % (text.encode(), end)
+
+
+TEXTS = st.text(
+    st.characters(codec='utf-8') | st.sampled_from('"\\\n🜚é'), max_size=4
+)
+PLAIN = st.builds(
+    event,
+    st.builds(delta, TEXTS),
+    st.sampled_from([b'\n\n', b'\n\n', b'\r\n\r\n']),
+    st.booleans(),
+)
+CALL = {'index': 0, 'function': {'arguments': '{'}}
+OTHER = st.sampled_from(
+    [
+        event(delta('x', {'finish_reason': 'stop'})),
+        event(delta('x', {'logprobs': {'content': []}})),
+        event(delta('x', role='assistant')),
+        event(delta('x', tool_calls=[CALL])),
+        event(delta('x', reasoning_content='r')),
+        event(delta('x', top={'usage': {'total_tokens': 1}})),
+        event(delta('x', top={'unknown': [1]})),
+        event(delta('x', top={'model': 'content'})),
+        event({**MODEL, 'choices': delta('x')['choices'] * 2}),
+        event({**MODEL, 'choices': []}),
+        event(delta('\ud83d')),
+        event(delta('\ude00')),
+        event(delta('x')).replace(b'"x"', b'"\xff"'),
+        event(delta('x')).replace(b'"x"', b'"x", "content": "y"'),
+        event(delta('x')).replace(b'"x"', b'"x", "cont\\u0065nt": "y"'),
+        event(delta('x')).replace(b'data: ', b'id: 7\ndata: '),
+        event(delta('x')).replace(b', "model"', b',\rdata: "model"'),
+        event(delta('x'), b'\r\r'),
+        event(delta('x'), b'\n\r\n'),
+        event(delta('x'), b'\n'),
+        b'data: [DONE]\n\n',
+        b': ping\n\n',
+        b'\n\n',
+        b'\r',
+        b'data: {"choices"',
+    ]
+)
+STREAMS = st.lists(PLAIN | PLAIN | OTHER, max_size=12).map(b''.join)
+#: How many bytes arrive, and how many are then taken.
+STEPS = st.lists(st.tuples(st.integers(1, 300), st.integers(0, 300)))
+
+
+def is_plain(document):
+    if not isinstance(document, dict) or set(document) != {*MODEL, 'choices'}:
+        return False
+    choice = document['choices'][0] if len(document['choices']) == 1 else {}
+    return set(choice) == {'index', 'delta'} and set(choice['delta']) == {
+        'content'
+    }
+
+
+def meaning(stream):
+    """Return the events of a stream, with adjacent plain texts joined."""
+    events = []
+    for raw, end in re.findall(
+        rb'(?s)(.*?)((?:\r\n|\n|\r(?!\n)){2}|\Z)', stream
+    ):
+        try:
+            document = json.loads(raw.removeprefix(b'data: ').decode())
+            text = document['choices'][0]['delta']['content']
+            text.encode()  # Fails for one half of a surrogate pair.
+            assert is_plain(document) and raw.count(b'ontent"') == 1
+        except (ValueError, LookupError, TypeError, AssertionError):
+            events.append((raw, end))
+            continue
+        if events and events[-1][0] is None and events[-1][2] == end:
+            text = events.pop()[1] + text
+        events.append((None, text, end))
+    return events
+
+
+@given(STREAMS, STEPS)
+@example(event(delta('a')) * 2 + event(delta('b')), [(260, 10), (200, 300)])
+@settings(max_examples=400)
+def test_merging_keeps_the_meaning(stream, steps):
+    """Guards against lost, added or reordered text or fields."""
+    buffer = AnswerBuffer(merging=True)
+    sent = b''
+    rest = stream
+    for arriving, credit in steps:
+        buffer.put(rest[:arriving])
+        rest = rest[arriving:]
+        held = buffer.size
+        taken = buffer.take(credit)
+        assert len(taken) == min(credit, held)
+        sent += taken
+    buffer.put(rest)
+    sent += buffer.take(buffer.size)
+    assert buffer.size == 0
+    assert meaning(sent) == meaning(stream)
+
+
+@given(st.lists(PLAIN | OTHER, max_size=12))
+def test_fast_reader_gets_each_token_at_once(events):
+    """Guards against tokens that wait for later ones."""
+    buffer = AnswerBuffer(merging=True)
+    for arrived in events:
+        buffer.put(arrived)
+        assert buffer.take(10**6) == arrived
+
+
+def test_waiting_tokens_become_one_event():
+    """Guards against a merge that never happens."""
+    buffer = AnswerBuffer(merging=True)
+    for _ in range(250):
+        buffer.put(event(delta('token ')))
+    assert buffer.take(10**6) == event(delta('token ' * 250))
+
+
+@pytest.mark.parametrize(
+    ('client', 'held', 'expected'),
+    [
+        ('large', 0, True),
+        ('large', 1, False),
+        ('small', 9, True),
+        ('small', 10, False),
+    ],
+)
+def test_client_at_its_limit_leaves_room(client, held, expected):
+    """Guards against one client that takes the memory of the others."""
+    limits = ByteLimits(answer=10, client=20, process=30)
+    limits.change('large', 20)
+    limits.change('small', 9)
+    assert limits.may_read(client, held) is expected
+    limits.change('small', 1)
+    assert not limits.may_read(client, 1)
+    assert limits.may_read(client, 0)
