--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -105,7 +105,14 @@
         if non_idempotent:
             self.parts[f'homes/{name}'] = {'members': members}
 
-    def agent(self, name, zone, address=None, **settings):
+    def agent(
+        self,
+        name,
+        zone,
+        address=None,
+        module='primroseyoke.agent',
+        **settings,
+    ):
         address = address or f'127.0.0.1:{free_port()}'
         path = self.write(
             'agent',
@@ -119,7 +126,7 @@
             },
             name,
         )
-        command = ['-m', 'primroseyoke.agent', f'--settings={path}']
+        command = ['-m', module, f'--settings={path}']
         return self._spawn(name, command, address, address)
 
     def entry(self, name, zone, address=None, **settings):
--- a/tests/standins/upstreams.py
+++ b/tests/standins/upstreams.py
@@ -66,8 +66,14 @@
         poison = self.faults.get('poison')
         if overloaded or (poison and poison.encode() in content):
             self.crash()
-        if self.incarnation == incarnation:
-            self.answer(handler, content)
+        try:
+            if self.incarnation == incarnation:
+                self.answer(handler, content)
+        except ConnectionError:
+            # The request was cancelled: its memory is free again.
+            with self.lock:
+                self.running -= self.incarnation == incarnation
+            raise
         if self.incarnation != incarnation:
             # Everything that ran when the upstream crashed is cut.
             handler.close_connection = True
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -49,6 +49,7 @@
         event(delta('\ud83d')),
         event(delta('\ude00')),
         event(delta('x')).replace(b'"x"', b'"\xff"'),
+        event(delta('')).replace(b'""', b'"'),
         event(delta('x')).replace(b'"x"', b'"x", "content": "y"'),
         event(delta('x')).replace(b'"x"', b'"x", "cont\\u0065nt": "y"'),
         event(delta('x')).replace(b'data: ', b'id: 7\ndata: '),
@@ -63,7 +64,10 @@
         b'data: {"choices"',
     ]
 )
-STREAMS = st.lists(PLAIN | PLAIN | OTHER, max_size=12).map(b''.join)
+REPEATED = st.builds(
+    lambda other, count: other * count, OTHER, st.integers(1, 3)
+)
+STREAMS = st.lists(PLAIN | PLAIN | REPEATED, max_size=12).map(b''.join)
 #: How many bytes arrive, and how many are then taken.
 STEPS = st.lists(st.tuples(st.integers(1, 300), st.integers(0, 300)))
 
@@ -98,7 +102,8 @@
 
 
 @given(STREAMS, STEPS)
-@example(event(delta('a')) * 2 + event(delta('b')), [(260, 10), (200, 300)])
+@example(event(delta('a')) + event(delta('')).replace(b'""', b'"'), [])
+@example(b'id: 7\n' + event(delta('a')) * 2, [(6, 6)])
 @settings(max_examples=400)
 def test_merging_keeps_the_meaning(stream, steps):
     """Guards against lost, added or reordered text or fields."""
@@ -127,12 +132,15 @@
         assert buffer.take(10**6) == arrived
 
 
-def test_waiting_tokens_become_one_event():
+@pytest.mark.parametrize('end', [b'\n\n', b'\r\n\r\n'])
+@pytest.mark.parametrize('size', [1, 7, 10**6])
+def test_waiting_tokens_become_one_event(size, end):
     """Guards against a merge that never happens."""
     buffer = AnswerBuffer(merging=True)
-    for _ in range(250):
-        buffer.put(event(delta('token ')))
-    assert buffer.take(10**6) == event(delta('token ' * 250))
+    stream = event(delta('token '), end) * 250
+    for start in range(0, len(stream), size):
+        buffer.put(stream[start : start + size])
+    assert buffer.take(10**6) == event(delta('token ' * 250), end)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_executions.py
@@ -0,0 +1,228 @@
+"""Answers at the agent and through the whole path, when something fails."""
+
+import http.client
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from primroseyoke.answers import ByteLimits
+from primroseyoke.exceptions import RequestFailed
+from primroseyoke.executions import AnswerMemory, Execution
+from primroseyoke.messages import Body, Load, Start
+from primroseyoke.services import UpstreamClient, UpstreamRequest
+from tests.fleet import Fleet, chat, chat_text, wait_for
+
+WINDOW = 100
+REQUEST = json.dumps({'stream': True, 'messages': [{'content': 'end'}]})
+
+
+class Upstream:
+    """Answer in pieces; remembers how far it was read."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, pieces):
+        self.pieces = pieces
+        self.read = 0
+        self.closed = False
+        self.opening = threading.Event()
+
+    def open_answer(self, _request):
+        self.opening.wait()
+        return self
+
+    def chunks(self):
+        for piece in self.pieces:
+            self.read += 1
+            yield piece
+
+    def is_event_stream(self):
+        return False
+
+    def close(self):
+        self.closed = True
+
+    release = close
+
+
+class Running:
+    """An execution in its thread, with what it sent."""
+
+    def __init__(self, upstream, limits):
+        self.sent = []
+        self.ended = []
+        start = Start(
+            1, 's', 'GET', '/', (), b'', 'c', '', 0, 9, True, WINDOW, 0
+        )
+        self.limits = limits
+        self.execution = Execution(
+            1,
+            start,
+            upstream,
+            self.sent.append,
+            self.ended.append,
+            Load,
+            AnswerMemory(limits),
+        )
+        self.thread = threading.Thread(target=self.execution.run, args=(9,))
+        self.thread.start()
+
+    def sent_bytes(self):
+        bodies = [part for part in self.sent if isinstance(part, Body)]
+        return sum(len(part.content) for part in bodies)
+
+
+def test_upstream_is_read_ahead_of_the_reader():
+    """Guards against an upstream that keeps an answer for a slow reader."""
+    upstream = Upstream([b'x' * WINDOW] * 5)
+    upstream.opening.set()
+    running = Running(upstream, ByteLimits(1000, 1000, 1000))
+    running.thread.join(5)
+    assert running.ended[0].failure is None
+    assert (running.sent_bytes(), running.limits.held) == (WINDOW, 4 * WINDOW)
+    running.execution.grant(4 * WINDOW)
+    assert (running.sent_bytes(), running.limits.held) == (5 * WINDOW, 0)
+
+
+def test_reading_stops_at_the_limit_and_cancel_frees():
+    """Guards against an answer that grows without a bound."""
+    upstream = Upstream([b'x' * WINDOW] * 50)
+    upstream.opening.set()
+    running = Running(upstream, ByteLimits(2 * WINDOW, 1000, 1000))
+    wait_for(lambda: running.limits.held == 2 * WINDOW)
+    time.sleep(0.05)
+    assert upstream.read == 3
+    running.execution.cancel()
+    running.thread.join(5)
+    assert (upstream.read, upstream.closed) == (3, True)
+    assert (running.limits.held, running.limits.clients) == (0, {})
+
+
+def test_cancel_before_the_head_closes_the_upstream():
+    """Guards against an upstream that works on for a caller who left."""
+    upstream = Upstream([b'x'] * 50)
+    running = Running(upstream, ByteLimits(1000, 1000, 1000))
+    running.execution.cancel()
+    upstream.opening.set()
+    running.thread.join(5)
+    assert (upstream.read, upstream.closed) == (0, True)
+
+
+def test_answer_without_framing_is_refused():
+    """Guards against a broken connection that looks like the end."""
+    listening = socket.create_server(('127.0.0.1', 0))
+
+    def serve():
+        connection, _ = listening.accept()
+        with connection:
+            connection.recv(4096)
+            connection.sendall(b'HTTP/1.1 200 OK\r\n\r\npart of an answer')
+
+    threading.Thread(target=serve, daemon=True).start()
+    client = UpstreamClient('127.0.0.1:%d' % listening.getsockname()[1], 1)
+    with pytest.raises(RequestFailed, match='where its answer ends'):
+        client.open_answer(UpstreamRequest('GET', '/', (), b'', 2))
+    listening.close()
+
+
+@pytest.fixture(scope='module')
+def draft_fleet():
+    with Fleet({'cold_limit': 8}) as started:
+        started.service('draft', 'model', ['zone-a'], tokens=400)
+        started.entries = [started.entry('entry-1', 'zone-a', reader_timeout=2)]
+        assert started.publish().returncode == 0
+        # A linked agent refuses work until it has the configuration.
+        wait_for(lambda: is_ready(started.entries[0]), 10, 'a draft')
+        yield started
+
+
+@pytest.fixture
+def draft(draft_fleet):
+    """Return entry, agent and engine; the engine has no fault afterwards."""
+    processes = draft_fleet.processes
+    engine = processes['draft-1-upstream']
+    yield draft_fleet.entries[0], processes['draft-1'], engine
+    engine.fault(cut_after=None, token_delay=0, tokens=400)
+
+
+def is_ready(entry):
+    return chat(entry, 'draft', 'end').status == 200
+
+
+def open_stream(entry, receive_buffer=4096):
+    """Start a stream on a connection with a small buffer."""
+    host, _, port = entry.address.partition(':')
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    caller.connect((host, int(port)))
+    document = json.loads(REQUEST) | {'model': 'draft'}
+    body = json.dumps(document)
+    caller.sendall(
+        f'POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+    )
+    response = http.client.HTTPResponse(caller)
+    response.begin()
+    assert response.status == 200, response.read()
+    return caller, response
+
+
+def nothing_held(entry, agent, engine):
+    answers = [process.state()['answers'] for process in (entry, agent)]
+    counts = [(found['open'], found['held_bytes']) for found in answers]
+    return counts == [(0, 0)] * 2 and engine.get('/load')['running'] == 0
+
+
+def test_slow_reader_gets_the_whole_text(draft):
+    """Guards against merging or limits that lose text on the whole path."""
+    entry, agent, engine = draft
+    engine.fault(tokens=3000)
+    caller, response = open_stream(entry)
+    # The engine is free again long before the reader has the answer.
+    wait_for(lambda: engine.get('/load')['running'] == 0, 5, 'the engine')
+    assert agent.state()['answers']['read_to_the_end'] == 1
+    response.data = response.read()
+    expected = ''.join(f'{word} ' for word in range(3000))
+    assert chat_text(response) == f'{expected}end'
+    assert len(response.data) < 3000 * 100
+    caller.close()
+    wait_for(lambda: nothing_held(*draft), 5, 'the memory')
+
+
+@pytest.mark.parametrize('timeout', [0, 2], ids=['leaves', 'takes nothing'])
+def test_lost_caller_leaves_nothing_held(draft, timeout):
+    """Guards against answers that are read and kept for nobody."""
+    draft[2].fault(tokens=10**6)
+    caller, response = open_stream(draft[0])
+    if not timeout:
+        caller.close()
+        response.close()
+    wait_for(lambda: nothing_held(*draft), timeout + 5, 'the memory')
+    caller.close()
+
+
+def test_engine_that_dies_cuts_the_stream(draft):
+    """Guards against a part of a stream that looks whole."""
+    draft[2].fault(cut_after=20, token_delay=0.01)
+    with pytest.raises(http.client.IncompleteRead):
+        open_stream(draft[0])[1].read()
+    wait_for(lambda: nothing_held(*draft), 5, 'the memory')
+
+
+def test_killed_agent_cuts_the_stream(draft_fleet, draft):
+    """Guards against a part of a stream that looks whole."""
+    entry, agent, engine = draft
+    engine.fault(token_delay=0.05)
+    _, response = open_stream(entry)
+    response.read(500)
+    agent.kill()
+    with pytest.raises(http.client.IncompleteRead):
+        response.read()
+    wait_for(lambda: entry.state()['answers']['open'] == 0)
+    draft_fleet.restart_agent('draft-1')
+    engine.fault(token_delay=0)
+    wait_for(lambda: is_ready(entry), 10, 'a draft')
