--- a/bench/slow_readers.py
+++ b/bench/slow_readers.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import contextlib
 import json
 import multiprocessing
 import random
@@ -14,9 +15,10 @@
 import time
 
 import psutil
+import urllib3
 
 from bench.figures import report
-from tests.fleet import Fleet, chat, chat_text, wait_for
+from tests.fleet import HTTP, Fleet, chat, chat_text, wait_for
 
 SEED = 7
 READERS = 300
@@ -164,10 +166,27 @@
     entry = fleet.entry('entry', 'zone-a', threads=READERS + 32)
     assert fleet.publish().returncode == 0
     wait_for(lambda: len(entry.state()['routing']) == AGENTS, 10, 'links')
+    for number in range(AGENTS):
+        warm_up(fleet, f'draft-{number}')
     wait_for(lambda: chat(entry, 'draft', 'end').status == 200, 20, 'a draft')
     return entry
 
 
+def warm_up(fleet, name):
+    """Let the agent admit all readers at once.
+
+    An agent that saw its upstream before the configuration applies the
+    configured cold limit only to the next incarnation.
+    """
+    engine, agent = fleet.processes[f'{name}-upstream'], fleet.processes[name]
+    wait_for(lambda: agent.state()['accepting'], 10, 'the configuration')
+    engine.fault(poison='crash')
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        HTTP.request('POST', f'http://{engine.address}/', body=b'crash')
+    engine.fault(poison=None)
+    wait_for(lambda: agent.state()['limit'] > READERS, 10, 'the limit')
+
+
 def resident(processes):
     return sum(
         psutil.Process(process.popen.pid).memory_info().rss
--- a/primroseyoke/answers.py
+++ b/primroseyoke/answers.py
@@ -12,7 +12,7 @@
 
 # Some readers of event streams refuse lines above 64 KiB, and a merged event
 # must fit into one credit window to be sent in one piece.
-MAX_MERGED_BYTES = 8192
+MAX_MERGED_BYTES = 2048
 
 _EVENT_END = re.compile(rb'\n\n|\r\n\r\n')
 # The longest part of an event end that does not end the event yet.
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -25,7 +25,7 @@
 
 # A chat stream needs one window for each round trip to the agent, and what
 # fills the window can no longer be merged.
-CHAT_WINDOW_BYTES = 16384
+CHAT_WINDOW_BYTES = 4096
 # A plain answer up to this size is received whole before its head is sent.
 PLAIN_WINDOW_BYTES = 65536
 # These answers have no body, whatever Content-Length says (RFC 9110).
--- a/primroseyoke/servers.py
+++ b/primroseyoke/servers.py
@@ -17,7 +17,7 @@
 
 # The kernel would buffer megabytes for a slow caller. Linux doubles the figure
 # to account for its own overhead.
-_SEND_BUFFER_BYTES = 16384
+_SEND_BUFFER_BYTES = 4096
 _RESET = struct.pack('ii', 1, 0)
 
 
