Close answers that fail before their head; report processor time per token

Cause: the HTTP server does not close a body whose first bytes fail when the caller has gone away as well, so its attempt stayed held.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from bench.figures import report
-from bench.slow_readers import p95, read_fast
+from bench.slow_readers import open_stream, p95, read_fast, warm_up
 from tests.fleet import ROOT, Fleet, call, chat, wait_for
 
 PLAIN = '/services/app/x'
@@ -77,6 +77,12 @@
     return size
 
 
+def processor_seconds(counters):
+    return {
+        name: sum(counter.cpu_times()[:2]) for name, counter in counters.items()
+    }
+
+
 def report_times(name, ours, direct):
     for kind, of in (('p50', statistics.median), ('p95', p95)):
         value, baseline = of(ours) * MILLISECONDS, of(direct) * MILLISECONDS
@@ -85,10 +91,17 @@
 
 
 def main():
-    with Fleet({'max_running': 400}) as fleet:
-        fleet.service(
-            'draft', 'model', ['zone-a'], tokens=100, token_delay=0.02
+    with Fleet({'max_running': 400, 'cold_limit': 400}) as fleet:
+        fleet.standin(
+            'draft-1-upstream', 'engine', tokens=100, token_delay=0.02
         )
+        agent = fleet.agent('draft-1', 'zone-a', threads=400)
+        fleet.parts['service/draft'] = {'kind': 'model'}
+        fleet.parts['upstream/draft-1'] = {
+            'service': 'draft',
+            'availability_zone': 'zone-a',
+            'agent': agent.address,
+        }
         fleet.service('app', 'plain', ['zone-a'])
         entry = fleet.entry('entry', 'zone-a', threads=STREAMS + 32)
         assert fleet.publish().returncode == 0
@@ -116,6 +129,7 @@
         ours = f'http://{entry.address}{PLAIN}'
         direct = f'http://{processes["app-1-upstream"].address}/x'
         measure_times(pool, ours, direct)
+        before = processor_seconds(counters)
         streams = [
             pool.submit(read_fast, address, STREAM_SECONDS).result()
             for address in (
@@ -123,8 +137,27 @@
                 processes['draft-1-upstream'].address,
             )
         ]
+        tokens = sum(map(len, streams[0]))
+        for name, seconds in processor_seconds(counters).items():
+            used = (seconds - before[name]) * MILLISECONDS / tokens
+            report(f'processor_per_token_{name}', used, 'ms')
         report_times('first_token', streams[0][0], streams[1][0])
         report_times('between_tokens', streams[0][1], streams[1][1])
+    measure_streams(fleet, entry, watched)
+
+
+def measure_streams(fleet, entry, watched):
+    """Report the size of entry and agent with many open streams."""
+    warm_up(fleet, 'draft-1')
+    callers = [
+        open_stream(entry.address, f'client-{number % 10}')
+        for number in range(STREAMS)
+    ]
+    wait_for(lambda: entry.state()['answers']['open'] == STREAMS, 10, 'streams')
+    for name, process in watched.items():
+        report(f'resident_{STREAMS}_streams_{name}', resident(process), 'B')
+    for caller in callers:
+        caller.close()
 
 
 def measure_times(pool, ours, direct):
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -33,7 +33,7 @@
 from .settings import Address
 from .states import entry_state
 
-__all__ = ('Entry', 'EntrySettings', 'main')
+__all__ = ('AnswerBody', 'Entry', 'EntrySettings', 'main')
 
 log = logging.getLogger(__name__)
 
@@ -185,7 +185,7 @@
         headers = list(answer.headers)
         if answer.replayed:
             headers.append(('Idempotent-Replayed', 'true'))
-        body = _AnswerBody(answer)
+        body = AnswerBody(answer)
         try:
             start_response(f'{answer.status} Status', headers)
         except Exception:
@@ -222,7 +222,7 @@
         return [body]
 
 
-class _AnswerBody:
+class AnswerBody:
     """Body of an answer for the HTTP server, which closes it at the end."""
 
     def __init__(self, answer: Answer) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from primroseyoke.dispatch import Answer
+from primroseyoke.entry import AnswerBody
 from primroseyoke.exceptions import RequestFailed
 from primroseyoke.messages import Body, End, Failed, Head, Load, Start
 from primroseyoke.verdicts import Verdict
@@ -99,3 +100,11 @@
     attempt = Attempt(End(1, 0, xxhash.xxh3_64_intdigest(b''), Load()))
     headers = ('Content-Length', '10')
     assert list(answer_of(attempt, headers, method='HEAD').chunks()) == []
+
+
+def test_answer_that_fails_before_its_head_is_closed():
+    """Guards against attempts that stay held when the caller has left, too."""
+    answer = answer_of(Attempt(FAILED))
+    with pytest.raises(RequestFailed):
+        list(AnswerBody(answer))
+    assert answer.closed
