--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -10,11 +10,17 @@
 import pykka
 
 from .admission import Admission, Ending, Limits, Ticket
+from .answers import ByteLimits
 from .configuration import Configuration, Defaults
 from .crashes import BrokenAttempt, CrashWatch, LoadPolled, poll_load
 from .distribution import ConfigurationChanged
 from .exceptions import ConnectionBroken, RequestFailed
-from .executions import Execution, ExecutionEnded, replay_messages
+from .executions import (
+    AnswerMemory,
+    Execution,
+    ExecutionEnded,
+    replay_messages,
+)
 from .handovers import KeysOpened
 from .keys import (
     SKEW,
@@ -26,7 +32,7 @@
     Replay,
     Row,
 )
-from .links import Peer, Reply
+from .links import Peer
 from .messages import (
     Cancel,
     Credit,
@@ -124,7 +130,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Job:
-    """An attempt between its arrival and its end."""
+    """An attempt between its arrival and its end.
+
+    ``ended`` is set when the upstream has finished and the rest of the answer
+    waits for credit.
+    """
 
     peer: Peer
     start: Start
@@ -136,12 +146,19 @@
     restarts: int = 0
     # Whether another request ran beside this one at any time.
     shared: bool = False
+    ended: bool = False
 
 
 class AttemptsActor(pykka.ThreadingActor):
     """Owns the limits, the queue and the keys of one upstream."""
 
-    def __init__(self, upstream: str, address: str, threads: int) -> None:
+    def __init__(
+        self,
+        upstream: str,
+        address: str,
+        threads: int,
+        limits: ByteLimits,
+    ) -> None:
         """Start cold, with no keys accepted."""
         super().__init__()
         self.upstream = upstream
@@ -156,6 +173,7 @@
         self.next_number = 0
         self.draining = False
         self.unreachable = False
+        self.memory = AnswerMemory(limits)
         self.client = UpstreamClient(address, threads)
         self.executor = ThreadPoolExecutor(
             threads,
@@ -237,7 +255,8 @@
         if isinstance(message.message, Cancel):
             self._cancel(job)
         elif job.execution is not None:
-            job.execution.window.grant(message.message.size)
+            job.execution.grant(message.message.size)
+            self._end_if_sent(job)
 
     @on_receive.register
     def _(self, message: PeerLost) -> None:
@@ -248,15 +267,18 @@
 
     @on_receive.register
     def _(self, message: ExecutionEnded) -> None:
-        place = self.numbers.pop(message.execution.start.attempt)
-        job = self.jobs.pop(place)
+        execution = message.execution
+        job = self.jobs[self.numbers[execution.number]]
         self.admission.finish(job.number, ending_of(message))
-        if message.failure is not None and _is_broken(message):
+        if message.failure is None:
+            self._complete(job, message)
+            self._admit()
+            return
+        self._remove(execution)
+        if _is_broken(message):
             self._hold(job, message.failure)
-        elif message.failure is not None:
-            self._fail(job, message.failure)
         else:
-            self._complete(job, message)
+            self._fail(job, message.failure)
         self._admit()
 
     @on_receive.register
@@ -307,6 +329,7 @@
             'suspects': len(self.crashes.suspects.rows),
             'keys': len(self.keys.rows),
             'keys_floor': repr(self.keys.floor),
+            'answers': self._dump_answers(),
         }
 
     def load(self) -> Load:
@@ -319,6 +342,22 @@
             self._accepting(),
         )
 
+    def _dump_answers(self) -> dict[str, Any]:
+        limits = self.memory.limits
+        with self.memory.changed:
+            clients = dict(limits.clients)
+        return {
+            'open': len(self.jobs) - len(self.admission.waiting),
+            'read_to_the_end': sum(job.ended for job in self.jobs.values()),
+            'held_bytes': limits.held,
+            'held_bytes_by_client': clients,
+            'limits': {
+                'answer': limits.answer,
+                'client': limits.client,
+                'process': limits.process,
+            },
+        }
+
     def _defaults(self) -> Defaults:
         assert self.configuration is not None  # noqa: S101
         upstream = self.configuration.upstream(self.upstream)
@@ -440,17 +479,20 @@
     def _execute(self, ticket: Ticket) -> None:
         job = self.jobs[self.numbers[ticket.attempt]]
         execution = Execution(
-            dataclasses.replace(job.start, attempt=ticket.attempt),
+            ticket.attempt,
+            job.start,
             self.client,
-            functools.partial(_send_as, job.peer, job.start.attempt),
+            job.peer.send,
             self.actor_ref.tell,
             self.load,
+            self.memory,
         )
         job.execution = execution
         job.restarts = self.admission.restarts
         if self.admission.occupied() > 1:
             for number in self.admission.running:
                 self.jobs[self.numbers[number]].shared = True
+        job.start = dataclasses.replace(job.start, body=b'')
         timeout = max(job.deadline - time.monotonic(), _SHORTEST_TIMEOUT)
         self.executor.submit(execution.run, timeout)
 
@@ -493,14 +535,24 @@
         reason = 'this request has crashed upstreams and is not run again'
         self._refuse(job, reason, _SUSPECT_STATUS)
 
+    def _remove(self, execution: Execution) -> None:
+        place = self.numbers.pop(execution.number)
+        self.jobs.pop(place)
+
     def _complete(self, job: _Job, ended: ExecutionEnded) -> None:
         if job.call is not None:
             self.keys.finish(job.call, ended.answer)
         fingerprint = job.start.fingerprint
         if self.crashes.clear(fingerprint):
             self._classify_again({fingerprint})
-        end = ended.execution.end_message(self.load())
-        job.peer.send(dataclasses.replace(end, attempt=job.start.attempt))
+        job.ended = True
+        self._end_if_sent(job)
+
+    def _end_if_sent(self, job: _Job) -> None:
+        execution = job.execution
+        if job.ended and execution is not None and execution.is_sent():
+            self._remove(execution)
+            job.peer.send(execution.end_message(self.load()))
 
     def _fail(
         self,
@@ -516,17 +568,12 @@
             self.keys.lose(job.call)
         assert job.execution is not None  # noqa: S101
         failed = job.execution.failed_message(failure, self.load())
-        job.peer.send(
-            dataclasses.replace(
-                failed,
-                attempt=job.start.attempt,
-                crashed=crashed,
-            ),
-        )
+        job.peer.send(dataclasses.replace(failed, crashed=crashed))
 
     def _cancel(self, job: _Job) -> None:
         if job.execution is not None:
             job.execution.cancel()
+            self._end_if_sent(job)
             return
         self.admission.withdraw(job.number)
         self._refuse(job, 'cancelled', 499)
@@ -576,10 +623,6 @@
             self._refuse(job, reason, status)
 
 
-def _send_as(peer: Peer, attempt: int, reply: Reply) -> None:
-    peer.send(dataclasses.replace(reply, attempt=attempt))
-
-
 def _is_broken(ended: ExecutionEnded) -> bool:
     """Tell whether the upstream, not this agent, broke the connection."""
     closed_here = ended.cancelled and ended.execution.start.idempotent
