--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -9,12 +9,12 @@
 
 import pykka
 
-from .admission import Admission, Ending, Limits, Ticket
+from .admission import Admission, Limits, Ticket
 from .answers import ByteLimits
 from .configuration import Configuration, Defaults
 from .crashes import BrokenAttempt, CrashWatch, LoadPolled, poll_load
 from .distribution import ConfigurationChanged
-from .exceptions import ConnectionBroken, RequestFailed
+from .exceptions import RequestFailed
 from .executions import (
     AnswerMemory,
     Execution,
@@ -22,6 +22,7 @@
     replay_messages,
 )
 from .handovers import KeysOpened
+from .jobs import Job, JobTable, ending_of, is_broken
 from .keys import (
     SKEW,
     Claim,
@@ -44,6 +45,7 @@
     Suspects,
 )
 from .services import UpstreamClient
+from .states import agent_state
 from .suspects import Standing
 from .verdicts import Verdict
 
@@ -57,7 +59,6 @@
     'Received',
     'SealKeys',
     'Tick',
-    'ending_of',
 )
 
 # An answer reserves this much at the upstream beside the request itself.
@@ -67,8 +68,6 @@
 # Status of a request that has crashed upstreams. A client error, since callers
 # repeat a request that failed with a server error.
 _SUSPECT_STATUS = 403
-_OVERLOADED_STATUS = 429
-_LOWEST_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,27 +127,6 @@
     attempts: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Job:
-    """An attempt between its arrival and its end.
-
-    ``ended`` is set when the upstream has finished and the rest of the answer
-    waits for credit.
-    """
-
-    peer: Peer
-    start: Start
-    call: KeyedCall | None
-    deadline: float
-    number: int = 0
-    execution: Execution | None = None
-    # Restarts of the upstream that had been seen when the execution started.
-    restarts: int = 0
-    # Whether another request ran beside this one at any time.
-    shared: bool = False
-    ended: bool = False
-
-
 class AttemptsActor(pykka.ThreadingActor):
     """Owns the limits, the queue and the keys of one upstream."""
 
@@ -168,9 +146,7 @@
         self.admission = Admission(Limits())
         self.keys = KeyTable(upstream, Defaults().key_lifetime)
         self.keys_expired_at = 0.0
-        self.jobs: dict[tuple[Peer, int], _Job] = {}
-        self.numbers: dict[int, tuple[Peer, int]] = {}
-        self.next_number = 0
+        self.jobs = JobTable()
         self.draining = False
         self.unreachable = False
         self.memory = AnswerMemory(limits)
@@ -249,7 +225,7 @@
             self._admit()
         if not isinstance(message.message, Credit | Cancel):
             return
-        job = self.jobs.get((message.peer, message.message.attempt))
+        job = self.jobs.find(message.peer, message.message.attempt)
         if job is None:
             return
         if isinstance(message.message, Cancel):
@@ -261,21 +237,20 @@
     @on_receive.register
     def _(self, message: PeerLost) -> None:
         self.crashes.peers.discard(message.peer)
-        for (peer, _number), job in tuple(self.jobs.items()):
-            if peer is message.peer:
+        for job in self.jobs:
+            if job.peer is message.peer:
                 self._cancel(job)
 
     @on_receive.register
     def _(self, message: ExecutionEnded) -> None:
-        execution = message.execution
-        job = self.jobs[self.numbers[execution.number]]
+        job = self.jobs.by_number[message.execution.number]
         self.admission.finish(job.number, ending_of(message))
         if message.failure is None:
             self._complete(job, message)
             self._admit()
             return
-        self._remove(execution)
-        if _is_broken(message):
+        self.jobs.remove(job)
+        if is_broken(message):
             self._hold(job, message.failure)
         else:
             self._fail(job, message.failure)
@@ -309,28 +284,7 @@
 
     @on_receive.register
     def _(self, message: DumpState) -> dict[str, Any]:
-        admission = self.admission
-        configuration = self.configuration
-        return {
-            'upstream': self.upstream,
-            'offset': configuration.offset if configuration else -1,
-            'confirmed_at': self.confirmed_at,
-            'accepting': self._accepting(),
-            'refusal': self._refusal(),
-            'draining': self.draining,
-            'limit': admission.limit,
-            'limits': dataclasses.asdict(admission.limits),
-            'running': len(admission.running),
-            'waiting': len(admission.waiting),
-            'held_bytes': admission.held,
-            'foreign_running': admission.foreign,
-            'restarts_seen': admission.restarts,
-            'unreachable': self.unreachable,
-            'suspects': len(self.crashes.suspects.rows),
-            'keys': len(self.keys.rows),
-            'keys_floor': repr(self.keys.floor),
-            'answers': self._dump_answers(),
-        }
+        return agent_state(self)
 
     def load(self) -> Load:
         """Return the load for a message; safe to call from any thread."""
@@ -339,24 +293,20 @@
             admission.occupied(),
             len(admission.waiting),
             admission.limit,
-            self._accepting(),
+            not self.refusal(),
         )
 
-    def _dump_answers(self) -> dict[str, Any]:
-        limits = self.memory.limits
-        with self.memory.changed:
-            clients = dict(limits.clients)
-        return {
-            'open': len(self.jobs) - len(self.admission.waiting),
-            'read_to_the_end': sum(job.ended for job in self.jobs.values()),
-            'held_bytes': limits.held,
-            'held_bytes_by_client': clients,
-            'limits': {
-                'answer': limits.answer,
-                'client': limits.client,
-                'process': limits.process,
-            },
-        }
+    def refusal(self) -> str:
+        """Return why new work is refused, empty if it is not."""
+        if self.draining:
+            return 'the agent is shutting down'
+        if self.configuration is None:
+            return 'the agent has no configuration yet'
+        if not self.configuration.takes_work(self.upstream):
+            return 'the upstream is out of service'
+        if self.unreachable:
+            return 'the upstream cannot be reached'
+        return ''
 
     def _defaults(self) -> Defaults:
         assert self.configuration is not None  # noqa: S101
@@ -368,24 +318,9 @@
         )
 
     def _remaining(self) -> int:
-        return len(self.numbers) + len(self.crashes.broken)
-
-    def _refusal(self) -> str:
-        if self.draining:
-            return 'the agent is shutting down'
-        if self.configuration is None:
-            return 'the agent has no configuration yet'
-        if not self.configuration.takes_work(self.upstream):
-            return 'the upstream is out of service'
-        if self.unreachable:
-            return 'the upstream cannot be reached'
-        return ''
-
-    def _accepting(self) -> bool:
-        return not self._refusal()
+        return len(self.jobs) + len(self.crashes.broken)
 
     def _start(self, peer: Peer, start: Start) -> None:
-        self.next_number += 1
         call = None
         if start.key:
             call = KeyedCall(
@@ -399,10 +334,10 @@
             )
         # A frozen agent finds old requests in its sockets when it resumes.
         age = max(time.time() - start.sent_at - SKEW, 0)
-        job = _Job(peer, start, call, time.monotonic() + start.deadline - age)
+        job = Job(peer, start, call, time.monotonic() + start.deadline - age)
         if call is not None and not self._claim(job, call):
             return
-        refusal = self._refusal() or self._missing_key(start)
+        refusal = self.refusal() or self._missing_key(start)
         if refusal:
             self._refuse(job, refusal, 503)
             return
@@ -420,7 +355,7 @@
             return ''
         return 'this call must not repeat and has no key'
 
-    def _claim(self, job: _Job, call: KeyedCall) -> bool:
+    def _claim(self, job: Job, call: KeyedCall) -> bool:
         """Claim the key; if it must not run, answer and return False."""
         claim = self._claim_key(job, call)
         if isinstance(claim, Execute):
@@ -433,7 +368,7 @@
             self._reject(job, claim)
         return False
 
-    def _claim_key(self, job: _Job, call: KeyedCall) -> Claim:
+    def _claim_key(self, job: Job, call: KeyedCall) -> Claim:
         now = time.time()
         homes = None
         fresh = False
@@ -445,14 +380,12 @@
             return self.keys.claim(call, homes, fresh, now)
         return self.keys.void(call, homes, fresh, now)
 
-    def _offer(self, job: _Job) -> None:
+    def _offer(self, job: Job) -> None:
         standing = self.crashes.standing(job.start.fingerprint)
         if standing is Standing.REFUSED:
             self._refuse_suspect(job)
             return
-        job.number = self.next_number
-        self.jobs[job.peer, job.start.attempt] = job
-        self.numbers[job.number] = (job.peer, job.start.attempt)
+        self.jobs.add(job)
         ticket = Ticket(
             job.number,
             job.start.client,
@@ -477,7 +410,7 @@
             self._execute(ticket)
 
     def _execute(self, ticket: Ticket) -> None:
-        job = self.jobs[self.numbers[ticket.attempt]]
+        job = self.jobs.by_number[ticket.attempt]
         execution = Execution(
             ticket.attempt,
             job.start,
@@ -491,12 +424,12 @@
         job.restarts = self.admission.restarts
         if self.admission.occupied() > 1:
             for number in self.admission.running:
-                self.jobs[self.numbers[number]].shared = True
+                self.jobs.by_number[number].shared = True
         job.start = dataclasses.replace(job.start, body=b'')
         timeout = max(job.deadline - time.monotonic(), _SHORTEST_TIMEOUT)
         self.executor.submit(execution.run, timeout)
 
-    def _hold(self, job: _Job, failure: RequestFailed) -> None:
+    def _hold(self, job: Job, failure: RequestFailed) -> None:
         """Start nothing and answer nothing until the failure is explained."""
         now = time.monotonic()
         self.admission.suspend(now)
@@ -521,7 +454,7 @@
         """Apply new evidence to the requests that are here already."""
         if not fingerprints:
             return
-        for job in tuple(self.jobs.values()):
+        for job in self.jobs:
             if job.start.fingerprint not in fingerprints:
                 continue
             standing = self.crashes.standing(job.start.fingerprint)
@@ -531,15 +464,11 @@
                 self.admission.withdraw(job.number)
                 self._refuse_suspect(job)
 
-    def _refuse_suspect(self, job: _Job) -> None:
+    def _refuse_suspect(self, job: Job) -> None:
         reason = 'this request has crashed upstreams and is not run again'
         self._refuse(job, reason, _SUSPECT_STATUS)
 
-    def _remove(self, execution: Execution) -> None:
-        place = self.numbers.pop(execution.number)
-        self.jobs.pop(place)
-
-    def _complete(self, job: _Job, ended: ExecutionEnded) -> None:
+    def _complete(self, job: Job, ended: ExecutionEnded) -> None:
         if job.call is not None:
             self.keys.finish(job.call, ended.answer)
         fingerprint = job.start.fingerprint
@@ -548,15 +477,15 @@
         job.ended = True
         self._end_if_sent(job)
 
-    def _end_if_sent(self, job: _Job) -> None:
+    def _end_if_sent(self, job: Job) -> None:
         execution = job.execution
         if job.ended and execution is not None and execution.is_sent():
-            self._remove(execution)
+            self.jobs.remove(job)
             job.peer.send(execution.end_message(self.load()))
 
     def _fail(
         self,
-        job: _Job,
+        job: Job,
         failure: RequestFailed,
         crashed: bool = False,
     ) -> None:
@@ -570,7 +499,7 @@
         failed = job.execution.failed_message(failure, self.load())
         job.peer.send(dataclasses.replace(failed, crashed=crashed))
 
-    def _cancel(self, job: _Job) -> None:
+    def _cancel(self, job: Job) -> None:
         if job.execution is not None:
             job.execution.cancel()
             self._end_if_sent(job)
@@ -579,10 +508,9 @@
         self._refuse(job, 'cancelled', 499)
         self._admit()
 
-    def _refuse(self, job: _Job, reason: str, status: int) -> None:
+    def _refuse(self, job: Job, reason: str, status: int) -> None:
         """Answer that the request was not and will not be executed."""
-        self.jobs.pop((job.peer, job.start.attempt), None)
-        self.numbers.pop(job.number, None)
+        self.jobs.remove(job)
         retry_after = 0 if status == _SUSPECT_STATUS else 1
         reject = Reject(Verdict.NOT_RUN, status, reason, retry_after)
         if job.call is not None:
@@ -590,7 +518,7 @@
             reject = dataclasses.replace(refused, status=status)
         self._reject(job, reject)
 
-    def _reject(self, job: _Job, reject: Reject) -> None:
+    def _reject(self, job: Job, reject: Reject) -> None:
         job.peer.send(
             Refused(
                 job.start.attempt,
@@ -603,7 +531,7 @@
         )
 
     def _refuse_waiting(self) -> None:
-        refusal = self._refusal()
+        refusal = self.refusal()
         if not refusal:
             self._admit()
             return
@@ -619,25 +547,5 @@
         status: int,
     ) -> None:
         for ticket in tickets:
-            job = self.jobs[self.numbers[ticket.attempt]]
+            job = self.jobs.by_number[ticket.attempt]
             self._refuse(job, reason, status)
-
-
-def _is_broken(ended: ExecutionEnded) -> bool:
-    """Tell whether the upstream, not this agent, broke the connection."""
-    closed_here = ended.cancelled and ended.execution.start.idempotent
-    return isinstance(ended.failure, ConnectionBroken) and not closed_here
-
-
-def ending_of(ended: ExecutionEnded) -> Ending:
-    """Return how an execution ended, as far as the limits are concerned."""
-    if ended.answer is not None:
-        status = ended.answer.status
-        overloaded = status == _OVERLOADED_STATUS
-        if overloaded or status >= _LOWEST_SERVER_ERROR:
-            return Ending.FAILED
-        return Ending.COMPLETED
-    if ended.failure is not None:
-        if _is_broken(ended) or ended.failure.verdict is Verdict.NOT_RUN:
-            return Ending.FAILED
-    return Ending.ABANDONED
--- a/primroseyoke/states.py
+++ b/primroseyoke/states.py
@@ -1,14 +1,16 @@
-"""State dumps of an entry."""
+"""State dumps of an entry and an agent."""
 
+import dataclasses
 from typing import TYPE_CHECKING, Any
 
 from .balancing import DumpRouting
 from .distribution import ASK_STATE
 
 if TYPE_CHECKING:
+    from .attempts import AttemptsActor
     from .entry import Entry
 
-__all__ = ('entry_state',)
+__all__ = ('agent_state', 'entry_state')
 
 
 def entry_state(entry: 'Entry') -> dict[str, Any]:
@@ -35,3 +37,46 @@
         },
         'routing': entry.routing.ask(DumpRouting(), timeout=2),
     }
+
+
+def agent_state(actor: 'AttemptsActor') -> dict[str, Any]:
+    """Return what an agent knows, for operators."""
+    admission = actor.admission
+    configuration = actor.configuration
+    return {
+        'upstream': actor.upstream,
+        'offset': configuration.offset if configuration else -1,
+        'confirmed_at': actor.confirmed_at,
+        'accepting': not actor.refusal(),
+        'refusal': actor.refusal(),
+        'draining': actor.draining,
+        'limit': admission.limit,
+        'limits': dataclasses.asdict(admission.limits),
+        'running': len(admission.running),
+        'waiting': len(admission.waiting),
+        'held_bytes': admission.held,
+        'foreign_running': admission.foreign,
+        'restarts_seen': admission.restarts,
+        'unreachable': actor.unreachable,
+        'suspects': len(actor.crashes.suspects.rows),
+        'keys': len(actor.keys.rows),
+        'keys_floor': repr(actor.keys.floor),
+        'answers': _agent_answers(actor),
+    }
+
+
+def _agent_answers(actor: 'AttemptsActor') -> dict[str, Any]:
+    limits = actor.memory.limits
+    with actor.memory.changed:
+        clients = dict(limits.clients)
+    return {
+        'open': len(actor.jobs) - len(actor.admission.waiting),
+        'read_to_the_end': sum(job.ended for job in actor.jobs),
+        'held_bytes': limits.held,
+        'held_bytes_by_client': clients,
+        'limits': {
+            'answer': limits.answer,
+            'client': limits.client,
+            'process': limits.process,
+        },
+    }
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,7 +6,7 @@
 import pytest
 from result import Err
 
-from primroseyoke.attempts import ending_of
+from primroseyoke.jobs import ending_of
 from primroseyoke.dispatch import true_of_both
 from primroseyoke.exceptions import RequestFailed
 from primroseyoke.executions import ExecutionEnded
