--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from primroseyoke.answers import ByteLimits
 from primroseyoke.attempts import AttemptsActor, Received
 from primroseyoke.configuration import Configuration, Defaults, Service
 from primroseyoke.distribution import ConfigurationChanged
@@ -47,7 +48,8 @@
 
 def test_agent_refuses_an_unkeyed_call_that_must_not_repeat():
     """Guards against an entry whose configuration lacks the mark."""
-    actor = AttemptsActor('a', '127.0.0.1:1', 1)
+    limits = ByteLimits(1000, 1000, 1000)
+    actor = AttemptsActor('a', '127.0.0.1:1', 1, limits)
     service = Service(kind='plain', non_idempotent=('POST /x',))
     parts = {'service/s': service}
     configuration = Configuration(1, Defaults(), parts)
@@ -58,7 +60,7 @@
         *(1, 's', 'POST', '/x', (), b'', 'c', '', 0, 9, True, 9, 1),
         time.time(),
     )
-    actor._refusal = lambda: ''
+    actor.refusal = lambda: ''
     actor.on_receive(Received(peer, start))
     assert replies[0].verdict is Verdict.NOT_RUN
     assert 'no key' in replies[0].reason
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -12,7 +12,8 @@
     Homes,
     Record,
 )
-from primroseyoke.executions import Execution
+from primroseyoke.answers import ByteLimits
+from primroseyoke.executions import AnswerMemory, Execution
 from primroseyoke.keys import Execute, KeyedCall, KeyTable, Reject, Replay
 from primroseyoke.keys import StoredAnswer
 from primroseyoke.messages import Body, Load, Start
@@ -160,7 +161,12 @@
         raise AssertionError('a posting was cut off')
 
     answer = SimpleNamespace(
-        status=200, headers=(), chunks=read_chunks, close=close
+        status=200,
+        headers=(),
+        chunks=read_chunks,
+        close=close,
+        release=lambda: None,
+        is_event_stream=lambda: False,
     )
     client = SimpleNamespace(open_answer=lambda request: answer)
     start = Start(
@@ -173,6 +179,7 @@
             # All credit is spent; the entry goes away.
             execution.cancel()
 
-    execution = Execution(start, client, send, ended.append, Load)
+    memory = AnswerMemory(ByteLimits(4000, 4000, 4000))
+    execution = Execution(*(1, start, client, send, ended.append, Load, memory))
     execution.run(timeout=1)
     assert ended[0].answer.body == b''.join(chunks)
