Share an entry's threads between clients; export the coordination parts

Cause: each slow reader keeps one thread of the entry, and one client with many of them could take all; the other clients could not even be refused. The parts for embedding had no import path of their own.

`from primroseyoke import Admission, ...` imports on first use, so that the daemons load no more than before.

--- a/primroseyoke/__init__.py
+++ b/primroseyoke/__init__.py
@@ -1,3 +1,48 @@
-"""Load balancing for expert-parallel model groups."""
+"""Load balancing for expert-parallel model groups.
+
+The coordination parts can be used without the programs: they open no sockets,
+start no threads and take the time as an argument.
+"""
+
+import importlib
+from typing import Any
+
+__all__ = (
+    'Admission',
+    'Fold',
+    'KeyTable',
+    'Lease',
+    'LeaseFold',
+    'MapChange',
+    'PrimroseyokeError',
+    'RankMap',
+    'RetryBudget',
+    'Router',
+    'SuspectTable',
+    'Verdict',
+)
 
 __version__ = '0.1.0'
+
+# Parts are imported on first use: each daemon loads only what it needs.
+_MODULES = (
+    ('Admission', 'admission'),
+    ('Fold', 'configuration'),
+    ('KeyTable', 'keys'),
+    ('Lease', 'leases'),
+    ('LeaseFold', 'leases'),
+    ('MapChange', 'maps'),
+    ('PrimroseyokeError', 'exceptions'),
+    ('RankMap', 'maps'),
+    ('RetryBudget', 'retries'),
+    ('Router', 'routing'),
+    ('SuspectTable', 'suspects'),
+    ('Verdict', 'verdicts'),
+)
+
+
+def __getattr__(name: str) -> Any:  # noqa: WPS413 - import on first use
+    module = dict(_MODULES).get(name)
+    if module is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(importlib.import_module(f'.{module}', __name__), name)
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -1,6 +1,7 @@
 """Execution of a caller's request by an entry: attempts, retries, verdicts."""
 
 import dataclasses
+import functools
 import logging
 import queue
 import time
@@ -24,6 +25,7 @@
 from .keys import creation_time, route_chain
 from .links import Attempt, LinkLost, LinkPool
 from .messages import Body, End, Failed, Head, Headers, Refused, Start
+from .occupancy import Occupancy
 from .suspects import Standing, SuspectTable
 from .verdicts import Verdict
 
@@ -83,6 +85,8 @@
         self.taken = 0
         self.granted = 0
         self.prefetched: list[bytes] = []
+        #: Gives back the caller's place once the answer is closed.
+        self.release: Callable[[], None] = _keep_nothing
 
     def held_bytes(self) -> int:
         """Return how many received bytes the caller has not taken."""
@@ -123,6 +127,7 @@
         if not self.ended:
             self.attempt.cancel()
         self.on_end(self)
+        self.release()
 
     def _until_taken(self, chunk: bytes) -> Iterator[bytes]:
         yield chunk
@@ -172,8 +177,10 @@
         self,
         pool: LinkPool,
         routing: pykka.ActorRef[RoutingActor],
+        occupancy: Occupancy,
     ) -> None:
         """Send over ``pool`` what ``routing`` decides."""
+        self.occupancy = occupancy
         self.pool = pool
         self.routing = routing
         # Changed in the links' thread only.
@@ -190,26 +197,25 @@
         Raises:
             RequestInvalid: the request cannot be executed as it is.
         """
-        configuration = self.configuration
-        if configuration is None:
+        if not self.occupancy.begin(request.client):
             failure = RequestFailed(
-                'no configuration yet',
+                'too many requests of this client are in progress',
                 Verdict.NOT_RUN,
-                retry_after=1,
+                429,
+                1,
             )
             return Err(_about_key(request, failure))
-        service = _find_service(configuration, request)
-        defaults = configuration.defaults_for(f'service/{request.service}')
-        timeout = request.timeout or defaults.deadline
-        deadline = time.monotonic() + timeout
-        if service.is_idempotent(request.method, request.path):
-            outcome = self._execute_anywhere(request, deadline)
-            return outcome.map_err(lambda error: _about_key(request, error))
-        if request.key:
-            return self._execute_at_home(configuration, request, deadline)
-        raise RequestInvalid(
-            'this call must not repeat: send an Idempotency-Key',
-        )
+        release = functools.partial(self.occupancy.end, request.client)
+        try:
+            outcome = self._execute(request)
+        except Exception:
+            release()
+            raise
+        if isinstance(outcome, Ok):
+            outcome.ok_value.release = release
+        else:
+            release()
+        return outcome
 
     def issue_key(self, service: str, client: str) -> str:
         """Return a new key whose home is linked.
@@ -229,6 +235,31 @@
                 return key
         raise RequestFailed('no home of the service is linked', Verdict.NOT_RUN)
 
+    def _execute(
+        self,
+        request: CallerRequest,
+    ) -> Result[Answer, RequestFailed]:
+        configuration = self.configuration
+        if configuration is None:
+            failure = RequestFailed(
+                'no configuration yet',
+                Verdict.NOT_RUN,
+                retry_after=1,
+            )
+            return Err(_about_key(request, failure))
+        service = _find_service(configuration, request)
+        defaults = configuration.defaults_for(f'service/{request.service}')
+        timeout = request.timeout or defaults.deadline
+        deadline = time.monotonic() + timeout
+        if service.is_idempotent(request.method, request.path):
+            outcome = self._execute_anywhere(request, deadline)
+            return outcome.map_err(lambda error: _about_key(request, error))
+        if request.key:
+            return self._execute_at_home(configuration, request, deadline)
+        raise RequestInvalid(
+            'this call must not repeat: send an Idempotency-Key',
+        )
+
     def _execute_anywhere(
         self,
         request: CallerRequest,
@@ -473,6 +504,10 @@
     )
 
 
+def _keep_nothing() -> None:
+    """Stand in for a place that was not taken."""
+
+
 def _is_event_stream(headers: Headers) -> bool:
     return any(
         name.lower() == 'content-type' and text.startswith('text/event-stream')
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -36,6 +36,7 @@
     Welcome,
 )
 from .metrics import Metrics
+from .occupancy import Occupancy
 from .programs import repeat, run_program
 from .records import LogService
 from .routing import choose_links
@@ -93,7 +94,11 @@
             self._receive,
             lambda link: self.routing.tell(Unlinked(link.upstream)),
         )
-        self.dispatcher = Dispatcher(self.pool, self.routing)
+        self.dispatcher = Dispatcher(
+            self.pool,
+            self.routing,
+            Occupancy(settings.threads),
+        )
         self.configuration = ConfigurationActor.start(
             self._reconfigure,
             self.pool.broadcast,
--- a/primroseyoke/states.py
+++ b/primroseyoke/states.py
@@ -35,6 +35,7 @@
             'open': len(answers),
             'held_bytes': sum(answer.held_bytes() for answer in answers),
         },
+        'in_progress_by_client': dict(entry.dispatcher.occupancy.taken),
         'routing': entry.routing.ask(DumpRouting(), timeout=2),
     }
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.fleet import call, chat, chat_text
+from tests.fleet import call, chat, chat_text, wait_for
 
 KEYED = '/services/app/invoices'
 
@@ -17,6 +17,17 @@
     assert chat_text(response) == f'{expected}the end'
 
 
+def test_nothing_stays_held_after_answers_and_refusals(small_fleet):
+    """Guards against places and answers that leak in an entry."""
+    entry = small_fleet.entries[0]
+    chat(entry, 'draft', 'x')
+    call(entry, 'GET', '/services/app/x')
+    call(entry, 'POST', KEYED, body=b'x')
+    call(entry, 'GET', '/services/unknown/x')
+    wait_for(lambda: entry.state()['in_progress_by_client'] == {})
+    assert entry.state()['answers']['open'] == 0
+
+
 def test_key_sent_twice_runs_once(small_fleet):
     """Guards against a second run when a resend comes through another entry."""
     first, second = small_fleet.entries
--- /dev/null
+++ b/tests/test_package.py
@@ -0,0 +1,29 @@
+"""The parts that other programs import."""
+
+import subprocess
+import sys
+
+import primroseyoke
+
+EXAMPLE = """
+import sys, threading
+from primroseyoke import *
+from primroseyoke.admission import Limits, Ticket, UpstreamLoad
+admission = Admission(Limits(cold_limit=1))
+admission.observe_load(UpstreamLoad('a', uptime=5.0, running=0), asked_at=0)
+admission.offer(Ticket(1, 'client', held=1000, deadline=9))
+assert len(admission.advance(now=0)[0]) == 1
+assert RetryBudget(rate=1, burst=1).spend('client', now=0)
+assert threading.active_count() == 1
+assert not {'asyncio', 'pykka', 'cheroot', 'urllib3'} & set(sys.modules)
+"""
+
+
+def test_every_exported_part_is_there():
+    """Guards against a name in __all__ that cannot be imported."""
+    assert all(getattr(primroseyoke, name) for name in primroseyoke.__all__)
+
+
+def test_parts_are_used_without_a_process():
+    """Guards against a coordination part that starts threads or sockets."""
+    subprocess.run([sys.executable, '-c', EXAMPLE], check=True)
