--- a/bench/routing.py
+++ b/bench/routing.py
@@ -12,9 +12,9 @@
 
 from bench.figures import report
 from bench.zones import WARM_CAPACITY, Agent, Clock, Request
-from primroseyoke.configuration import Fold, Record
 from primroseyoke.messages import Load
 from primroseyoke.routing import Router
+from tests.folds import configuration_of
 
 SEED = 11
 ZONES = ('zone-a', 'zone-b')
@@ -207,21 +207,9 @@
             parts[f'upstream/draft-{zone}-{number}'] = {
                 'service': 'draft',
                 'availability_zone': zone,
-                'agent': '127.0.0.1:1',
+                'agent': f'127.0.0.1:{len(parts)}',
             }
-    fold = Fold()
-    fold.apply(
-        Record(
-            offset=0,
-            appended_at=0,
-            change='c',
-            author='a',
-            reason='r',
-            parts=parts,
-            against={},
-        ),
-    )
-    return fold.current
+    return configuration_of(parts)
 
 
 def measure(policy):
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -20,11 +20,11 @@
     Ticket,
     UpstreamLoad,
 )
-from primroseyoke.configuration import Fold, Record
 from primroseyoke.keys import home_chain
 from primroseyoke.messages import Load
 from primroseyoke.retries import RetryBudget
 from primroseyoke.routing import Router
+from tests.folds import configuration_of
 
 SEED = 7
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -591,23 +591,11 @@
             parts[f'upstream/{name}'] = {
                 'service': _service(name),
                 'availability_zone': zone,
-                'agent': '127.0.0.1:1',
+                'agent': f'127.0.0.1:{len(parts)}',
             }
     for zone in out:
         parts[f'zone/{zone}'] = {'state': 'out'}
-    fold = Fold()
-    fold.apply(
-        Record(
-            offset=0,
-            appended_at=0,
-            change='c',
-            author='a',
-            reason='r',
-            parts=parts,
-            against={},
-        ),
-    )
-    return fold.current
+    return configuration_of(parts)
 
 
 def run(product):
--- /dev/null
+++ b/tests/folds.py
@@ -0,0 +1,19 @@
+"""Configurations for tests and measurements."""
+
+from primroseyoke.configuration import Fold, Record
+
+
+def configuration_of(parts):
+    """Return the configuration that one record with ``parts`` makes."""
+    record = Record(
+        offset=0,
+        appended_at=0,
+        change='c',
+        author='a',
+        reason='r',
+        parts=parts,
+        against={},
+    )
+    fold = Fold()
+    fold.apply(record)
+    return fold.current
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from primroseyoke.configuration import Fold, Record
 from primroseyoke.messages import Load
 from primroseyoke.routing import Router, choose_links
 
@@ -27,6 +26,7 @@
     min_size=1,
     max_size=8,
 )
+from tests.folds import configuration_of
 
 
 def configuration(rows, out=(), count=0):
@@ -40,18 +40,7 @@
         }
     for zone in out:
         parts[f'zone/{zone}'] = {'state': 'out'}
-    record = Record(
-        offset=0,
-        appended_at=0,
-        change='c',
-        author='a',
-        reason='r',
-        parts=parts,
-        against={},
-    )
-    fold = Fold()
-    fold.apply(record)
-    return fold.current
+    return configuration_of(parts)
 
 
 @given(
