--- a/bench/slow_readers.py
+++ b/bench/slow_readers.py
@@ -98,9 +98,10 @@
         # wait for its persist timer.
         caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
     caller.connect((host, int(port)))
-    body = json.dumps(
-        {'model': 'draft', 'stream': True, 'messages': [{'content': 'end'}]}
-    )
+    # Equal prompts would all go to one engine, for its prefix cache.
+    first = {'content': f'caller {caller.getsockname()[1]}'}
+    messages = [first, {'content': 'end'}]
+    body = json.dumps({'model': 'draft', 'stream': True, 'messages': messages})
     caller.sendall(
         f'POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n'
         f'Client-Account: {client}\r\nRequest-Timeout: 100\r\n'
--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -30,6 +30,7 @@
     LogReader,
     PeerMessage,
 )
+from .exceptions import ServiceUnavailable
 from .handovers import Handover
 from .links import LinkServer, Peer
 from .messages import (
@@ -163,8 +164,11 @@
             self.actor.tell(Received(peer, message))
 
     def _dump(self) -> Any:
-        attempts: Any = self.actor.ask(DumpState(), timeout=2)
-        configuration: Any = self.configuration.ask(ASK_STATE, timeout=2)
+        try:
+            attempts: Any = self.actor.ask(DumpState(), timeout=2)
+            configuration: Any = self.configuration.ask(ASK_STATE, timeout=2)
+        except pykka.Timeout as error:
+            raise ServiceUnavailable('the agent is too busy') from error
         # The offset that the attempts go by is the one in force.
         return {**configuration, **attempts}
 
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -20,7 +20,7 @@
 from websockets.exceptions import WebSocketException
 from websockets.http11 import Request, Response
 
-from .exceptions import LinkClosed, MessageInvalid
+from .exceptions import LinkClosed, MessageInvalid, ServiceUnavailable
 from .messages import (
     Body,
     Cancel,
@@ -435,5 +435,9 @@
         if request.path != '/state':
             return connection.respond(http.HTTPStatus.NOT_FOUND, 'not found\n')
         loop = asyncio.get_running_loop()
-        state = await loop.run_in_executor(None, self.dump)
+        try:
+            state = await loop.run_in_executor(None, self.dump)
+        except ServiceUnavailable as error:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            return connection.respond(status, f'{error}\n')
         return connection.respond(http.HTTPStatus.OK, json.dumps(state))
