--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,20 +1,28 @@
-"""Slopes of the control work of an entry and an agent against their peers.
+"""Slopes of an entry, an agent and an operator's command.
 
-Each size runs a real process with stand-in peers on loopback. Bytes are those
+Control work against the number of peers, memory against open streams, and an
+operator's round over all processes. Each size runs a real process with stand-in
+peers on loopback. Bytes are those
 of messages and websocket frames, without TCP and IP headers.
 """
 
 import collections
+import http.client
+import json
 import threading
 import time
 
 import psutil
 
 from bench.figures import report
+from primroseyoke.hostlists import HostList
 from primroseyoke.links import LinkPool, LinkServer
 from primroseyoke.messages import Hello, Load, LoadReport, Welcome, encode
+from primroseyoke.operators import Operator
 from primroseyoke.settings import Address
 from tests.fleet import Fleet, free_port, wait_for
+from tests.standins.hostlist import HostList as HostListStandin
+from tests.standins.servers import Standin
 
 SIZES = (16, 64, 128)
 IDLE_SECONDS = 12
@@ -154,6 +162,82 @@
     return rise / spread, mean_value - rise / spread * mean_size
 
 
+def streams():
+    """Return resident bytes of entry and agent at several open streams."""
+    sizes = (0, 50, 100, 200)
+    found = {'entry_stream_bytes': [], 'agent_stream_bytes': []}
+    with Fleet({'cold_limit': 256, 'max_running': 256}) as fleet:
+        fleet.service('draft', 'model', ['zone-a'], tokens=60, token_delay=1)
+        fleet.parts['defaults']['max_running'] = 256
+        entry = fleet.entry('entry', 'zone-a', threads=256)
+        fleet.publish()
+        wait_for(lambda: entry.state()['links'].get('draft-1', {}).get('up'))
+        agent = fleet.processes['draft-1']
+        callers = []
+        for size in sizes:
+            while len(callers) < size:
+                callers.append(_open_stream(entry.address))
+            time.sleep(3)
+            for name, process in (('entry', entry), ('agent', agent)):
+                resident = psutil.Process(process.popen.pid).memory_info().rss
+                found[f'{name}_stream_bytes'].append(resident)
+        for caller in callers:
+            caller.close()
+    return sizes, found
+
+
+def _open_stream(address):
+    host, _, port = address.partition(':')
+    caller = http.client.HTTPConnection(host, int(port))
+    messages = [{'role': 'user', 'content': 'x'}]
+    document = {'model': 'draft', 'stream': True, 'messages': messages}
+    caller.request('POST', '/v1/chat/completions', json.dumps(document))
+    return caller
+
+
+class StateServer(Standin):
+    """A process that only answers its state."""
+
+    def handle(self, handler):
+        handler.reply(200, {'offset': 1})
+
+
+def operator():
+    """Return the seconds in which an operator asks all processes once."""
+    sizes = (10, 50, 200)
+    seconds = []
+    servers = [StateServer().start() for _ in range(max(sizes))]
+    for size in sizes:
+        rows = [
+            {
+                'name': str(number),
+                'role': 'agent',
+                'availability_zone': 'zone-a',
+                'address': server.address,
+            }
+            for number, server in enumerate(servers[:size])
+        ]
+        host_list = HostListStandin(hosts=rows).start()
+        acting = Operator(None, HostList(host_list.address), 'bench')
+        started = time.monotonic()
+        states = acting.states()
+        seconds.append(time.monotonic() - started)
+        assert all(state.has(1) for state in states)
+        host_list.stop()
+    for server in servers:
+        server.stop()
+    return sizes, {'operator_states_seconds': seconds}
+
+
+def report_slopes(sizes, found, unit):
+    for name, values in found.items():
+        for size, value in zip(sizes, values, strict=True):
+            report(f'{name}_at_{size}', value, 'each')
+        per_unit, level = slope(sizes, values)
+        report(f'{name}_per_{unit}', per_unit, 'slope')
+        report(f'{name}_at_zero', level, 'each')
+
+
 def main():
     for role, run, sizes in (
         ('entry', entry_with, SIZES),
@@ -167,6 +251,8 @@
             per_link, level = slope(sizes, values)
             report(f'{role}_{name}_per_link', per_link, 'slope')
             report(f'{role}_{name}_at_0_links', level, 'each')
+    report_slopes(*streams(), 'stream')
+    report_slopes(*operator(), 'process')
 
 
 if __name__ == '__main__':
