Send the load of an agent to statsd

Cause: only the entry sent metrics; an operator saw an agent's load in dumps alone. Metrics had no test. Change: the agent takes `statsd` and sends running, waiting and limit with each load poll.

--- a/primroseyoke/agent.py
+++ b/primroseyoke/agent.py
@@ -43,6 +43,7 @@
     Snapshot,
     Welcome,
 )
+from .metrics import Metrics
 from .programs import repeat, run_program
 from .records import LogService
 from .services import UpstreamClient
@@ -86,6 +87,7 @@
     answer_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 2**18
     client_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 2**21
     process_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 2**23
+    statsd: Address = Address('127.0.0.1', 0)
     log_level: str = 'INFO'
 
 
@@ -98,6 +100,7 @@
         self.stopped = threading.Event()
         self.finished = threading.Event()
         self.incarnation = uuid.uuid4().hex
+        self.metrics = Metrics(settings.statsd, f'agent.{settings.name}')
         self.reported = Load()
         self.reported_at = 0.0
         self.actor = AttemptsActor.start(
@@ -181,6 +184,9 @@
     def _poll_load(self) -> None:
         poll_load(self.upstream, self.actor.tell)
         load = self._load()
+        self.metrics.gauge('running', load.running)
+        self.metrics.gauge('waiting', load.waiting)
+        self.metrics.gauge('limit', load.limit)
         now = time.monotonic()
         overdue = now - self.reported_at >= _LOAD_REPORT_INTERVAL
         if overdue or _is_news(self.reported, load):
