Measure client accounts and private memory with the capacity benchmark

Cause: both figures on the capacity page came from commands typed by hand. Change: bench/capacity.py reports them.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 import json
 import threading
 import time
+import tracemalloc
 
 import psutil
 
@@ -19,6 +20,7 @@
 from primroseyoke.links import LinkPool, LinkServer
 from primroseyoke.messages import Hello, Load, LoadReport, Welcome, encode
 from primroseyoke.operators import Operator
+from primroseyoke.retries import RetryBudget
 from primroseyoke.settings import Address
 from tests.fleet import Fleet, free_port, wait_for
 from tests.standins.hostlist import HostList as HostListStandin
@@ -95,6 +97,7 @@
     return {
         'cpu_share': used / IDLE_SECONDS,
         'resident_bytes': watched.memory_info().rss,
+        'private_bytes': watched.memory_full_info().uss,
         'threads': watched.num_threads(),
         **rates,
     }
@@ -229,6 +232,20 @@
     return sizes, {'operator_states_seconds': seconds}
 
 
+def clients():
+    """Return the bytes that an entry keeps for client accounts."""
+    sizes = (1000, 2000, 4300)
+    kept = []
+    for size in sizes:
+        tracemalloc.start()
+        budget = RetryBudget()
+        for number in range(size):
+            budget.earn(f'client-{number}', now=0)
+        kept.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+    return sizes, {'client_bytes': kept}
+
+
 def report_slopes(sizes, found, unit):
     for name, values in found.items():
         for size, value in zip(sizes, values, strict=True):
@@ -253,6 +270,7 @@
             report(f'{role}_{name}_at_0_links', level, 'each')
     report_slopes(*streams(), 'stream')
     report_slopes(*operator(), 'process')
+    report_slopes(*clients(), 'client')
 
 
 if __name__ == '__main__':
