--- a/bench/slow_readers.py
+++ b/bench/slow_readers.py
@@ -6,6 +6,7 @@
 
 import concurrent.futures
 import contextlib
+import itertools
 import json
 import multiprocessing
 import random
@@ -89,6 +90,9 @@
             rest = rest[int(size, 16) + 2 :]
 
 
+_NUMBERS = itertools.count()
+
+
 def open_stream(address, client, receive_buffer=4096):
     host, _, port = address.partition(':')
     caller = socket.socket()
@@ -99,7 +103,7 @@
         caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
     caller.connect((host, int(port)))
     # Equal prompts would all go to one engine, for its prefix cache.
-    first = {'content': f'caller {caller.getsockname()[1]}'}
+    first = {'content': f'caller {next(_NUMBERS)}'}
     messages = [first, {'content': 'end'}]
     body = json.dumps({'model': 'draft', 'stream': True, 'messages': messages})
     caller.sendall(
