Start a gateway that talks to upstreams directly

Cause: nothing of the product starts on the users' platform: every upstream is reached only through an agent, and plain services there have no host for one. Change: a gateway process (asyncio, h11) with routes, client keys, retries within a shared budget, resumed streams and peer reports; an adapter for the store, settings and headers in primroseyoke/platform.

--- a/primroseyoke/callers.py
+++ b/primroseyoke/callers.py
@@ -12,7 +12,7 @@
 
 from .exceptions import RequestFailed, RequestInvalid
 from .keys import creation_time
-from .services import HOP_HEADERS
+from .hops import HOP_HEADERS
 from .verdicts import Verdict
 
 __all__ = ('CallerRequest', 'issued_key', 'parse_request', 'problem')
--- /dev/null
+++ b/primroseyoke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: a load balancer that talks to upstreams directly."""
--- /dev/null
+++ b/primroseyoke/gateway/balancer.py
@@ -0,0 +1,199 @@
+"""Choice of an upstream for a request, within what each bears.
+
+The places of an upstream are shared by all hosts. Each host tells the others
+how many requests it has at each upstream; what a host knows is its own count
+and the last news of the others.
+"""
+
+import dataclasses
+import math
+import random
+from collections.abc import Collection, Mapping
+
+from .catalogue import Catalogue, Service
+from .requests import Load
+from .upstreams import Fleet, Upstream
+
+__all__ = ('Balancer', 'Place')
+
+# News of another host counts for this time, in seconds: about ten reports.
+_NEWS_LIFETIME = 1.5
+# An upstream that failed is not used for this time, in seconds, which doubles
+# with each failure in a row up to the limit.
+_FIRST_PAUSE = 0.5
+_LONGEST_PAUSE = 4.0
+# A plain service without a reported number of slots.
+_DEFAULT_SLOTS = 8
+# A plain service queues a few requests; more than these per slot wait too long.
+_QUEUE_SHARE = 1.5
+# The advantage of an upstream in the own availability zone, in requests.
+_LOCAL_ADVANTAGE = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Health:
+    failures: int = 0
+    paused_until: float = 0
+    load: Load | None = None
+    cold_tokens: float = 0
+    cold_updated: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _News:
+    """In-progress requests of another host, by upstream."""
+
+    counts: Mapping[str, int]
+    heard_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """A request's place at an upstream."""
+
+    upstream: Upstream
+
+
+class Balancer:
+    """Tracks the use of upstreams and chooses among them.
+
+    Attributes:
+        running: requests of this host in progress, by upstream.
+        hosts: number of hosts that share the upstreams, this one included.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        availability_zone: str,
+        generator: random.Random,
+        region_of: Mapping[str, str],
+    ) -> None:
+        """Choose from ``fleet``, with a preference for the own zone."""
+        self.fleet = fleet
+        self.availability_zone = availability_zone
+        self.generator = generator
+        self.region_of = region_of
+        self.running: dict[str, int] = {}
+        self.news: dict[str, _News] = {}
+        self.health: dict[str, _Health] = {}
+        self.hosts = 1
+
+    def hear(self, host: str, counts: Mapping[str, int], now: float) -> None:
+        """Take another host's report of its requests in progress."""
+        self.news[host] = _News(counts, now)
+
+    def forget(self, host: str) -> None:
+        """Drop the report of a host that has stopped."""
+        self.news.pop(host, None)
+
+    def acquire(
+        self,
+        catalogue: Catalogue,
+        service: str,
+        now: float,
+        excluded: Collection[str] = (),
+        regions: frozenset[str] = frozenset(),
+    ) -> Place | None:
+        """Take a place at the least loaded upstream, None if all are full."""
+        details = catalogue.services.get(service) or Service(service, 0)
+        totals = self._totals(now)
+        best: Upstream | None = None
+        best_score = math.inf
+        for upstream in self.fleet.accepting(service, regions, self.region_of):
+            if upstream.name in excluded or not self._bears(upstream, details, now):
+                continue
+            total = totals.get(upstream.name, 0)
+            limit = self.limit(upstream, details)
+            if total >= limit:
+                continue
+            score = total / limit * 8 + self.generator.random() * 0.5
+            if upstream.availability_zone == self.availability_zone:
+                score -= _LOCAL_ADVANTAGE
+            if score < best_score:
+                best, best_score = upstream, score
+        if best is None:
+            return None
+        self._take(best, details, now)
+        return Place(best)
+
+    def release(self, place: Place) -> None:
+        """Give a place back."""
+        name = place.upstream.name
+        left = self.running.get(name, 0) - 1
+        if left > 0:
+            self.running[name] = left
+        else:
+            self.running.pop(name, None)
+
+    def succeed(self, name: str, load: Load | None) -> None:
+        """Note that an upstream answered."""
+        health = self._health(name)
+        health.failures = 0
+        health.paused_until = 0
+        if load is not None:
+            health.load = load
+
+    def fail(self, name: str, now: float) -> None:
+        """Pause an upstream that could not be reached or broke off."""
+        health = self._health(name)
+        if now < health.paused_until:
+            return
+        pause = min(_FIRST_PAUSE * 2**health.failures, _LONGEST_PAUSE)
+        health.failures += 1
+        # Spread, so that hosts do not all come back at once.
+        health.paused_until = now + pause * (0.8 + 0.4 * self.generator.random())
+
+    def limit(self, upstream: Upstream, service: Service) -> float:
+        """Return how many requests an upstream is to have at most."""
+        if service.engine is not None:
+            return max(service.engine.slots, 1)
+        load = self._health(upstream.name).load
+        slots = load.slots if load and load.slots else _DEFAULT_SLOTS
+        return slots * _QUEUE_SHARE
+
+    def use(self, catalogue: Catalogue, service: str, now: float) -> float:
+        """Return the share of the places of a service that are taken."""
+        details = catalogue.services.get(service) or Service(service, 0)
+        totals = self._totals(now)
+        taken = 0.0
+        places = 0.0
+        for upstream in self.fleet.accepting(service):
+            taken += totals.get(upstream.name, 0)
+            places += self.limit(upstream, details)
+        return taken / places if places else 1
+
+    def prune(self) -> None:
+        """Drop what is known of upstreams that are gone."""
+        for name in set(self.health) - set(self.fleet.upstreams):
+            del self.health[name]
+
+    def _totals(self, now: float) -> dict[str, int]:
+        totals = dict(self.running)
+        for news in self.news.values():
+            if now - news.heard_at < _NEWS_LIFETIME:
+                for name, count in news.counts.items():
+                    totals[name] = totals.get(name, 0) + count
+        return totals
+
+    def _bears(self, upstream: Upstream, service: Service, now: float) -> bool:
+        health = self._health(upstream.name)
+        if now < health.paused_until:
+            return False
+        if not service.cold_rate or now >= upstream.cold_until:
+            return True
+        # Each host takes an even share of what the cold upstream bears.
+        rate = service.cold_rate / (self.hosts + 1)
+        elapsed = now - health.cold_updated
+        health.cold_tokens = min(health.cold_tokens + elapsed * rate, 1)
+        health.cold_updated = now
+        return health.cold_tokens >= 1
+
+    def _take(self, upstream: Upstream, service: Service, now: float) -> None:
+        name = upstream.name
+        self.running[name] = self.running.get(name, 0) + 1
+        if service.cold_rate and now < upstream.cold_until:
+            self._health(name).cold_tokens -= 1
+
+    def _health(self, name: str) -> _Health:
+        return self.health.setdefault(name, _Health())
--- /dev/null
+++ b/primroseyoke/gateway/catalogue.py
@@ -0,0 +1,174 @@
+"""What operators publish: routes, services, clients and limits."""
+
+import dataclasses
+import enum
+import functools
+import math
+from collections.abc import Mapping
+
+__all__ = (
+    'CallerLimits',
+    'Catalogue',
+    'Client',
+    'Engine',
+    'Execution',
+    'Route',
+    'Service',
+    'Target',
+)
+
+
+class Execution(enum.Enum):
+    """How often a request may run."""
+
+    #: It may run again after any failure.
+    IDEMPOTENT = 'idempotent'
+    #: It runs once at most.
+    NON_IDEMPOTENT = 'non_idempotent'
+    #: Its answer is a series of events.
+    STREAM = 'stream'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A service that takes a share of the requests of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests below a path of a host go; times in seconds.
+
+    ``objective`` is the time to the answer, or its first event, that is on
+    time, ``gap_objective`` the longest pause between events, ``timeout`` the
+    longest time that an answer may take. ``attempts`` is the number of
+    upstreams that one request may be sent to. ``regions`` is empty where the
+    requests may go anywhere.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    execution: Execution
+    targets: tuple[Target, ...]
+    timeout: float
+    objective: float
+    gap_objective: float = math.inf
+    attempts: int = 1
+    priority: int = 5
+    public: bool = False
+    resumable: bool = False
+    regions: frozenset[str] = frozenset()
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run a second time."""
+        if self.execution is Execution.STREAM:
+            return self.resumable
+        return self.execution is Execution.IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """How a model engine works; times in seconds.
+
+    A step takes ``step``, and for each running request ``per_sequence`` more,
+    of which ``expert_share`` is spent in experts. A pass has ``stride`` steps.
+    ``placement_slots`` is the number of experts that a rank can hold in a
+    layer, ``spare_slots`` how many of them may be new in one change.
+    """
+
+    slots: int
+    memory_tokens: int
+    step: float
+    per_sequence: float
+    stride: int
+    tokens_per_second: float
+    layers: int = 0
+    experts: int = 0
+    placement_slots: int = 0
+    spare_slots: int = 0
+    expert_share: float = 0
+    expert_load_time: float = 0
+
+    @property
+    def places_experts(self) -> bool:
+        """Tell whether the upstreams are ranks with an expert map."""
+        return self.layers > 0 and self.experts > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A set of upstreams; ``cold_rate`` in requests per second."""
+
+    name: str
+    max_connections: int
+    cold_rate: float = 0
+    engine: Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Client:
+    """A client account with its API keys."""
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+    regions: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalogue:
+    """One version of all that operators publish."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    clients: tuple[Client, ...]
+    limits: CallerLimits
+
+    @functools.cached_property
+    def requires_key(self) -> bool:
+        """Tell whether callers identify their client account."""
+        return bool(self.clients)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, if any."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def client_with(self, key: str) -> Client | None:
+        """Return the client account that holds an API key, if any."""
+        return self._clients_by_key.get(key)
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        hosts: dict[str, list[Route]] = {}
+        longest_first = sorted(
+            self.routes,
+            key=lambda route: len(route.prefix),
+            reverse=True,
+        )
+        for route in longest_first:
+            hosts.setdefault(route.host, []).append(route)
+        return hosts
+
+    @functools.cached_property
+    def _clients_by_key(self) -> dict[str, Client]:
+        return {
+            key: client for client in self.clients for key in client.keys
+        }
--- /dev/null
+++ b/primroseyoke/gateway/clients.py
@@ -0,0 +1,122 @@
+"""A small HTTP client for services of the platform."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from ..exceptions import ServiceRefused, ServiceUnavailable
+from .connections import Connection, connect
+
+__all__ = ('HttpAnswer', 'HttpClient')
+
+_CONNECT_TIMEOUT = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Calls one address over one kept connection, a call at a time."""
+
+    def __init__(self, host: str, port: int) -> None:
+        """Call the service at ``host`` and ``port``."""
+        self.host = host
+        self.port = port
+        self.connection: Connection | None = None
+        self.parser = h11.Connection(h11.CLIENT)
+        self.lock = asyncio.Lock()
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        timeout: float = 2,
+    ) -> HttpAnswer:
+        """Return the answer to a call; ``timeout`` in seconds.
+
+        Raises:
+            ServiceRefused: the call was not sent.
+            ServiceUnavailable: no answer came, or no whole one; the call may
+                have been carried out.
+        """
+        try:
+            async with asyncio.timeout(timeout), self.lock:
+                await self._open()
+                return await self._exchange(method, target, body)
+        except ServiceRefused:
+            raise
+        except (OSError, h11.ProtocolError) as error:
+            self.close()
+            raise ServiceUnavailable(f'{target}: {error!r}') from error
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+
+    async def _open(self) -> None:
+        if self.connection is not None and self.connection.idle:
+            return
+        self.close()
+        try:
+            self.connection = await connect(
+                self.host,
+                self.port,
+                _CONNECT_TIMEOUT,
+            )
+        except OSError as error:
+            raise ServiceRefused(f'no connection: {error!r}') from error
+        self.parser = h11.Connection(h11.CLIENT)
+
+    async def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+    ) -> HttpAnswer:
+        headers = [
+            ('Host', f'{self.host}:{self.port}'),
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ]
+        head = h11.Request(method=method, target=target, headers=headers)
+        connection = self.connection
+        if connection is None:
+            raise ServiceRefused('no connection')
+        content = self.parser.send(head) or b''
+        content += self.parser.send(h11.Data(data=body)) or b''
+        content += self.parser.send(h11.EndOfMessage()) or b''
+        connection.write(content)
+        answer = await self._receive(connection)
+        if self.parser.our_state is h11.DONE:
+            self.parser.start_next_cycle()
+        else:
+            self.close()
+        return answer
+
+    async def _receive(self, connection: Connection) -> HttpAnswer:
+        status = 0
+        chunks = []
+        while True:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA:
+                self.parser.receive_data(await connection.read())
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpAnswer(status, b''.join(chunks))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError('closed before the answer')
--- /dev/null
+++ b/primroseyoke/gateway/connections.py
@@ -0,0 +1,172 @@
+"""A TCP connection as an asyncio protocol."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ('Connection', 'connect')
+
+# Reading pauses while this many received bytes wait, in bytes.
+_READ_AHEAD = 65536
+# A peer that does not read may leave this many bytes waiting to be sent.
+_WRITE_AHEAD = 262144
+# How long sent data may stay unacknowledged before the connection counts as
+# lost, in milliseconds: a silent partition is otherwise noticed after minutes.
+_UNACKNOWLEDGED_MS = 4000
+# Idle time before keep-alive probes, their interval (seconds) and number.
+_KEEP_ALIVE = ((socket.TCP_KEEPIDLE, 2), (socket.TCP_KEEPINTVL, 1))
+_KEEP_ALIVE_PROBES = 3
+
+
+class Connection(asyncio.Protocol):
+    """One end of a TCP connection.
+
+    Attributes:
+        received: bytes that nobody has read yet.
+        ended: whether the peer has closed or the connection is lost.
+        error: what broke the connection, if anything did.
+    """
+
+    def __init__(
+        self,
+        on_open: Callable[['Connection'], None] | None = None,
+    ) -> None:
+        """Call ``on_open`` once the connection is made."""
+        self.on_open = on_open
+        self.transport: Any = None
+        self.received = bytearray()
+        self.ended = False
+        self.closed = False
+        self.error: Exception | None = None
+        self.changed = asyncio.Event()
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        self.transport.set_write_buffer_limits(high=_WRITE_AHEAD)
+        _probe_when_idle(self.transport.get_extra_info('socket'))
+        if self.on_open is not None:
+            self.on_open(self)
+
+    def data_received(self, content: bytes) -> None:
+        """Buffer what arrived."""
+        self.received += content
+        if len(self.received) > _READ_AHEAD:
+            self.transport.pause_reading()
+        self.changed.set()
+
+    def eof_received(self) -> bool:
+        """Note that the peer sends nothing more; keep the connection."""
+        self.ended = True
+        self.changed.set()
+        return True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wake all waiters."""
+        self.ended = True
+        self.closed = True
+        self.error = self.error or error
+        self.changed.set()
+        self.writable.set()
+
+    def pause_writing(self) -> None:
+        """Make ``drain`` wait."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` go on."""
+        self.writable.set()
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether the peer has neither sent nor closed anything."""
+        return not (self.ended or self.received)
+
+    async def read(self) -> bytes:
+        """Return what has arrived, b'' at the end.
+
+        Raises:
+            ConnectionError: the connection broke.
+        """
+        while not self.received and not self.ended:
+            self.changed.clear()
+            await self.changed.wait()
+        if not self.received and self.error is not None:
+            raise ConnectionResetError(str(self.error)) from self.error
+        content = bytes(self.received)
+        self.received.clear()
+        if not self.closed:
+            self.transport.resume_reading()
+        return content
+
+    async def wait_ended(self) -> None:
+        """Return when the peer has closed or the connection is lost."""
+        while not self.ended:
+            self.changed.clear()
+            await self.changed.wait()
+
+    def write(self, content: bytes) -> None:
+        """Send bytes, or buffer them.
+
+        Raises:
+            ConnectionError: the connection is lost.
+        """
+        if self.closed:
+            raise ConnectionResetError('the connection is closed')
+        self.transport.write(content)
+
+    async def drain(self) -> None:
+        """Wait until the peer has read enough.
+
+        Raises:
+            ConnectionError: the connection is lost.
+        """
+        await self.writable.wait()
+        if self.closed:
+            raise ConnectionResetError('the connection is closed')
+
+    def close(self) -> None:
+        """Close after what was written is sent."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def connect(host: str, port: int, timeout: float) -> Connection:
+    """Return a connection to an address; ``timeout`` in seconds.
+
+    Raises:
+        OSError: there is none, or not in time (``TimeoutError``).
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout):
+        transport, connection = await loop.create_connection(
+            Connection, host, port
+        )
+    # Not for accepted connections: the timeout also ends a connection whose
+    # peer keeps its window closed, as a slow reader does.
+    transport.get_extra_info('socket').setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _UNACKNOWLEDGED_MS,
+    )
+    return connection
+
+
+def _probe_when_idle(sock: Any) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, seconds in _KEEP_ALIVE:
+        sock.setsockopt(socket.IPPROTO_TCP, option, seconds)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_KEEPCNT,
+        _KEEP_ALIVE_PROBES,
+    )
--- /dev/null
+++ b/primroseyoke/gateway/listeners.py
@@ -0,0 +1,296 @@
+"""HTTP connections from callers."""
+
+import asyncio
+import dataclasses
+import logging
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import h11
+import msgspec
+
+from ..exceptions import RequestInvalid
+from .catalogue import CallerLimits
+from .connections import Connection
+from .requests import CallerRequest, Codec
+
+__all__ = ('Answer', 'CallerListener')
+
+log = logging.getLogger(__name__)
+
+Handler = Callable[[CallerRequest, 'Answer'], Awaitable[None]]
+
+
+class Answer:
+    """The answer to one request, written to the caller's connection.
+
+    Attributes:
+        started: whether the head was sent.
+        finished: whether the answer is complete.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+        closing: Callable[[], bool],
+    ) -> None:
+        """Write to ``connection``; close it after the answer if ``closing``."""
+        self.connection = connection
+        self.parser = parser
+        self.closing = closing
+        self.status = 0
+        self.started = False
+        self.finished = False
+
+    def start(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+    ) -> None:
+        """Send the head."""
+        fields = list(headers)
+        if self.closing():
+            fields.append((b'connection', b'close'))
+        self.status = status
+        self.started = True
+        self._write(h11.Response(status_code=status, headers=fields))
+
+    async def send(self, content: bytes) -> None:
+        """Send part of the body; wait while the caller reads slowly."""
+        self._write(h11.Data(data=content))
+        await self.connection.drain()
+
+    def finish(self) -> None:
+        """Send the end of the body."""
+        self._write(h11.EndOfMessage())
+        self.finished = True
+
+    def whole(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Send an answer whose body is known."""
+        fields = [
+            (name, text)
+            for name, text in headers
+            if name.lower() != b'content-length'
+        ]
+        fields.append((b'content-length', str(len(body)).encode()))
+        self.start(status, fields)
+        if body:
+            self._write(h11.Data(data=body))
+        self.finish()
+
+    def refuse(
+        self,
+        status: int,
+        detail: str,
+        verdict: str,
+        retry_after: float = 0,
+    ) -> None:
+        """Send an error of our own; ``retry_after`` in seconds, 0 for none."""
+        headers = [(b'content-type', b'application/problem+json')]
+        if retry_after:
+            headers.append((b'retry-after', f'{retry_after:.3f}'.encode()))
+        body = msgspec.json.encode(
+            {'status': status, 'detail': detail, 'verdict': verdict},
+        )
+        self.whole(status, headers, body)
+
+    def abort(self) -> None:
+        """Break the connection: an incomplete answer must not look whole."""
+        self.connection.abort()
+
+    def _write(self, event: h11.Event) -> None:
+        content = self.parser.send(event)
+        if content:
+            self.connection.write(content)
+
+
+class CallerListener:
+    """Accepts callers' connections and serves their requests.
+
+    Attributes:
+        draining: whether connections are closed after their next answer.
+        busy: number of requests in progress.
+    """
+
+    def __init__(
+        self,
+        codec: Codec,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        """Pass each request to ``handler``, within ``limits``."""
+        self.codec = codec
+        self.handler = handler
+        self.limits = limits
+        self.draining = False
+        self.busy = 0
+        self.connections: set[Connection] = set()
+        self.idle: set[Connection] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def accept(self) -> Connection:
+        """Return the protocol of a new connection."""
+        return Connection(self._opened)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in tuple(self.idle):
+            connection.close()
+
+    def _opened(self, connection: Connection) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(connection))
+        self.tasks.add(task)
+        self.connections.add(connection)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _serve(self, connection: Connection) -> None:
+        parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.limits().header_bytes,
+        )
+        try:
+            while await self._serve_one(connection, parser):
+                parser.start_next_cycle()
+        except ConnectionError as error:
+            log.debug('caller connection broke', extra={'error': str(error)})
+        except Exception:
+            log.exception('caller connection failed')
+        finally:
+            self.connections.discard(connection)
+            self.idle.discard(connection)
+            connection.close()
+
+    async def _serve_one(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+    ) -> bool:
+        answer = Answer(connection, parser, lambda: self.draining)
+        try:
+            request = await self._read(connection, parser)
+        except RequestInvalid as error:
+            if not answer.started:
+                answer.refuse(error.status, str(error), 'not_run')
+            return False
+        if request is None:
+            return False
+        self.busy += 1
+        try:
+            await self._handle(connection, request, answer)
+        finally:
+            self.busy -= 1
+        if not answer.finished:
+            answer.abort()
+            return False
+        reusable = parser.our_state is h11.DONE
+        return reusable and parser.their_state is h11.DONE
+
+    async def _handle(
+        self,
+        connection: Connection,
+        request: CallerRequest,
+        answer: Answer,
+    ) -> None:
+        """Run the handler; cancel it when the caller closes."""
+        work = asyncio.ensure_future(self.handler(request, answer))
+        gone = asyncio.ensure_future(connection.wait_ended())
+        try:
+            await asyncio.wait(
+                (work, gone),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            gone.cancel()
+            work.cancel()
+            await asyncio.gather(work, gone, return_exceptions=True)
+        if not work.cancelled() and work.exception() is not None:
+            log.error('request handler failed', exc_info=work.exception())
+
+    async def _read(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+    ) -> CallerRequest | None:
+        """Return the next request, None if the caller closed instead."""
+        limits = self.limits()
+        if not await self._wait_first_byte(connection, parser, limits):
+            return None
+        try:
+            async with asyncio.timeout(limits.header_timeout):
+                head = await self._next_event(connection, parser)
+        except TimeoutError:
+            raise RequestInvalid('the head took too long', 408) from None
+        if not isinstance(head, h11.Request):
+            return None
+        request = self.codec.decode_request(
+            head.method.decode(),
+            head.target.decode('latin-1'),
+            list(head.headers),
+            time.monotonic(),
+        )
+        body = await self._read_body(connection, parser, limits)
+        return dataclasses.replace(request, body=body)
+
+    async def _wait_first_byte(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+        limits: CallerLimits,
+    ) -> bool:
+        rest, _ = parser.trailing_data
+        if rest or connection.received:
+            return True
+        self.idle.add(connection)
+        try:
+            async with asyncio.timeout(limits.idle_timeout):
+                parser.receive_data(await connection.read())
+        except TimeoutError:
+            return False
+        finally:
+            self.idle.discard(connection)
+        return not (connection.ended and not parser.trailing_data[0])
+
+    async def _read_body(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+        limits: CallerLimits,
+    ) -> bytes:
+        chunks: list[bytes] = []
+        size = 0
+        if parser.they_are_waiting_for_100_continue:
+            going = h11.InformationalResponse(status_code=100, headers=[])
+            connection.write(parser.send(going) or b'')
+        while True:
+            try:
+                async with asyncio.timeout(limits.idle_timeout):
+                    event = await self._next_event(connection, parser)
+            except TimeoutError:
+                raise RequestInvalid('the body took too long', 408) from None
+            if not isinstance(event, h11.Data):
+                return b''.join(chunks)
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise RequestInvalid('the body is too large', 413)
+            chunks.append(bytes(event.data))
+
+    async def _next_event(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+    ) -> h11.Event:
+        try:
+            event = parser.next_event()
+            while event is h11.NEED_DATA:
+                parser.receive_data(await connection.read())
+                event = parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RequestInvalid(str(error), error.error_status_hint) from error
+        return event
+
--- /dev/null
+++ b/primroseyoke/gateway/requests.py
@@ -0,0 +1,101 @@
+"""A caller's request and an upstream's reply, decoded from their headers."""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+from typing import Protocol
+
+__all__ = ('CallerRequest', 'Codec', 'Headers', 'Load', 'Outgoing', 'Reply')
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as the caller sent it; times in seconds.
+
+    ``timeout`` is how long the caller waits, counted from ``arrived_at``
+    (monotonic). ``headers`` has those that are passed on. ``resume_after`` is
+    the last event that the caller has of an earlier answer.
+    """
+
+    method: str
+    path: str
+    target: str
+    host: str
+    headers: Headers
+    request_id: str = ''
+    key: str = ''
+    timeout: float = math.inf
+    resume_after: str = ''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    arrived_at: float = 0
+    body: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """What the load balancer adds to a request; ``timeout`` in seconds."""
+
+    upstream: str
+    timeout: float
+    client: str = ''
+    priority: int | None = None
+    resume_after: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """The load that an upstream reports with a reply."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """The head of an upstream's answer.
+
+    ``executed`` is False if the upstream states that it did not run the
+    request. ``culprit`` names the upstream that made it fail, if stated.
+    ``keep_alive`` is for how many seconds the connection may be idle.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str = ''
+    signed: bool = False
+    executed: bool = True
+    load: Load | None = None
+    culprit: str = ''
+    keep_alive: float = math.inf
+    cold_time: float = 0
+
+
+class Codec(Protocol):
+    """Translates headers between the wire and the types of this module."""
+
+    def decode_request(
+        self,
+        method: str,
+        target: str,
+        headers: Iterable[tuple[bytes, bytes]],
+        now: float,
+    ) -> CallerRequest:
+        """Return a request without its body."""
+
+    def encode_request(
+        self,
+        request: CallerRequest,
+        outgoing: Outgoing,
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers that the upstream gets."""
+
+    def decode_reply(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]],
+    ) -> Reply:
+        """Return the head of an answer."""
--- /dev/null
+++ b/primroseyoke/hops.py
@@ -0,0 +1,17 @@
+"""Headers that belong to one connection."""
+
+__all__ = ('HOP_HEADERS',)
+
+# Headers that belong to one connection are not passed on (RFC 9110, 7.6.1).
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
--- a/primroseyoke/journal.py
+++ b/primroseyoke/journal.py
@@ -1,7 +1,8 @@
-"""JSON-line logs on standard error."""
+"""JSON-line logs."""
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -10,15 +11,21 @@
 _FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
-def configure_logging(program: str, name: str, level: str = 'INFO') -> None:
+def configure_logging(
+    program: str,
+    name: str,
+    level: str = 'INFO',
+    stream: TextIO | None = None,
+) -> None:
     """Write each log record as one JSON line that names the process.
 
     Args:
         program: ``entry``, ``agent`` or ``ctl``.
         name: name of the host or upstream.
         level: lowest level that is written.
+        stream: where to write; standard error if it is not given.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             _FIELDS,
--- /dev/null
+++ b/primroseyoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: the only place that knows its names."""
--- /dev/null
+++ b/primroseyoke/platform/adapter.py
@@ -0,0 +1,73 @@
+"""What a gateway gets from the platform."""
+
+import random
+from collections.abc import Callable
+
+from ..gateway.clients import HttpClient
+from ..gateway.knowledge import Knowledge
+from ..gateway.settings import GatewaySettings
+from ..gateway.topics import TopicFollower
+from .feeds import OPERATOR_TOPIC, UPSTREAM_TOPIC, OperatorFeed, UpstreamFeed
+from .headers import HeaderCodec
+from .store import KeyedLog
+
+__all__ = ('UsersPlatform',)
+
+# Gateways by address; the value is the host's name.
+_GATEWAY_TOPIC = 'keyed.gateways'
+# Upstreams write every 1.2 s. A leaving one must get no requests 2 s after it
+# said so, and each read is priced: a second is the longest safe pause.
+_UPSTREAM_INTERVAL = 1.0
+
+
+class UsersPlatform:
+    """The platform that the users run; implements ``gateway.Platform``."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        """Use the store in ``settings``."""
+        self.settings = settings
+        self.codec = HeaderCodec()
+        self.gateways = self._log(_GATEWAY_TOPIC)
+
+    def followers(
+        self,
+        knowledge: Knowledge,
+        changed: Callable[[], None],
+        generator: random.Random,
+    ) -> list[TopicFollower]:
+        """Return what keeps ``knowledge`` up to date."""
+        operators = OperatorFeed(knowledge)
+        upstreams = UpstreamFeed(knowledge, changed)
+        return [
+            TopicFollower(
+                OPERATOR_TOPIC,
+                self._log(OPERATOR_TOPIC),
+                operators.receive,
+                0,
+                generator,
+            ),
+            TopicFollower(
+                UPSTREAM_TOPIC,
+                self._log(UPSTREAM_TOPIC),
+                upstreams.receive,
+                _UPSTREAM_INTERVAL,
+                generator,
+            ),
+        ]
+
+    async def register(self) -> list[str]:
+        """Add this host to the list of gateways; return their addresses."""
+        await self.gateways.append(
+            self.settings.address,
+            self.settings.host.encode(),
+        )
+        page = await self.gateways.newest()
+        return [record.key for record in page.records if record.value]
+
+    async def unregister(self) -> None:
+        """Remove this host from the list of gateways."""
+        await self.gateways.append(self.settings.address, b'')
+
+    def _log(self, topic: str) -> KeyedLog:
+        address = self.settings.store.address
+        return KeyedLog(HttpClient(address.host, address.port), topic)
--- /dev/null
+++ b/primroseyoke/platform/feeds.py
@@ -0,0 +1,177 @@
+"""Turns records of the store into what the product knows."""
+
+import functools
+import logging
+from collections.abc import Callable
+
+from ..exceptions import ConfigurationInvalid
+from ..gateway.knowledge import Knowledge
+from ..gateway.topics import Changes, KeyedRecord, Listing, News, Returned
+from ..gateway.upstreams import Upstream
+from .entries import decode_catalogue, decode_upstream
+
+__all__ = ('OPERATOR_TOPIC', 'UPSTREAM_TOPIC', 'OperatorFeed', 'UpstreamFeed')
+
+log = logging.getLogger(__name__)
+
+OPERATOR_TOPIC = 'keyed.op'
+UPSTREAM_TOPIC = 'keyed.servers'
+
+_CONFIGURATION = 'config'
+_ZONE_OUT = 'evacuate/'
+
+
+class OperatorFeed:
+    """Takes configurations and zones that operators take out."""
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        """Keep ``knowledge`` up to date."""
+        self.knowledge = knowledge
+
+    @functools.singledispatchmethod
+    def receive(self, news: News) -> None:
+        """Take news of the operators' topic."""
+        raise TypeError(f'not news of a topic: {news!r}')
+
+    @receive.register
+    def _receive_listing(self, news: Listing) -> None:
+        self._set_zones(frozenset(), news.records)
+        self._publish(news.records)
+        self.knowledge.confirmed_at = news.read_at
+
+    @receive.register
+    def _receive_changes(self, news: Changes) -> None:
+        self._set_zones(self.knowledge.fleet.zones_out, news.records)
+        self._publish(news.records)
+        self.knowledge.confirmed_at = news.read_at
+
+    @receive.register
+    def _receive_return(self, news: Returned) -> None:
+        self.knowledge.confirmed_at = news.read_at
+
+    def _set_zones(
+        self,
+        before: frozenset[str],
+        records: tuple[KeyedRecord, ...],
+    ) -> None:
+        zones = set(before)
+        for record in records:
+            if not record.key.startswith(_ZONE_OUT):
+                continue
+            zone = record.key.removeprefix(_ZONE_OUT)
+            if record.value:
+                zones.add(zone)
+            else:
+                zones.discard(zone)
+        fleet = self.knowledge.fleet
+        if zones != fleet.zones_out:
+            log.info('zones taken out', extra={'zones': sorted(zones)})
+            fleet.zones_out = frozenset(zones)
+
+    def _publish(self, records: tuple[KeyedRecord, ...]) -> None:
+        found = [
+            record
+            for record in records
+            if record.key == _CONFIGURATION and record.value
+        ]
+        # Only the newest is decoded: a configuration holds everything.
+        for record in found[-1:]:
+            try:
+                catalogue = decode_catalogue(record.value)
+            except ConfigurationInvalid as error:
+                log.error(
+                    'configuration rejected',
+                    extra={'offset': record.offset, 'reason': str(error)},
+                )
+                continue
+            if self.knowledge.publish(catalogue):
+                log.info(
+                    'configuration in force',
+                    extra={
+                        'version': catalogue.version,
+                        'offset': record.offset,
+                    },
+                )
+
+
+class UpstreamFeed:
+    """Takes the entries that upstreams write about themselves."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        changed: Callable[[], None],
+    ) -> None:
+        """Keep ``knowledge`` up to date; call ``changed`` after each change."""
+        self.knowledge = knowledge
+        self.changed = changed
+        self.rejected: set[str] = set()
+
+    @functools.singledispatchmethod
+    def receive(self, news: News) -> None:
+        """Take news of the upstreams' topic."""
+        raise TypeError(f'not news of a topic: {news!r}')
+
+    @receive.register
+    def _receive_listing(self, news: Listing) -> None:
+        fleet = self.knowledge.fleet
+        present = []
+        for record in news.records:
+            upstream = self._decode(record, news.read_at)
+            # An entry that cannot be read says nothing about the upstream.
+            upstream = upstream or fleet.upstreams.get(record.key)
+            if upstream is not None and record.value:
+                present.append(upstream)
+        fleet.replace(present, news.read_at)
+        log.info('upstreams listed', extra={'upstreams': len(present)})
+        self.changed()
+
+    @receive.register
+    def _receive_changes(self, news: Changes) -> None:
+        fleet = self.knowledge.fleet
+        newest = {record.key: record for record in news.records}
+        for record in newest.values():
+            self._apply(record, news.read_at)
+        fleet.expire(news.read_at)
+        if newest:
+            self.changed()
+
+    @receive.register
+    def _receive_return(self, news: Returned) -> None:
+        self.knowledge.fleet.store_returned(news.read_at)
+
+    def _apply(self, record: KeyedRecord, now: float) -> None:
+        fleet = self.knowledge.fleet
+        known = fleet.upstreams.get(record.key)
+        if not record.value:
+            if known is not None:
+                log.info('upstream gone', extra={'upstream': record.key})
+            fleet.drop(record.key, now)
+            return
+        upstream = self._decode(record, now)
+        if upstream is None:
+            return
+        if known is None or known.draining != upstream.draining:
+            log.info(
+                'upstream known',
+                extra={
+                    'upstream': upstream.name,
+                    'draining': upstream.draining,
+                    'offset': record.offset,
+                },
+            )
+        fleet.put(upstream)
+
+    def _decode(self, record: KeyedRecord, now: float) -> Upstream | None:
+        if not record.value:
+            return None
+        try:
+            return decode_upstream(record.key, record.value, now)
+        except ConfigurationInvalid as error:
+            if record.key not in self.rejected:
+                self.rejected.add(record.key)
+                log.warning(
+                    'entry skipped',
+                    extra={'offset': record.offset, 'reason': str(error)},
+                )
+            return None
--- /dev/null
+++ b/primroseyoke/platform/settings.py
@@ -0,0 +1,117 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+from typing import Annotated, Any
+
+import msgspec
+import yaml
+
+from ..exceptions import SettingsInvalid
+from ..gateway.settings import GatewaySettings, StoreSettings
+from ..settings import Address
+
+__all__ = ('load_platform_settings', 'settings_path')
+
+_PATH_VARIABLE = 'PRIMROSEYOKE_CONFIG'
+_DEFAULT_PATH = '/etc/primroseyoke/settings.yaml'
+_MS = 1000
+
+_Ratio = Annotated[float, msgspec.Meta(ge=0)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct, rename='camel'):
+    grace_s: _Ratio = 8
+    budget_ratio: _Ratio = 0.2
+    budget_window_s: _Ratio = 10
+    budget_slack: _Ratio = 0
+    drain_ms: _Milliseconds = 2000
+
+
+class _Provider(msgspec.Struct, rename='camel'):
+    address: str
+    ttl_min_ms: _Milliseconds = 1000
+
+
+class _Settings(msgspec.Struct, rename='camel'):
+    node: Annotated[str, msgspec.Meta(min_length=1)]
+    ip: str
+    zone: str
+    listen: _Listen
+    provider: _Provider
+    zones: dict[str, str] = {}
+    internal_ports: tuple[_Port, ...] = ()
+    seeds: tuple[str, ...] = ()
+    heartbeat_ms: _Milliseconds = 1200
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> str:
+    """Return where the platform writes the settings file."""
+    return os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
+
+
+def load_platform_settings(path: str) -> GatewaySettings:
+    """Return the settings of a gateway.
+
+    Raises:
+        SettingsInvalid: the file cannot be used; the text names the file, the
+            key, what was found and what is accepted.
+    """
+    try:
+        with open(path, encoding='utf-8') as stream:
+            found = yaml.load(stream, Loader=_loader())
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        reason = ' '.join(str(error).split())
+        raise SettingsInvalid(f'{path}: unreadable: {reason}') from error
+    try:
+        settings = msgspec.convert(found, _Settings, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsInvalid(f'{path}: {error}') from error
+    return _translate(path, settings)
+
+
+def _translate(path: str, settings: _Settings) -> GatewaySettings:
+    bounds = settings.bounds
+    return GatewaySettings(
+        host=settings.node,
+        availability_zone=settings.zone,
+        address=settings.ip,
+        callers=_address(path, 'listen.front', settings.listen.front),
+        readiness=_address(path, 'listen.ready', settings.listen.ready),
+        peer_ports=settings.internal_ports,
+        seeds=tuple(
+            _address(path, 'seeds', seed).host for seed in settings.seeds
+        ),
+        region_of=dict(settings.zones),
+        store=StoreSettings(
+            address=_address(
+                path, 'provider.address', settings.provider.address
+            ),
+            shortest_lease=settings.provider.ttl_min_ms / _MS,
+        ),
+        grace=bounds.grace_s,
+        repeat_ratio=bounds.budget_ratio,
+        repeat_slack=bounds.budget_slack,
+        repeat_window=bounds.budget_window_s,
+    )
+
+
+def _address(path: str, key: str, text: str) -> Address:
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        raise SettingsInvalid(
+            f'{path}: {key}: found {text!r}: expected ip:port',
+        ) from error
+
+
+def _loader() -> Any:
+    # The C loader is faster and needs less memory where it is built.
+    return getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
--- a/primroseyoke/services.py
+++ b/primroseyoke/services.py
@@ -24,6 +24,7 @@
     ServiceRefused,
     ServiceUnavailable,
 )
+from .hops import HOP_HEADERS
 from .verdicts import Verdict
 
 __all__ = ('UpstreamAnswer', 'UpstreamClient', 'UpstreamRequest')
@@ -35,20 +36,6 @@
 # A connection that has ended, or was released, cannot be shut down.
 _CLOSE_ERRORS = (HTTPError, OSError, ValueError, RuntimeError)
 
-# Headers that belong to one connection are not passed on (RFC 9110, 7.6.1).
-HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamRequest:
