Follow expert popularity with the maps of rank groups

Change: one gateway reads the counts of one rank every 0.4 s and adds replicas of what is hot. A change prepares all ranks, holds a pass, arms all, releases.

--- a/primroseyoke/gateway/clients.py
+++ b/primroseyoke/gateway/clients.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import types
+from collections.abc import Mapping
 
 import h11
 
@@ -38,6 +40,7 @@
         target: str,
         body: bytes = b'',
         timeout: float = 2,
+        headers: Mapping[str, str] = types.MappingProxyType({}),
     ) -> HttpAnswer:
         """Return the answer to a call; ``timeout`` in seconds.
 
@@ -49,7 +52,7 @@
         try:
             async with asyncio.timeout(timeout), self.lock:
                 await self._open()
-                return await self._exchange(method, target, body)
+                return await self._exchange(method, target, body, headers)
         except ServiceRefused:
             raise
         except (OSError, h11.ProtocolError) as error:
@@ -84,13 +87,15 @@
         method: str,
         target: str,
         body: bytes,
+        headers: Mapping[str, str],
     ) -> HttpAnswer:
-        headers = [
+        fields = [
             ('Host', f'{self.host}:{self.port}'),
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(body))),
+            *headers.items(),
         ]
-        head = h11.Request(method=method, target=target, headers=headers)
+        head = h11.Request(method=method, target=target, headers=fields)
         connection = self.connection
         if connection is None:
             raise ServiceRefused('no connection')
--- /dev/null
+++ b/primroseyoke/gateway/experts.py
@@ -0,0 +1,362 @@
+"""Keeps the expert maps of rank groups close to what is popular.
+
+One gateway does this for all; see ``peers`` for which. It reads the counts of
+one rank, which foretell those of all, and changes the map of each group when
+the predicted skew is worth the move.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import math
+import random
+import time
+import zlib
+from collections.abc import Callable
+
+from ..exceptions import ServiceUnavailable
+from .catalogue import Engine
+from .engines import Engines, RankReport
+from .knowledge import Knowledge
+from .placement import (
+    Limits,
+    Placement,
+    Plan,
+    first_placement,
+    plan_replicas,
+)
+from .switching import VERSION_STEP, MapSwitch
+from .upstreams import Upstream
+
+__all__ = ('ExpertDirector',)
+
+log = logging.getLogger(__name__)
+
+# How often counts are read, in seconds. Popularity changes every few seconds
+# and one read of a rank costs half as much as a request earns.
+_INTERVAL = 0.4
+# Counts of a window with fewer choices in all layers are noise.
+_MIN_CHOICES = 6000
+# A map is changed if the mean skew falls by more than this.
+_MIN_GAIN = 0.25
+_TARGET_SKEW = 1.3
+# Each new expert of a rank takes 0.15 s to load.
+_NEW_PER_RANK = 3
+# Reports are this old, in seconds, and a few orders take this long.
+_REPORT_AGE = 0.25
+_ORDERS_TIME = 0.05
+# Loading is a little slower than the link allows, in seconds.
+_LOAD_MARGIN = 0.05
+_HOLD_TRIES = 3
+# Another host may be about to finish what it began, in seconds.
+_FOREIGN_CHANGE = 1.0
+# A gateway that has just started hears of the others first, in seconds.
+_LISTEN_FIRST = 2.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Group:
+    """A rank group as last surveyed; ``ranks`` in the order of their rank."""
+
+    name: str
+    epoch: int
+    ranks: list[Upstream]
+    version: int
+    highest: int
+    placement: Placement
+    step: int
+    surveyed_at: float
+    pass_time: float = 0.06
+    busy: bool = False
+
+
+class ExpertDirector:
+    """Surveys groups, plans maps and switches to them.
+
+    Attributes:
+        groups: the groups that are complete, by name.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        engines: Engines,
+        knowledge: Knowledge,
+        is_leader: Callable[[], bool],
+        generator: random.Random,
+    ) -> None:
+        """Give orders through ``engines`` while ``is_leader``."""
+        self.host_number = zlib.crc32(host.encode()) % VERSION_STEP
+        self.engines = engines
+        self.knowledge = knowledge
+        self.is_leader = is_leader
+        self.generator = generator
+        self.groups: dict[str, _Group] = {}
+        self.members: frozenset[Upstream] = frozenset()
+        self.sampled: tuple[str, int, tuple[int, ...]] | None = None
+        self.changes: set[asyncio.Task[None]] = set()
+        self.held_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        await asyncio.sleep(_LISTEN_FIRST)
+        leading = False
+        while True:
+            await asyncio.sleep(_INTERVAL)
+            if self.is_leader() != leading:
+                leading = not leading
+                log.info('expert maps', extra={'leading': leading})
+                self.groups.clear()
+                self.members = frozenset()
+            if leading:
+                try:
+                    await self._step()
+                except ServiceUnavailable as error:
+                    log.info('no counts', extra={'reason': str(error)})
+
+    async def finish(self) -> None:
+        """Wait until no change is in progress."""
+        if self.changes:
+            await asyncio.wait(self.changes)
+
+    async def _step(self) -> None:
+        for service, engine in self._services():
+            members = frozenset(
+                dataclasses.replace(upstream, cold_until=0, draining=False)
+                for upstream in self.knowledge.fleet.upstreams.values()
+                if upstream.service == service
+            )
+            if members != self.members or not self.groups:
+                self.members = members
+                await self._survey(engine)
+            counts = await self._sample()
+            if counts is None:
+                continue
+            for group in tuple(self.groups.values()):
+                if not group.busy:
+                    self._consider(group, engine, counts)
+
+    def _services(self) -> list[tuple[str, Engine]]:
+        catalogue = self.knowledge.catalogue
+        if catalogue is None:
+            return []
+        return [
+            (service.name, service.engine)
+            for service in catalogue.services.values()
+            if service.engine is not None and service.engine.places_experts
+        ]
+
+    async def _sample(self) -> tuple[int, ...] | None:
+        """Return what was chosen since the last sample of the same rank."""
+        ranks = [rank for group in self.groups.values() for rank in group.ranks]
+        if not ranks:
+            return None
+        before = self.sampled
+        names = {rank.name: rank for rank in ranks}
+        if before is None or before[0] not in names:
+            before = None
+            rank = self.generator.choice(ranks)
+        else:
+            rank = names[before[0]]
+        self.sampled = None
+        found = await self.engines.counts(rank)
+        self.sampled = (rank.name, found.epoch, found.counts)
+        if before is None or before[1] != found.epoch:
+            return None
+        counts = tuple(
+            after - earlier
+            for after, earlier in zip(found.counts, before[2], strict=True)
+        )
+        if min(counts) < 0 or sum(counts) < _MIN_CHOICES:
+            # An idle rank tells nothing: another is asked next time.
+            self.sampled = None if sum(counts) < _MIN_CHOICES else self.sampled
+            return None
+        return counts
+
+    def _consider(
+        self,
+        group: _Group,
+        engine: Engine,
+        counts: tuple[int, ...],
+    ) -> None:
+        plan = plan_replicas(
+            counts,
+            group.placement,
+            Limits(
+                slots=engine.placement_slots,
+                new_per_layer=engine.spare_slots,
+                new_per_rank=_NEW_PER_RANK,
+                target=_TARGET_SKEW,
+            ),
+        )
+        if plan.before - plan.after < _MIN_GAIN:
+            return
+        group.busy = True
+        task = asyncio.get_running_loop().create_task(
+            self._change(group, engine, plan),
+        )
+        self.changes.add(task)
+        task.add_done_callback(self._changed)
+
+    def _changed(self, task: asyncio.Task[None]) -> None:
+        self.changes.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error('map change failed', exc_info=task.exception())
+            self.groups.clear()
+
+    async def _change(
+        self,
+        group: _Group,
+        engine: Engine,
+        plan: Plan,
+    ) -> None:
+        started = time.monotonic()
+        version = self._next_version(group)
+        switch = MapSwitch(self.engines, group.ranks, group.epoch)
+        switched = False
+        if await switch.prepare(version, plan.placement):
+            copies = max(plan.copies)
+            load_time = copies * engine.expert_load_time + _LOAD_MARGIN
+            await asyncio.sleep(load_time)
+            for _ in range(_HOLD_TRIES):
+                switched = await switch.switch(
+                    version,
+                    group.placement,
+                    lambda: self._next_step(group),
+                )
+                if switched or switch.held is not None:
+                    break
+        log.info(
+            'map changed' if switched else 'map not changed',
+            extra={
+                'group': group.name,
+                'epoch': group.epoch,
+                'version': version,
+                'copies': sum(plan.copies),
+                'skew_before': round(plan.before, 2),
+                'skew_after': round(plan.after, 2),
+                'seconds': round(time.monotonic() - started, 2),
+            },
+        )
+        if switched:
+            group.version = version
+            group.highest = version
+            group.placement = plan.placement
+            group.busy = False
+        else:
+            # Its state is not known any more: survey it again.
+            self.groups.pop(group.name, None)
+            self.groups.clear()
+
+    def _next_version(self, group: _Group) -> int:
+        base = group.highest // VERSION_STEP + 1
+        return base * VERSION_STEP + self.host_number
+
+    async def _next_step(self, group: _Group) -> int:
+        """Return a pass that has not begun but soon will."""
+        report = await self.engines.report(group.ranks[0])
+        now = time.monotonic()
+        if report is None:
+            raise ServiceUnavailable(f'{group.name}: rank 0 left its group')
+        passes = report.step - group.step
+        if passes > 0:
+            group.pass_time = (now - group.surveyed_at) / passes
+        group.step = report.step
+        group.surveyed_at = now
+        ahead = (_REPORT_AGE + _ORDERS_TIME) / max(group.pass_time, 0.01)
+        return report.step + math.ceil(ahead) + 1
+
+    async def _survey(self, engine: Engine) -> None:
+        """Learn the groups from the reports of all ranks."""
+        reports = await asyncio.gather(
+            *(self.engines.report(upstream) for upstream in self.members),
+            return_exceptions=True,
+        )
+        found: dict[str, dict[int, tuple[Upstream, RankReport]]] = {}
+        for upstream, report in zip(self.members, reports):
+            if isinstance(report, RankReport) and report.is_open:
+                ranks = found.setdefault(report.group, {})
+                ranks[report.rank] = (upstream, report)
+        self.groups.clear()
+        for name, ranks in found.items():
+            await self._add_group(name, ranks, engine)
+
+    async def _add_group(
+        self,
+        name: str,
+        ranks: dict[int, tuple[Upstream, RankReport]],
+        engine: Engine,
+    ) -> None:
+        ordered = [ranks[rank] for rank in sorted(ranks)]
+        reports = [report for _, report in ordered]
+        upstreams = [upstream for upstream, _ in ordered]
+        first = reports[0]
+        if len(ranks) != first.ranks:
+            return
+        if len({(report.epoch, report.placement) for report in reports}) > 1:
+            return
+        placement = await self._placement(first, upstreams, engine)
+        highest = max(
+            max(report.placement, report.prepared or 0, report.armed or 0)
+            for report in reports
+        )
+        group = _Group(
+            name=name,
+            epoch=first.epoch,
+            ranks=upstreams,
+            version=first.placement,
+            highest=highest,
+            placement=placement,
+            step=first.step,
+            surveyed_at=time.monotonic(),
+        )
+        if await self._recover(group, reports):
+            self.groups[name] = group
+
+    async def _placement(
+        self,
+        report: RankReport,
+        upstreams: list[Upstream],
+        engine: Engine,
+    ) -> Placement:
+        if report.placement == 0:
+            return first_placement(
+                engine.layers,
+                engine.experts,
+                report.ranks,
+            )
+        by_rank = await asyncio.gather(
+            *(self.engines.placement(upstream) for upstream in upstreams),
+        )
+        return tuple(
+            tuple(tuple(rank[layer]) for rank in by_rank)
+            for layer in range(engine.layers)
+        )
+
+    async def _recover(self, group: _Group, reports: list[RankReport]) -> bool:
+        """End a change that another host left; tell whether none is open."""
+        held = next((report.held for report in reports if report.held), None)
+        armed = {
+            (report.armed, report.armed_step)
+            for report in reports
+            if report.armed
+        }
+        if held is None and not armed:
+            self.held_since.pop(group.name, None)
+            return True
+        now = time.monotonic()
+        if now - self.held_since.setdefault(group.name, now) < _FOREIGN_CHANGE:
+            return False
+        log.warning(
+            'map change of another host found',
+            extra={'group': group.name, 'held': held, 'armed': len(armed)},
+        )
+        switch = MapSwitch(self.engines, group.ranks, group.epoch)
+        if len(armed) == 1 and held is not None:
+            version, step = next(iter(armed))
+            if version and await switch.finish(version, step or held):
+                return False
+        if await switch.undo(group.highest, group.placement):
+            if held is not None:
+                await switch.release(held)
+        return False
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -14,6 +14,8 @@
 from .balancer import Balancer
 from .budgets import SendBudget
 from .channels import ChannelPool
+from .engines import Engines
+from .experts import ExpertDirector
 from .knowledge import Knowledge
 from .listeners import Answer, CallerListener
 from .peers import PeerReports
@@ -40,6 +42,7 @@
     """What a gateway needs of the platform; the adapter implements it."""
 
     codec: Codec
+    engines: Engines
 
     def followers(
         self,
@@ -98,6 +101,13 @@
             settings.peer_ports[0] if settings.peer_ports else 0,
         )
         self.peers.balancer = self.balancer
+        self.director = ExpertDirector(
+            settings.host,
+            platform.engines,
+            self.knowledge,
+            lambda: self.ready and self.peers.is_first,
+            self.generator,
+        )
         self.callers = CallerListener(
             platform.codec,
             self.relay.handle,
@@ -136,6 +146,7 @@
             self._start(follower.run())
         self._start(self._register())
         self._start(self._sweep())
+        self._start(self.director.run())
         await self.stopping.wait()
         await self._drain()
         for server in servers:
@@ -202,6 +213,7 @@
         log.info('draining', extra={'requests': self.callers.busy})
         started = loop.time()
         self.callers.draining = True
+        self.peers.report(stopping=True)
         with contextlib.suppress(ServiceUnavailable):
             await self.platform.unregister()
         await asyncio.sleep(max(started + _NOTICE - loop.time(), 0))
@@ -209,7 +221,7 @@
         deadline = started + self.settings.grace - _EXIT_MARGIN
         while self.callers.busy and loop.time() < deadline:
             await asyncio.sleep(0.05)
-        self.peers.report(stopping=True)
+        await self.director.finish()
 
     async def _answer_readiness(
         self,
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -24,6 +24,8 @@
 _INTERVAL = 0.1
 # ... and this often without any change, so that the news does not expire.
 _QUIET_INTERVAL = 0.8
+# A host that was heard within this time, in seconds, does its duties.
+_PRESENT = 1.7
 # A host that was not heard for this time is gone, in seconds.
 _LIFETIME = 10.0
 
@@ -45,6 +47,7 @@
         self.heard: dict[str, float] = {}
         self.last: dict[str, int] = {}
         self.last_sent = 0.0
+        self.stopping = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -85,6 +88,16 @@
         """Return the number of hosts that share the load, this one included."""
         return len(self.heard) + 1
 
+    @property
+    def is_first(self) -> bool:
+        """Tell whether this host comes first of those that are heard now."""
+        now = time.monotonic()
+        return not any(
+            address < self.address
+            for address, heard_at in self.heard.items()
+            if now - heard_at < _PRESENT
+        )
+
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
@@ -97,13 +110,14 @@
         balancer = self.balancer
         if balancer is None or self.transport is None:
             return
+        self.stopping = self.stopping or stopping
         now = time.monotonic()
         unchanged = balancer.running == self.last and not stopping
         if unchanged and now - self.last_sent < _QUIET_INTERVAL:
             return
         self.last = dict(balancer.running)
         self.last_sent = now
-        content = cbor2.dumps([self.host, self.last, stopping])
+        content = cbor2.dumps([self.host, self.last, self.stopping])
         for address in self.heard:
             self.transport.sendto(content, (address, self.port))
 
--- /dev/null
+++ b/primroseyoke/gateway/switching.py
@@ -0,0 +1,192 @@
+"""Switches all ranks of a group to another expert map in the same pass.
+
+A pass must never begin while two ranks have different maps, whatever becomes of
+an order: its answer can be lost, it can be carried out seconds later, the host
+that gives the orders can die or pause, and another can take over meanwhile.
+
+1. Every rank prepares the new version. Nothing has changed if this fails.
+2. One pass is held at the first rank, which takes one hold at a time. A second
+   host that tries meanwhile gets a conflict, so holds exclude each other.
+3. Every rank is armed for the held pass. The pass cannot begin, however long
+   that takes, so the ranks cannot differ.
+4. Once every rank has confirmed, the pass is released.
+
+If a rank cannot be armed, all are disarmed and prepare one more version with
+the map in use: a delayed order to arm the old version then conflicts. Only
+after that is the pass released. Orders name the epoch of the group, so none
+outlives a restart of a rank.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+
+from .engines import (
+    Arm,
+    Disarm,
+    Engines,
+    Hold,
+    Order,
+    OrderResult,
+    Prepare,
+    Release,
+)
+from .placement import Placement
+from .upstreams import Upstream
+
+__all__ = ('MapSwitch',)
+
+log = logging.getLogger(__name__)
+
+# How long one order may take, in seconds: a round trip between zones takes 3 ms.
+_ORDER_TIMEOUT = 0.08
+# How often an order is repeated before a change is given up.
+_TRIES = 6
+# Ranks are armed this often before the change is undone; in between they may
+# still be loading weights. The pass may be held meanwhile.
+_ARM_TRIES = 12
+# Undoing goes on until each rank confirms or is gone: the group stands still.
+_UNDO_TRIES = 30
+_PAUSE = 0.04
+# Versions of different hosts must differ: their lower part names the host.
+VERSION_STEP = 1024
+
+
+class MapSwitch:
+    """One change of the map of one group.
+
+    Attributes:
+        held: the pass that may be held, None if none can be.
+    """
+
+    def __init__(
+        self,
+        engines: Engines,
+        ranks: Sequence[Upstream],
+        epoch: int,
+    ) -> None:
+        """Give orders to ``ranks``, in the order of their ranks."""
+        self.engines = engines
+        self.ranks = ranks
+        self.epoch = epoch
+        self.held: int | None = None
+
+    async def prepare(self, version: int, placement: Placement) -> bool:
+        """Make every rank load the weights; tell whether all confirmed."""
+        order = Prepare(self.epoch, version, placement)
+        return await self._all_accept(order, _TRIES)
+
+    async def switch(
+        self,
+        version: int,
+        current: Placement,
+        next_step: Callable[[], Awaitable[int]],
+    ) -> bool:
+        """Switch to a prepared version; tell whether that was done.
+
+        Args:
+            version: the version that every rank has prepared.
+            current: the placement in use, to undo with.
+            next_step: returns a pass that has not begun, to switch at.
+        """
+        step = await next_step()
+        held = await self._send(self.ranks[0], Hold(self.epoch, step), _TRIES)
+        if held is OrderResult.UNKNOWN:
+            # It may be carried out later: whoever leads releases it then.
+            self.held = step
+            return False
+        if held is not OrderResult.ACCEPTED:
+            return False
+        self.held = step
+        armed = await self._all_accept(
+            Arm(self.epoch, version, step),
+            _ARM_TRIES,
+        )
+        if armed or await self.undo(version, current):
+            await self.release(step)
+        return armed
+
+    async def finish(self, version: int, step: int) -> bool:
+        """Arm the remaining ranks for a pass that is held, and release it."""
+        self.held = step
+        if not await self._all_accept(
+            Arm(self.epoch, version, step),
+            _ARM_TRIES,
+        ):
+            return False
+        await self.release(step)
+        return True
+
+    async def undo(self, version: int, current: Placement) -> bool:
+        """Disarm every rank, and make delayed orders to arm conflict.
+
+        Returns:
+            Whether every rank has confirmed, so that the pass may begin.
+        """
+        log.warning(
+            'map change undone',
+            extra={'version': version, 'epoch': self.epoch},
+        )
+        undone = await asyncio.gather(
+            *(self._undo_rank(rank, version, current) for rank in self.ranks),
+        )
+        return all(undone)
+
+    async def release(self, step: int) -> None:
+        """Let the held pass begin."""
+        result = await self._send(
+            self.ranks[0],
+            Release(self.epoch, step),
+            _UNDO_TRIES,
+        )
+        if result is not OrderResult.UNKNOWN:
+            self.held = None
+
+    async def _undo_rank(
+        self,
+        rank: Upstream,
+        version: int,
+        current: Placement,
+    ) -> bool:
+        newer = version
+        for _ in range(_UNDO_TRIES):
+            disarm = Disarm(self.epoch, version)
+            result = await self._send(rank, disarm, _TRIES)
+            if result is OrderResult.REFUSED:
+                return True
+            newer += VERSION_STEP
+            prepare = Prepare(self.epoch, newer, current)
+            result = await self._send(rank, prepare, _TRIES)
+            if result in {OrderResult.ACCEPTED, OrderResult.REFUSED}:
+                return True
+        return False
+
+    async def _all_accept(self, order: Order, tries: int) -> bool:
+        results = await asyncio.gather(
+            *(self._send(rank, order, tries) for rank in self.ranks),
+        )
+        return all(result is OrderResult.ACCEPTED for result in results)
+
+    async def _send(
+        self,
+        rank: Upstream,
+        order: Order,
+        tries: int,
+    ) -> OrderResult:
+        """Repeat an order until it is accepted or can't be.
+
+        A conflict after an answer was lost may mean that the lost order was
+        carried out; orders are repeated unchanged, and a rank that is in the
+        state asked for accepts them.
+        """
+        result = OrderResult.UNKNOWN
+        for attempt in range(tries):
+            if attempt:
+                await asyncio.sleep(_PAUSE)
+            result = await self.engines.order(rank, order, _ORDER_TIMEOUT)
+            if result in {OrderResult.ACCEPTED, OrderResult.REFUSED}:
+                return result
+            waits = isinstance(order, Arm)
+            if result is OrderResult.CONFLICT and not waits:
+                return result
+        return result
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -7,6 +7,7 @@
 from ..gateway.knowledge import Knowledge
 from ..gateway.settings import GatewaySettings
 from ..gateway.topics import TopicFollower
+from .engines import EngineCalls
 from .feeds import OPERATOR_TOPIC, UPSTREAM_TOPIC, OperatorFeed, UpstreamFeed
 from .headers import HeaderCodec
 from .store import KeyedLog
@@ -27,6 +28,7 @@
         """Use the store in ``settings``."""
         self.settings = settings
         self.codec = HeaderCodec()
+        self.engines = EngineCalls()
         self.gateways = self._log(_GATEWAY_TOPIC)
 
     def followers(
--- /dev/null
+++ b/primroseyoke/platform/engines.py
@@ -0,0 +1,233 @@
+"""Reports of model engines and orders to them, on the wire."""
+
+import functools
+from typing import Any
+
+import msgspec
+
+from ..exceptions import ServiceRefused, ServiceUnavailable
+from ..gateway.clients import HttpAnswer, HttpClient
+from ..gateway.engines import (
+    Arm,
+    Counts,
+    Disarm,
+    Hold,
+    Order,
+    OrderResult,
+    Prepare,
+    RankReport,
+    Release,
+)
+from ..gateway.upstreams import Upstream
+
+__all__ = ('EngineCalls',)
+
+# An engine answers a report without a free slot, in a few ms.
+_TIMEOUT = 0.5
+_EXPECTED_UPSTREAM = 'X-Primroseyoke-Expect-Instance'
+_RESULTS = {
+    200: OrderResult.ACCEPTED,
+    202: OrderResult.ACCEPTED,
+    409: OrderResult.CONFLICT,
+    421: OrderResult.REFUSED,
+}
+
+
+class _Membership(msgspec.Struct):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _Report(msgspec.Struct):
+    group: _Membership | None = None
+    # Number of ranks in the group.
+    size: int = 0
+    # The last pass that began.
+    step: int = 0
+    # The version of the map in use.
+    placement: int = 0
+    # A version, or an object with one.
+    prepared: Any = None
+    # The version that is armed and the pass from which on it is used.
+    enabled: Any = None
+    # The pass that is held.
+    held: Any = None
+
+
+class _Counts(msgspec.Struct):
+    epoch: int
+    step: int
+    counts: tuple[int, ...]
+
+
+class _Lists(msgspec.Struct):
+    # The experts of this rank by layer.
+    experts: tuple[tuple[int, ...], ...]
+
+
+class _Placements(msgspec.Struct):
+    placement: _Lists
+
+
+_report_decoder = msgspec.json.Decoder(_Report)
+_counts_decoder = msgspec.json.Decoder(_Counts)
+_placements_decoder = msgspec.json.Decoder(_Placements)
+
+
+class EngineCalls:
+    """Calls engines over one kept connection each."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.clients: dict[str, HttpClient] = {}
+
+    async def report(self, upstream: Upstream) -> RankReport | None:
+        """Return what a rank says of itself, None if it is in no group.
+
+        Raises:
+            ServiceUnavailable: no answer.
+        """
+        answer = await self._get(upstream, '/report')
+        found = _decode(_report_decoder, answer)
+        if found.group is None:
+            return None
+        return RankReport(
+            group=found.group.name,
+            epoch=found.group.epoch,
+            rank=found.group.rank,
+            ranks=found.size,
+            is_open=found.group.state == 'open',
+            step=found.step,
+            placement=found.placement,
+            prepared=_number(found.prepared, 'version'),
+            armed=_number(found.enabled, 'version'),
+            armed_step=_step(found.enabled),
+            held=_number(found.held, 'step'),
+        )
+
+    async def counts(self, upstream: Upstream) -> Counts:
+        """Return how often each expert was chosen.
+
+        Raises:
+            ServiceUnavailable: no answer.
+        """
+        answer = await self._get(upstream, '/picked')
+        found = _decode(_counts_decoder, answer)
+        return Counts(found.epoch, found.step, found.counts)
+
+    async def placement(
+        self,
+        upstream: Upstream,
+    ) -> tuple[tuple[int, ...], ...]:
+        """Return the experts of a rank by layer.
+
+        Raises:
+            ServiceUnavailable: no answer.
+        """
+        answer = await self._get(upstream, '/picked?lists=1')
+        found = _decode(_placements_decoder, answer)
+        return found.placement.experts
+
+    async def order(
+        self,
+        upstream: Upstream,
+        order: Order,
+        timeout: float,
+    ) -> OrderResult:
+        """Send an order; ``timeout`` in seconds."""
+        body = msgspec.json.encode(encode_order(order))
+        try:
+            answer = await self._client(upstream).call(
+                'POST',
+                '/order',
+                body,
+                timeout,
+                {_EXPECTED_UPSTREAM: upstream.name},
+            )
+        except ServiceRefused:
+            return OrderResult.REFUSED
+        except ServiceUnavailable:
+            return OrderResult.UNKNOWN
+        return _RESULTS.get(answer.status, OrderResult.CONFLICT)
+
+    async def _get(self, upstream: Upstream, target: str) -> HttpAnswer:
+        answer = await self._client(upstream).call(
+            'GET',
+            target,
+            timeout=_TIMEOUT,
+            headers={_EXPECTED_UPSTREAM: upstream.name},
+        )
+        if answer.status != 200:
+            raise ServiceUnavailable(f'{upstream.name}: {answer.status}')
+        return answer
+
+    def _client(self, upstream: Upstream) -> HttpClient:
+        client = self.clients.get(upstream.name)
+        if client is None:
+            client = HttpClient(upstream.host, upstream.port)
+            self.clients[upstream.name] = client
+        return client
+
+
+@functools.singledispatch
+def encode_order(order: Order) -> dict[str, Any]:
+    """Return the body of an order.
+
+    Raises:
+        TypeError: not an order.
+    """
+    raise TypeError(f'not an order: {order!r}')
+
+
+@encode_order.register
+def _encode_prepare(order: Prepare) -> dict[str, Any]:
+    return {
+        'op': 'prepare',
+        'epoch': order.epoch,
+        'version': order.version,
+        'placement': order.placement,
+    }
+
+
+@encode_order.register
+def _encode_arm(order: Arm) -> dict[str, Any]:
+    return {
+        'op': 'arm',
+        'epoch': order.epoch,
+        'version': order.version,
+        'step': order.step,
+    }
+
+
+@encode_order.register
+def _encode_disarm(order: Disarm) -> dict[str, Any]:
+    return {'op': 'disarm', 'epoch': order.epoch, 'version': order.version}
+
+
+@encode_order.register
+def _encode_hold(order: Hold) -> dict[str, Any]:
+    return {'op': 'retain', 'epoch': order.epoch, 'step': order.step}
+
+
+@encode_order.register
+def _encode_release(order: Release) -> dict[str, Any]:
+    return {'op': 'go', 'epoch': order.epoch, 'step': order.step}
+
+
+def _decode(decoder: Any, answer: HttpAnswer) -> Any:
+    try:
+        return decoder.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise ServiceUnavailable(f'report: {error}') from error
+
+
+def _number(found: Any, field: str) -> int | None:
+    if isinstance(found, dict):
+        found = found.get(field)
+    return found if isinstance(found, int) else None
+
+
+def _step(found: Any) -> int | None:
+    return _number(found, 'step') if isinstance(found, dict) else None
