--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import random
 import signal
@@ -9,7 +10,7 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-from ..exceptions import ServiceUnavailable
+from ..exceptions import ServiceUnavailable, SettingsInvalid
 from ..settings import Address
 from .balancer import Balancer
 from .budgets import SendBudget
@@ -66,6 +67,16 @@
             ServiceUnavailable: the store did not answer.
         """
 
+    def read_settings(self) -> GatewaySettings:
+        """Return the settings as they are written now.
+
+        Raises:
+            SettingsInvalid: the file cannot be used.
+        """
+
+    def use(self, settings: GatewaySettings) -> None:
+        """Go on with changed settings."""
+
 
 class Gateway:
     """Owns the sockets and the parts of one process."""
@@ -132,6 +143,7 @@
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         log.info('started', extra={'zone': self.settings.availability_zone})
         servers = [
             await self._listen(self.settings.callers, self.callers),
@@ -153,6 +165,27 @@
             server.close()
         log.info('stopped', extra={'unfinished': self.callers.busy})
 
+    def reload(self) -> None:
+        """Read the settings again; keep the present ones if they are wrong."""
+        try:
+            settings = self.platform.read_settings()
+        except SettingsInvalid as error:
+            log.error('settings not reloaded', extra={'reason': str(error)})
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name)
+            != getattr(self.settings, field.name)
+        ]
+        self.settings = settings
+        self.platform.use(settings)
+        self.budget.ratio = settings.repeat_ratio
+        self.budget.slack = settings.repeat_slack
+        self.budget.window = settings.repeat_window
+        self.peers.introduce(settings.seeds)
+        log.info('settings reloaded', extra={'changed': changed})
+
     async def _listen(
         self,
         address: Address,
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -10,6 +10,7 @@
 from .engines import EngineCalls
 from .feeds import OPERATOR_TOPIC, UPSTREAM_TOPIC, OperatorFeed, UpstreamFeed
 from .headers import HeaderCodec
+from .settings import load_platform_settings, settings_path
 from .store import KeyedLog
 
 __all__ = ('UsersPlatform',)
@@ -27,6 +28,7 @@
     def __init__(self, settings: GatewaySettings) -> None:
         """Use the store in ``settings``."""
         self.settings = settings
+        self.clients: list[HttpClient] = []
         self.codec = HeaderCodec()
         self.engines = EngineCalls()
         self.gateways = self._log(_GATEWAY_TOPIC)
@@ -70,6 +72,26 @@
         """Remove this host from the list of gateways."""
         await self.gateways.append(self.settings.address, b'')
 
+    def read_settings(self) -> GatewaySettings:
+        """Return the settings as they are written now.
+
+        Raises:
+            SettingsInvalid: the file cannot be used.
+        """
+        return load_platform_settings(settings_path())
+
+    def use(self, settings: GatewaySettings) -> None:
+        """Go on with changed settings: the store may have moved."""
+        self.settings = settings
+        address = settings.store.address
+        for client in self.clients:
+            if (client.host, client.port) != (address.host, address.port):
+                client.host = address.host
+                client.port = address.port
+                client.close()
+
     def _log(self, topic: str) -> KeyedLog:
         address = self.settings.store.address
-        return KeyedLog(HttpClient(address.host, address.port), topic)
+        client = HttpClient(address.host, address.port)
+        self.clients.append(client)
+        return KeyedLog(client, topic)
