Avoid rank groups that stand still; shorten map changes

Cause: a dead or cut rank stalls its whole group for 1.5 s, and new requests were still sent there; map changes failed since holds were placed by a wrong estimate of the pass, and every failure surveyed all groups. Change: each host watches the events of its streams by group; holds are placed by the last distinct report; two new experts a rank and change.

--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -11,6 +11,7 @@
     'PrimroseyokeError',
     'RequestFailed',
     'RequestInvalid',
+    'RequestRejected',
     'ServiceRefused',
     'ServiceUnavailable',
     'SettingsInvalid',
@@ -77,3 +78,7 @@
 
 class ConnectionBroken(RequestFailed):
     """The upstream ended the connection before the answer was whole."""
+
+
+class RequestRejected(RequestFailed):
+    """The upstream states that it did not run the request."""
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Mapping
 
 from .catalogue import Catalogue, Service
+from .groups import GroupWatch
 from .requests import Load
 from .upstreams import Fleet, Upstream
 
@@ -78,6 +79,7 @@
         self.news: dict[str, _News] = {}
         self.health: dict[str, _Health] = {}
         self.hosts = 1
+        self.groups = GroupWatch()
 
     def hear(self, host: str, counts: Mapping[str, int], now: float) -> None:
         """Take another host's report of its requests in progress."""
@@ -168,6 +170,10 @@
         for name in set(self.health) - set(self.fleet.upstreams):
             del self.health[name]
 
+    def total(self, name: str, now: float) -> int:
+        """Return the requests of all hosts in progress at an upstream."""
+        return self._totals(now).get(name, 0)
+
     def _totals(self, now: float) -> dict[str, int]:
         totals = dict(self.running)
         for news in self.news.values():
@@ -180,6 +186,8 @@
         health = self._health(upstream.name)
         if now < health.paused_until:
             return False
+        if self.groups.is_still(upstream.name, now):
+            return False
         if not service.cold_rate or now >= upstream.cold_until:
             return True
         # Each host takes an even share of what the cold upstream bears.
--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -4,7 +4,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from ..exceptions import ConnectionBroken, RequestFailed
+from ..exceptions import ConnectionBroken, RequestFailed, RequestRejected
 from ..verdicts import Verdict
 from .balancer import Place
 from .catalogue import Execution
@@ -65,6 +65,8 @@
         self.resume_after = ticket.request.resume_after
         self.waited = 0.0
         self.first_event_at = 0.0
+        self.event_at = 0.0
+        self.longest_gap = 0.0
 
     async def run(self) -> None:
         """Answer the caller.
@@ -117,6 +119,7 @@
             'first_ms': round((first - ticket.request.arrived_at) * 1000, 1)
             if first
             else None,
+            'longest_gap_ms': round(self.longest_gap * 1000, 1),
         }
 
     async def _acquire(self) -> Place:
@@ -209,6 +212,9 @@
             raise
         try:
             await self._relay_answer(channel)
+        except RequestRejected:
+            self.relay.pool.release(channel)
+            raise
         except ConnectionBroken:
             channel.close()
             if not channel.reused:
@@ -256,10 +262,26 @@
         reply: Reply,
         timer: asyncio.Timeout,
         silence: float | None,
+    ) -> None:
+        groups = self.relay.balancer.groups
+        name = channel.upstream.name
+        groups.begin(name, time.monotonic())
+        try:
+            await self._forward_events(channel, reply, timer, silence)
+        finally:
+            groups.end(name)
+
+    async def _forward_events(
+        self,
+        channel: Channel,
+        reply: Reply,
+        timer: asyncio.Timeout,
+        silence: float | None,
     ) -> None:
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
         async for content in channel.body():
+            self._note_event(channel.upstream.name, time.monotonic())
             # The time that the caller takes to read is not the upstream's.
             timer.reschedule(None)
             for event in splitter.feed(content):
@@ -278,6 +300,12 @@
             )
         self.answer.finish()
 
+    def _note_event(self, upstream: str, now: float) -> None:
+        self.relay.balancer.groups.move(upstream, now)
+        if self.event_at:
+            self.longest_gap = max(self.longest_gap, now - self.event_at)
+        self.event_at = now
+
     async def _relay_whole(self, channel: Channel, reply: Reply) -> None:
         chunks: list[bytes] = []
         async for content in channel.body():
@@ -300,10 +328,12 @@
         return self.ticket.deadline - time.monotonic() > _SHORTEST
 
     def _rejected(self, channel: Channel, reply: Reply) -> RequestFailed:
-        name = reply.culprit or channel.upstream.name
-        self.relay.balancer.fail(name, time.monotonic())
-        self.relay.pool.release(channel)
-        return RequestFailed(
+        now = time.monotonic()
+        if reply.culprit and reply.culprit != channel.upstream.name:
+            self.relay.balancer.groups.reject(channel.upstream.name, now)
+        else:
+            self.relay.balancer.fail(channel.upstream.name, now)
+        return RequestRejected(
             f'{channel.upstream.name}: turned away with {reply.status}',
             Verdict.NOT_RUN,
             _UNAVAILABLE,
--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -9,7 +9,6 @@
 import dataclasses
 import logging
 import math
-import random
 import time
 import zlib
 from collections.abc import Callable
@@ -25,7 +24,7 @@
     first_placement,
     plan_replicas,
 )
-from .switching import VERSION_STEP, MapSwitch
+from .switching import VERSION_STEP, MapSwitch, SwitchOutcome
 from .upstreams import Upstream
 
 __all__ = ('ExpertDirector',)
@@ -34,20 +33,27 @@
 
 # How often counts are read, in seconds. Popularity changes every few seconds
 # and one read of a rank costs half as much as a request earns.
-_INTERVAL = 0.4
+_INTERVAL = 0.25
 # Counts of a window with fewer choices in all layers are noise.
 _MIN_CHOICES = 6000
 # A map is changed if the mean skew falls by more than this.
 _MIN_GAIN = 0.25
-_TARGET_SKEW = 1.3
-# Each new expert of a rank takes 0.15 s to load.
-_NEW_PER_RANK = 3
-# Reports are this old, in seconds, and a few orders take this long.
+_TARGET_SKEW = 1.35
+# Each new expert of a rank takes 0.15 s to load; what two replicas a rank do
+# not level, the next change does.
+_NEW_PER_RANK = 2
+# Reports are up to this old, in seconds.
 _REPORT_AGE = 0.25
-_ORDERS_TIME = 0.05
+# A few orders take this long, in seconds.
+_ORDERS_TIME = 0.03
 # Loading is a little slower than the link allows, in seconds.
-_LOAD_MARGIN = 0.05
+_LOAD_MARGIN = 0.04
+# Bounds of a pass, in seconds: idle, and under full load with a slow rank.
+_SHORTEST_PASS = 0.02
+_LONGEST_PASS = 0.3
 _HOLD_TRIES = 3
+# A rank that was armed late still refuses to prepare; then it is surveyed.
+_PREPARE_TRIES = 2
 # Another host may be about to finish what it began, in seconds.
 _FOREIGN_CHANGE = 1.0
 # A gateway that has just started hears of the others first, in seconds.
@@ -61,13 +67,13 @@
     name: str
     epoch: int
     ranks: list[Upstream]
-    version: int
     highest: int
     placement: Placement
     step: int
-    surveyed_at: float
+    stepped_at: float
     pass_time: float = 0.06
     busy: bool = False
+    tries: int = _PREPARE_TRIES
 
 
 class ExpertDirector:
@@ -83,14 +89,22 @@
         engines: Engines,
         knowledge: Knowledge,
         is_leader: Callable[[], bool],
-        generator: random.Random,
+        running: Callable[[str], int],
     ) -> None:
-        """Give orders through ``engines`` while ``is_leader``."""
+        """Give orders through ``engines`` while ``is_leader``.
+
+        Args:
+            host: name of this host.
+            engines: calls the ranks.
+            knowledge: the upstreams and the configuration.
+            is_leader: whether this host gives the orders now.
+            running: requests in progress at an upstream, by name.
+        """
         self.host_number = zlib.crc32(host.encode()) % VERSION_STEP
         self.engines = engines
         self.knowledge = knowledge
         self.is_leader = is_leader
-        self.generator = generator
+        self.running = running
         self.groups: dict[str, _Group] = {}
         self.members: frozenset[Upstream] = frozenset()
         self.sampled: tuple[str, int, tuple[int, ...]] | None = None
@@ -126,7 +140,7 @@
                 for upstream in self.knowledge.fleet.upstreams.values()
                 if upstream.service == service
             )
-            if members != self.members or not self.groups:
+            if members != self.members or self._incomplete(members):
                 self.members = members
                 await self._survey(engine)
             counts = await self._sample()
@@ -136,6 +150,10 @@
                 if not group.busy:
                     self._consider(group, engine, counts)
 
+    def _incomplete(self, members: frozenset[Upstream]) -> bool:
+        grouped = sum(len(group.ranks) for group in self.groups.values())
+        return grouped < len(members)
+
     def _services(self) -> list[tuple[str, Engine]]:
         catalogue = self.knowledge.catalogue
         if catalogue is None:
@@ -155,7 +173,7 @@
         names = {rank.name: rank for rank in ranks}
         if before is None or before[0] not in names:
             before = None
-            rank = self.generator.choice(ranks)
+            rank = max(ranks, key=lambda each: self.running(each.name))
         else:
             rank = names[before[0]]
         self.sampled = None
@@ -213,22 +231,20 @@
         started = time.monotonic()
         version = self._next_version(group)
         switch = MapSwitch(self.engines, group.ranks, group.epoch)
-        switched = False
+        outcome = SwitchOutcome.NOT_PREPARED
         if await switch.prepare(version, plan.placement):
             copies = max(plan.copies)
             load_time = copies * engine.expert_load_time + _LOAD_MARGIN
             await asyncio.sleep(load_time)
-            for _ in range(_HOLD_TRIES):
-                switched = await switch.switch(
-                    version,
-                    group.placement,
-                    lambda: self._next_step(group),
-                )
-                if switched or switch.held is not None:
+            for attempt in range(_HOLD_TRIES):
+                step = await self._next_step(group, attempt)
+                outcome = await switch.switch(version, group.placement, step)
+                if outcome is not SwitchOutcome.NOT_HELD:
                     break
         log.info(
-            'map changed' if switched else 'map not changed',
+            'map change',
             extra={
+                'outcome': outcome.value,
                 'group': group.name,
                 'epoch': group.epoch,
                 'version': version,
@@ -238,21 +254,26 @@
                 'seconds': round(time.monotonic() - started, 2),
             },
         )
-        if switched:
-            group.version = version
-            group.highest = version
+        group.highest = version
+        if outcome is SwitchOutcome.SWITCHED:
             group.placement = plan.placement
+            # Until that pass the ranks take no further order to prepare.
+            await asyncio.sleep(_REPORT_AGE)
+            group.busy = False
+        elif outcome is SwitchOutcome.NOT_PREPARED and group.tries:
+            group.tries -= 1
             group.busy = False
+            return
         else:
             # Its state is not known any more: survey it again.
             self.groups.pop(group.name, None)
-            self.groups.clear()
+        group.tries = _PREPARE_TRIES
 
     def _next_version(self, group: _Group) -> int:
         base = group.highest // VERSION_STEP + 1
         return base * VERSION_STEP + self.host_number
 
-    async def _next_step(self, group: _Group) -> int:
+    async def _next_step(self, group: _Group, attempt: int) -> int:
         """Return a pass that has not begun but soon will."""
         report = await self.engines.report(group.ranks[0])
         now = time.monotonic()
@@ -260,11 +281,13 @@
             raise ServiceUnavailable(f'{group.name}: rank 0 left its group')
         passes = report.step - group.step
         if passes > 0:
-            group.pass_time = (now - group.surveyed_at) / passes
-        group.step = report.step
-        group.surveyed_at = now
-        ahead = (_REPORT_AGE + _ORDERS_TIME) / max(group.pass_time, 0.01)
-        return report.step + math.ceil(ahead) + 1
+            measured = (now - group.stepped_at) / passes
+            group.pass_time = min(max(measured, _SHORTEST_PASS), _LONGEST_PASS)
+            group.step = report.step
+            group.stepped_at = now
+        ahead = (_REPORT_AGE + _ORDERS_TIME) / group.pass_time
+        # An idle group may have begun many short passes since its report.
+        return report.step + math.ceil(ahead * (attempt + 1)) + 1
 
     async def _survey(self, engine: Engine) -> None:
         """Learn the groups from the reports of all ranks."""
@@ -277,9 +300,11 @@
             if isinstance(report, RankReport) and report.is_open:
                 ranks = found.setdefault(report.group, {})
                 ranks[report.rank] = (upstream, report)
-        self.groups.clear()
         for name, ranks in found.items():
-            await self._add_group(name, ranks, engine)
+            known = self.groups.get(name)
+            if known is None or not known.busy:
+                self.groups.pop(name, None)
+                await self._add_group(name, ranks, engine)
 
     async def _add_group(
         self,
@@ -304,11 +329,10 @@
             name=name,
             epoch=first.epoch,
             ranks=upstreams,
-            version=first.placement,
             highest=highest,
             placement=placement,
             step=first.step,
-            surveyed_at=time.monotonic(),
+            stepped_at=time.monotonic(),
         )
         if await self._recover(group, reports):
             self.groups[name] = group
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -17,6 +17,7 @@
 from .channels import ChannelPool
 from .engines import Engines
 from .experts import ExpertDirector
+from .groups import GroupDirectory
 from .knowledge import Knowledge
 from .listeners import Answer, CallerListener
 from .peers import PeerReports
@@ -117,7 +118,12 @@
             platform.engines,
             self.knowledge,
             lambda: self.ready and self.peers.is_first,
-            self.generator,
+            lambda name: self.balancer.total(name, time.monotonic()),
+        )
+        self.directory = GroupDirectory(
+            platform.engines,
+            self.knowledge,
+            self.balancer.groups,
         )
         self.callers = CallerListener(
             platform.codec,
@@ -159,6 +165,7 @@
         self._start(self._register())
         self._start(self._sweep())
         self._start(self.director.run())
+        self._start(self.directory.run())
         await self.stopping.wait()
         await self._drain()
         for server in servers:
--- /dev/null
+++ b/primroseyoke/gateway/groups.py
@@ -0,0 +1,174 @@
+"""Which upstreams form rank groups, and which groups stand still.
+
+All ranks of a group run each pass together. When one is dead or cut off, all
+of them stall, and new requests to any of them stall too. So the events that
+arrive from one rank tell of all.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import time
+
+from ..exceptions import ServiceUnavailable
+from .engines import Engines
+from .knowledge import Knowledge
+from .upstreams import Upstream
+
+__all__ = ('GroupDirectory', 'GroupWatch')
+
+log = logging.getLogger(__name__)
+
+# A pass takes up to 0.15 s under full load. A group from which no stream got
+# an event for this time, in seconds, stands still.
+_STILL = 0.45
+# How long a group is avoided after it turned requests away, in seconds, unless
+# its state was read since.
+_BROKEN = 2.0
+# How often the state of broken groups is read, in seconds.
+_INTERVAL = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class _Pulse:
+    """Streams in progress from a group and when one of them last moved."""
+
+    streams: int = 0
+    moved_at: float = 0
+    broken_until: float = 0
+
+
+class GroupWatch:
+    """Judges groups from the streams of this host.
+
+    Attributes:
+        members: name of the group of each upstream that is a rank.
+    """
+
+    def __init__(self) -> None:
+        """Start without groups."""
+        self.members: dict[str, str] = {}
+        self.pulses: dict[str, _Pulse] = {}
+
+    def begin(self, upstream: str, now: float) -> None:
+        """Note that a stream has begun."""
+        pulse = self._pulse(upstream)
+        if pulse is not None:
+            pulse.streams += 1
+            pulse.moved_at = now
+
+    def move(self, upstream: str, now: float) -> None:
+        """Note that an event of a stream has arrived."""
+        pulse = self._pulse(upstream)
+        if pulse is not None:
+            pulse.moved_at = now
+            pulse.broken_until = 0
+
+    def end(self, upstream: str) -> None:
+        """Note that a stream has ended."""
+        pulse = self._pulse(upstream)
+        if pulse is not None:
+            pulse.streams = max(pulse.streams - 1, 0)
+
+    def reject(self, upstream: str, now: float) -> None:
+        """Note that a rank turned a request away for the sake of another."""
+        pulse = self._pulse(upstream)
+        if pulse is not None:
+            pulse.broken_until = now + _BROKEN
+
+    def reopen(self, group: str) -> None:
+        """Note that a group reports itself open."""
+        self.pulses.setdefault(group, _Pulse()).broken_until = 0
+
+    def is_still(self, upstream: str, now: float) -> bool:
+        """Tell whether the group of an upstream seems to stand still."""
+        pulse = self._pulse(upstream)
+        if pulse is None:
+            return False
+        if now < pulse.broken_until:
+            return True
+        return pulse.streams > 0 and now - pulse.moved_at > _STILL
+
+    def broken(self, now: float) -> list[str]:
+        """Return the groups that turned requests away lately."""
+        return [
+            name
+            for name, pulse in self.pulses.items()
+            if now < pulse.broken_until
+        ]
+
+    def _pulse(self, upstream: str) -> _Pulse | None:
+        group = self.members.get(upstream)
+        if group is None:
+            return None
+        return self.pulses.setdefault(group, _Pulse())
+
+
+class GroupDirectory:
+    """Learns the groups of upstreams, and when a broken one is open again."""
+
+    def __init__(
+        self,
+        engines: Engines,
+        knowledge: Knowledge,
+        watch: GroupWatch,
+    ) -> None:
+        """Keep ``watch`` up to date."""
+        self.engines = engines
+        self.knowledge = knowledge
+        self.watch = watch
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            upstreams = self._ranks()
+            unknown = [
+                upstream
+                for upstream in upstreams
+                if upstream.name not in self.watch.members
+            ]
+            await asyncio.gather(*(self._learn(rank) for rank in unknown))
+            await self._check_broken(upstreams)
+            await asyncio.sleep(_INTERVAL)
+
+    def _ranks(self) -> list[Upstream]:
+        catalogue = self.knowledge.catalogue
+        if catalogue is None:
+            return []
+        return [
+            upstream
+            for upstream in self.knowledge.fleet.upstreams.values()
+            if (service := catalogue.services.get(upstream.service))
+            and service.engine is not None
+            and service.engine.places_experts
+        ]
+
+    async def _learn(self, rank: Upstream) -> None:
+        try:
+            report = await self.engines.report(rank)
+        except ServiceUnavailable as error:
+            log.debug('no report', extra={'reason': str(error)})
+            return
+        if report is not None:
+            self.watch.members[rank.name] = report.group
+
+    async def _check_broken(self, upstreams: list[Upstream]) -> None:
+        for group in self.watch.broken(time.monotonic()):
+            rank = next(
+                (
+                    rank
+                    for rank in upstreams
+                    if self.watch.members.get(rank.name) == group
+                ),
+                None,
+            )
+            if rank is None:
+                continue
+            try:
+                report = await self.engines.report(rank)
+            except ServiceUnavailable as error:
+                log.debug('no report', extra={'reason': str(error)})
+                continue
+            if report is not None and report.is_open:
+                log.info('group open', extra={'group': group})
+                self.watch.reopen(group)
--- a/primroseyoke/gateway/switching.py
+++ b/primroseyoke/gateway/switching.py
@@ -18,8 +18,9 @@
 """
 
 import asyncio
+import enum
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 from .engines import (
     Arm,
@@ -34,7 +35,7 @@
 from .placement import Placement
 from .upstreams import Upstream
 
-__all__ = ('MapSwitch',)
+__all__ = ('MapSwitch', 'SwitchOutcome')
 
 log = logging.getLogger(__name__)
 
@@ -52,6 +53,22 @@
 VERSION_STEP = 1024
 
 
+class SwitchOutcome(enum.Enum):
+    """How far a change came."""
+
+    SWITCHED = 'switched'
+    #: Some rank did not prepare; nothing has changed.
+    NOT_PREPARED = 'not prepared'
+    #: No pass was held; nothing has changed.
+    NOT_HELD = 'not held'
+    #: It is not known whether a pass is held, now or soon.
+    MAYBE_HELD = 'maybe held'
+    #: Some rank was not armed; the others were disarmed.
+    UNDONE = 'undone'
+    #: Some rank did not confirm that it is disarmed: the pass stays held.
+    STUCK = 'stuck'
+
+
 class MapSwitch:
     """One change of the map of one group.
 
@@ -80,31 +97,34 @@
         self,
         version: int,
         current: Placement,
-        next_step: Callable[[], Awaitable[int]],
-    ) -> bool:
-        """Switch to a prepared version; tell whether that was done.
+        step: int,
+    ) -> SwitchOutcome:
+        """Switch to a prepared version.
 
         Args:
             version: the version that every rank has prepared.
             current: the placement in use, to undo with.
-            next_step: returns a pass that has not begun, to switch at.
+            step: a pass that has not begun, to switch at.
         """
-        step = await next_step()
         held = await self._send(self.ranks[0], Hold(self.epoch, step), _TRIES)
         if held is OrderResult.UNKNOWN:
             # It may be carried out later: whoever leads releases it then.
             self.held = step
-            return False
+            return SwitchOutcome.MAYBE_HELD
         if held is not OrderResult.ACCEPTED:
-            return False
+            return SwitchOutcome.NOT_HELD
         self.held = step
         armed = await self._all_accept(
             Arm(self.epoch, version, step),
             _ARM_TRIES,
         )
-        if armed or await self.undo(version, current):
+        if armed:
             await self.release(step)
-        return armed
+            return SwitchOutcome.SWITCHED
+        if not await self.undo(version, current):
+            return SwitchOutcome.STUCK
+        await self.release(step)
+        return SwitchOutcome.UNDONE
 
     async def finish(self, version: int, step: int) -> bool:
         """Arm the remaining ranks for a pass that is held, and release it."""
