Wait in line for a place; refuse streams late in a drain

Change: a line by who can still be on time, priority and age; late ones leave places to others; the limit of a rank follows from the longest pause.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -10,12 +10,12 @@
 import random
 from collections.abc import Collection, Mapping
 
-from .catalogue import Catalogue, Service
+from .catalogue import Catalogue, Engine, Service
 from .groups import GroupWatch
 from .requests import Load
 from .upstreams import Fleet, Upstream
 
-__all__ = ('Balancer', 'Place')
+__all__ = ('Balancer', 'Demand', 'Place')
 
 # News of another host counts for this time, in seconds: about ten reports.
 _NEWS_LIFETIME = 1.5
@@ -29,6 +29,16 @@
 _QUEUE_SHARE = 1.5
 # The advantage of an upstream in the own availability zone, in requests.
 _LOCAL_ADVANTAGE = 0.25
+# Hosts that see the same load must not all choose alike, in requests.
+_SPREAD = 0.4
+# A pass under usual load, in seconds.
+_USUAL_PASS = 0.05
+# The most loaded rank over the mean just after popularity has changed.
+_HIGHEST_SKEW = 2.0
+# The longest pause between events that is on time, in seconds.
+_LONGEST_GAP = 0.12
+# The share of the longest pause between events that a pass may take.
+_GAP_SHARE = 0.85
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,6 +58,19 @@
     heard_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks of an upstream.
+
+    ``excluded`` are those that it was sent to before, ``regions`` those that
+    it is bound to (empty for any). ``spare`` places are left for others.
+    """
+
+    excluded: Collection[str] = ()
+    regions: frozenset[str] = frozenset()
+    spare: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
     """A request's place at an upstream."""
@@ -94,24 +117,25 @@
         catalogue: Catalogue,
         service: str,
         now: float,
-        excluded: Collection[str] = (),
-        regions: frozenset[str] = frozenset(),
+        demand: Demand,
     ) -> Place | None:
         """Take a place at the least loaded upstream, None if all are full."""
         details = catalogue.services.get(service) or Service(service, 0)
         totals = self._totals(now)
         best: Upstream | None = None
         best_score = math.inf
-        for upstream in self.fleet.accepting(service, regions, self.region_of):
-            if upstream.name in excluded or not self._bears(upstream, details, now):
+        for upstream in self.fleet.accepting(
+            service,
+            demand.regions,
+            self.region_of,
+        ):
+            if upstream.name in demand.excluded:
                 continue
-            total = totals.get(upstream.name, 0)
-            limit = self.limit(upstream, details)
-            if total >= limit:
+            taken = totals.get(upstream.name, 0)
+            limit = self.limit(upstream, details) - demand.spare
+            if taken + 1 > limit or not self._bears(upstream, details, now):
                 continue
-            score = total / limit * 8 + self.generator.random() * 0.5
-            if upstream.availability_zone == self.availability_zone:
-                score -= _LOCAL_ADVANTAGE
+            score = self._score(upstream, taken)
             if score < best_score:
                 best, best_score = upstream, score
         if best is None:
@@ -149,7 +173,7 @@
     def limit(self, upstream: Upstream, service: Service) -> float:
         """Return how many requests an upstream is to have at most."""
         if service.engine is not None:
-            return max(service.engine.slots, 1)
+            return _engine_limit(service.engine)
         load = self._health(upstream.name).load
         slots = load.slots if load and load.slots else _DEFAULT_SLOTS
         return slots * _QUEUE_SHARE
@@ -182,6 +206,14 @@
                     totals[name] = totals.get(name, 0) + count
         return totals
 
+    def _score(self, upstream: Upstream, taken: int) -> float:
+        """Return how long a pass with one more request is expected to take."""
+        score = (taken + 1) * self.groups.pass_time(upstream.name)
+        score /= _USUAL_PASS
+        if upstream.availability_zone == self.availability_zone:
+            score -= _LOCAL_ADVANTAGE
+        return score + self.generator.random() * _SPREAD
+
     def _bears(self, upstream: Upstream, service: Service, now: float) -> bool:
         health = self._health(upstream.name)
         if now < health.paused_until:
@@ -205,3 +237,15 @@
 
     def _health(self, name: str) -> _Health:
         return self.health.setdefault(name, _Health())
+
+
+def _engine_limit(engine: Engine) -> int:
+    """Return how many requests a rank may run so that events stay on time.
+
+    The popularity of experts changes at once, and the map follows only half
+    a second later: until then a pass takes as long as the hottest rank.
+    """
+    longest = _GAP_SHARE * _LONGEST_GAP / engine.stride - engine.step
+    uneven = 1 + engine.expert_share * (_HIGHEST_SKEW - 1)
+    fitting = longest / (engine.per_sequence * uneven)
+    return max(min(int(fitting), engine.slots), 1)
--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -6,21 +6,29 @@
 
 from ..exceptions import ConnectionBroken, RequestFailed, RequestRejected
 from ..verdicts import Verdict
-from .balancer import Place
+from .balancer import Demand, Place
 from .catalogue import Execution
 from .channels import Channel
 from .events import EventSplitter
 from .listeners import Answer
 from .requests import Outgoing, Reply
+from .waiting import Turn
 
 if TYPE_CHECKING:
     from .relay import Relay, Ticket
 
 __all__ = ('Exchange',)
 
-# A refusal costs nothing up to an eighth of the objective: so long a request
-# may wait for a place.
-_WAIT_SHARE = 0.125
+# How long a request waits for a place at most, in seconds: a caller leaves a
+# stream that has not begun after 2 s.
+_LONGEST_WAIT = 1.4
+# ... and as a share of the time that it has left.
+_WAIT_SHARE = 0.5
+# A waiting request looks for a place at least this often, in seconds.
+_LOOK_AGAIN = 0.1
+# A request that will be late takes a place only if this many more are left at
+# the upstream: one that is on time is worth four times as much.
+_SPARE_PLACES = 1
 # When a request that found no place may come back, in seconds: about the time
 # in which a tenth of the places become free.
 _RETRY_BUSY = 0.3
@@ -66,6 +74,7 @@
         self.waited = 0.0
         self.first_event_at = 0.0
         self.event_at = 0.0
+        self.sent_at = 0.0
         self.longest_gap = 0.0
 
     async def run(self) -> None:
@@ -86,7 +95,7 @@
                 self._note_failure(place, failure)
                 self._check_retry(failure)
             finally:
-                await self._release(place)
+                self._release(place)
 
     def timed_out(self) -> RequestFailed:
         """Return the failure of a request whose deadline has passed."""
@@ -123,37 +132,56 @@
         }
 
     async def _acquire(self) -> Place:
+        """Wait for a place at an upstream.
+
+        Raises:
+            RequestFailed: none became free in time.
+        """
         ticket = self.ticket
         started = time.monotonic()
-        limit = started + ticket.route.objective * _WAIT_SHARE
-        while True:
-            now = time.monotonic()
-            place = self.relay.balancer.acquire(
-                ticket.catalogue,
-                ticket.service,
-                now,
-                self.tried,
-                ticket.regions,
-            )
-            self.waited += now - started
-            started = now
-            if place is not None:
-                return place
-            if now >= limit:
-                raise self._no_place()
-            await self._wait_freed(limit - now)
-
-    async def _wait_freed(self, timeout: float) -> None:
+        line = self.relay.line(ticket.service)
+        limit = started + min(
+            _LONGEST_WAIT,
+            _WAIT_SHARE * (ticket.deadline - started),
+        )
         try:
-            async with asyncio.timeout(timeout), self.relay.freed:
-                await self.relay.freed.wait()
-        except TimeoutError:
-            return
+            while True:
+                now = time.monotonic()
+                turn = self._turn(now)
+                if line.may_go(turn):
+                    place = self._take_place(now, turn)
+                    if place is not None:
+                        return place
+                if now >= limit:
+                    raise self._no_place()
+                # Turns to late in the line, and news of others may be lost.
+                await line.wait(turn, min(limit - now, _LOOK_AGAIN))
+        finally:
+            self.waited += time.monotonic() - started
+            line.call()
 
-    async def _release(self, place: Place) -> None:
+    def _turn(self, now: float) -> Turn:
+        ticket = self.ticket
+        late_at = ticket.made_at + ticket.route.objective
+        late_at -= self.relay.first_event_time(ticket.service)
+        return Turn(now > late_at, ticket.priority, ticket.made_at)
+
+    def _take_place(self, now: float, turn: Turn) -> Place | None:
+        ticket = self.ticket
+        return self.relay.balancer.acquire(
+            ticket.catalogue,
+            ticket.service,
+            now,
+            Demand(
+                excluded=tuple(self.tried),
+                regions=ticket.regions,
+                spare=_SPARE_PLACES if turn.late else 0,
+            ),
+        )
+
+    def _release(self, place: Place) -> None:
         self.relay.balancer.release(place)
-        async with self.relay.freed:
-            self.relay.freed.notify()
+        self.relay.line(self.ticket.service).call()
 
     def _no_place(self) -> RequestFailed:
         if self.may_have_run:
@@ -200,6 +228,7 @@
     async def _attempt(self, place: Place) -> None:
         ticket = self.ticket
         name = place.upstream.name
+        self.sent_at = time.monotonic()
         try:
             channel = await self.relay.pool.open_answer(
                 place.upstream,
@@ -286,7 +315,7 @@
             timer.reschedule(None)
             for event in splitter.feed(content):
                 if not self.answer.started:
-                    self.first_event_at = time.monotonic()
+                    self._note_first_event()
                     self.answer.start(reply.status, _unframed(reply))
                 await self.answer.send(event.content)
                 self.resume_after = event.event_id or self.resume_after
@@ -300,10 +329,17 @@
             )
         self.answer.finish()
 
+    def _note_first_event(self) -> None:
+        self.first_event_at = time.monotonic()
+        self.relay.observe_first_event(
+            self.ticket.service,
+            self.first_event_at - self.sent_at,
+        )
+
     def _note_event(self, upstream: str, now: float) -> None:
-        self.relay.balancer.groups.move(upstream, now)
-        if self.event_at:
-            self.longest_gap = max(self.longest_gap, now - self.event_at)
+        gap = now - self.event_at if self.event_at else 0
+        self.relay.balancer.groups.move(upstream, now, gap)
+        self.longest_gap = max(self.longest_gap, gap)
         self.event_at = now
 
     async def _relay_whole(self, channel: Channel, reply: Reply) -> None:
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -34,7 +34,10 @@
 # a gateway is leaving; new connections still come until then. In seconds.
 _NOTICE = 2.6
 # The last moment to leave before SIGKILL, in seconds.
-_EXIT_MARGIN = 0.4
+_EXIT_MARGIN = 0.25
+# A stream takes this long at most, as a rule, in seconds: later than this
+# before the exit none is begun.
+_STREAM_TIME = 4.5
 # How often kept connections are checked, in seconds.
 _SWEEP = 1.0
 _BACKLOG = 1024
@@ -113,6 +116,7 @@
             settings.peer_ports[0] if settings.peer_ports else 0,
         )
         self.peers.balancer = self.balancer
+        self.peers.on_news = self.relay.call_waiting
         self.director = ExpertDirector(
             settings.host,
             platform.engines,
@@ -253,6 +257,9 @@
         log.info('draining', extra={'requests': self.callers.busy})
         started = loop.time()
         self.callers.draining = True
+        self.relay.last_stream_at = (
+            time.monotonic() + self.settings.grace - _STREAM_TIME
+        )
         self.peers.report(stopping=True)
         with contextlib.suppress(ServiceUnavailable):
             await self.platform.unregister()
--- a/primroseyoke/gateway/groups.py
+++ b/primroseyoke/gateway/groups.py
@@ -25,6 +25,9 @@
 # How long a group is avoided after it turned requests away, in seconds, unless
 # its state was read since.
 _BROKEN = 2.0
+# A pass until it is measured, in seconds, and the weight of a measurement.
+_USUAL_PASS = 0.05
+_SMOOTHING = 0.1
 # How often the state of broken groups is read, in seconds.
 _INTERVAL = 0.3
 
@@ -35,6 +38,7 @@
 
     streams: int = 0
     moved_at: float = 0
+    pass_time: float = _USUAL_PASS
     broken_until: float = 0
 
 
@@ -57,12 +61,24 @@
             pulse.streams += 1
             pulse.moved_at = now
 
-    def move(self, upstream: str, now: float) -> None:
-        """Note that an event of a stream has arrived."""
+    def move(self, upstream: str, now: float, gap: float) -> None:
+        """Note that an event of a stream has arrived.
+
+        ``gap`` is the time since the event before, 0 for the first, in
+        seconds: a pass makes one event of each stream.
+        """
         pulse = self._pulse(upstream)
-        if pulse is not None:
-            pulse.moved_at = now
-            pulse.broken_until = 0
+        if pulse is None:
+            return
+        pulse.moved_at = now
+        pulse.broken_until = 0
+        if gap:
+            pulse.pass_time += _SMOOTHING * (gap - pulse.pass_time)
+
+    def pass_time(self, upstream: str) -> float:
+        """Return how long a pass of an upstream's group takes, in seconds."""
+        pulse = self._pulse(upstream)
+        return pulse.pass_time if pulse else _USUAL_PASS
 
     def end(self, upstream: str) -> None:
         """Note that a stream has ended."""
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import cbor2
@@ -21,7 +21,7 @@
 
 # Reports go out this often while requests come and go, in seconds. Within it
 # a host starts about one request.
-_INTERVAL = 0.1
+_INTERVAL = 0.06
 # ... and this often without any change, so that the news does not expire.
 _QUIET_INTERVAL = 0.8
 # A host that was heard within this time, in seconds, does its duties.
@@ -43,6 +43,7 @@
         self.address = address
         self.port = port
         self.balancer: Balancer | None = None
+        self.on_news: Callable[[], None] = _ignore_news
         self.transport: Any = None
         self.heard: dict[str, float] = {}
         self.last: dict[str, int] = {}
@@ -75,6 +76,7 @@
             log.info('peer found', extra={'peer': host})
         self.heard[sender[0]] = now
         self.balancer.hear(host, counts, now)
+        self.on_news()
 
     def introduce(self, addresses: Iterable[str]) -> None:
         """Report to these addresses too."""
@@ -126,3 +128,7 @@
             if now - heard_at > _LIFETIME:
                 del self.heard[address]
                 log.info('peer lost', extra={'peer': address})
+
+
+def _ignore_news() -> None:
+    """Do nothing until somebody wants to know."""
--- a/primroseyoke/gateway/relay.py
+++ b/primroseyoke/gateway/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 import time
 
@@ -16,6 +17,7 @@
 from .knowledge import Knowledge
 from .listeners import Answer
 from .requests import CallerRequest
+from .waiting import WaitingLine
 
 __all__ = ('Relay', 'Ticket')
 
@@ -24,6 +26,10 @@
 # When a request that could not be judged may be tried again, in seconds: the
 # store's news arrive within about this time.
 _RETRY_UNKNOWN = 0.3
+# How long an answer takes to begin until that is measured, in seconds, and
+# the weight of a new measurement.
+_FIRST_EVENT = 0.2
+_SMOOTHING = 0.1
 _NOT_FOUND = 404
 _UNAUTHORIZED = 401
 _UNAVAILABLE = 503
@@ -34,7 +40,8 @@
 class Ticket:
     """A request that is allowed: where it may go and until when.
 
-    ``deadline`` is in monotonic seconds.
+    ``deadline`` is in monotonic seconds, as is ``made_at``, when the caller
+    first made the request: it may have been turned away since and come back.
     """
 
     request: CallerRequest
@@ -43,6 +50,7 @@
     service: str
     client: Client | None
     deadline: float
+    made_at: float
 
     @property
     def priority(self) -> int:
@@ -77,7 +85,10 @@
         self.pool = pool
         self.budget = budget
         self.generator = generator
-        self.freed = asyncio.Condition()
+        self.lines: dict[str, WaitingLine] = {}
+        self.first_events: dict[str, float] = {}
+        self.longest_timeouts: dict[str, float] = {}
+        self.last_stream_at = math.inf
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer one request."""
@@ -109,6 +120,8 @@
             client = catalogue.client_with(request.key)
             if client is None:
                 raise self._denied('unknown API key', _UNAUTHORIZED, now)
+        if route.execution is Execution.STREAM and now > self.last_stream_at:
+            raise _unknown('the host is about to stop')
         timeout = min(request.timeout, route.timeout)
         return Ticket(
             request=request,
@@ -117,8 +130,41 @@
             service=self._pick_service(route),
             client=client,
             deadline=request.arrived_at + timeout,
+            made_at=request.arrived_at - self._time_spent(route, request),
         )
 
+    def line(self, service: str) -> WaitingLine:
+        """Return the requests that wait for a service."""
+        return self.lines.setdefault(service, WaitingLine())
+
+    def call_waiting(self) -> None:
+        """Let waiting requests look for places after news of other hosts."""
+        for line in self.lines.values():
+            line.call()
+
+    def first_event_time(self, service: str) -> float:
+        """Return how long an answer of a service takes to begin, in seconds."""
+        return self.first_events.get(service, _FIRST_EVENT)
+
+    def observe_first_event(self, service: str, seconds: float) -> None:
+        """Note how long an answer took to begin."""
+        known = self.first_event_time(service)
+        self.first_events[service] = known + _SMOOTHING * (seconds - known)
+
+    def _time_spent(self, route: Route, request: CallerRequest) -> float:
+        """Return how long ago the caller made a request, in seconds.
+
+        All callers of a route give themselves the same time; one that comes
+        back after a refusal has less of it left.
+        """
+        if request.timeout == math.inf:
+            return 0
+        longest = self.longest_timeouts.get(route.prefix, 0)
+        if request.timeout >= longest:
+            self.longest_timeouts[route.prefix] = request.timeout
+            return 0
+        return longest - request.timeout
+
     async def _run(self, exchange: Exchange, answer: Answer) -> str:
         """Run an exchange to its end; return what went wrong, if anything."""
         try:
