Limit ranks by the measured pass; notice zones that are cut off

Cause: in a zone cut one group has all the load: at 6 requests a rank its passes take 147 ms and every answer is late; hosts in the cut zone wait 0.4 s for each upstream of the others. Change: the limit follows from the measured pass and the pause that is on time; two unreachable upstreams pause their zone, which is probed in the background; the first map needs one read of a rank.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Collection, Mapping
 
-from .catalogue import Catalogue, Engine, Service
+from .catalogue import Catalogue, Service
 from .groups import GroupWatch
 from .requests import Load
 from .upstreams import Fleet, Upstream
@@ -23,6 +23,11 @@
 # with each failure in a row up to the limit.
 _FIRST_PAUSE = 0.5
 _LONGEST_PAUSE = 4.0
+# A zone is cut off if so many of its upstreams could not be reached within
+# this time; it is avoided for a while unless one is reached. In seconds.
+_ZONE_LOSSES = 2
+_ZONE_WINDOW = 1.0
+_ZONE_PAUSE = 3.0
 # A plain service without a reported number of slots.
 _DEFAULT_SLOTS = 8
 # A plain service queues a few requests; more than these per slot wait too long.
@@ -33,10 +38,6 @@
 _SPREAD = 0.4
 # A pass under usual load, in seconds.
 _USUAL_PASS = 0.05
-# The most loaded rank over the mean just after popularity has changed.
-_HIGHEST_SKEW = 2.0
-# The longest pause between events that is on time, in seconds.
-_LONGEST_GAP = 0.12
 # The share of the longest pause between events that a pass may take.
 _GAP_SHARE = 0.85
 
@@ -64,11 +65,14 @@
 
     ``excluded`` are those that it was sent to before, ``regions`` those that
     it is bound to (empty for any). ``spare`` places are left for others.
+    ``longest_gap`` is the pause between events that is still on time, in
+    seconds.
     """
 
     excluded: Collection[str] = ()
     regions: frozenset[str] = frozenset()
     spare: int = 0
+    longest_gap: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +107,8 @@
         self.health: dict[str, _Health] = {}
         self.hosts = 1
         self.groups = GroupWatch()
+        self.lost: dict[str, dict[str, float]] = {}
+        self.zones_paused: dict[str, float] = {}
 
     def hear(self, host: str, counts: Mapping[str, int], now: float) -> None:
         """Take another host's report of its requests in progress."""
@@ -132,7 +138,7 @@
             if upstream.name in demand.excluded:
                 continue
             taken = totals.get(upstream.name, 0)
-            limit = self.limit(upstream, details) - demand.spare
+            limit = self._limit_for(upstream, details, demand, totals)
             if taken + 1 > limit or not self._bears(upstream, details, now):
                 continue
             score = self._score(upstream, taken)
@@ -160,6 +166,24 @@
         if load is not None:
             health.load = load
 
+    def lose(self, upstream: Upstream, now: float) -> None:
+        """Note that an upstream could not be reached.
+
+        If others of its availability zone could not either, the zone is cut
+        off, and waiting for each of its upstreams would take too long.
+        """
+        self.fail(upstream.name, now)
+        lost = self.lost.setdefault(upstream.availability_zone, {})
+        lost[upstream.name] = now
+        recent = [at for at in lost.values() if now - at < _ZONE_WINDOW]
+        if len(recent) >= _ZONE_LOSSES:
+            self.zones_paused[upstream.availability_zone] = now + _ZONE_PAUSE
+
+    def reach(self, availability_zone: str) -> None:
+        """Note that an upstream of a zone could be reached."""
+        self.lost.pop(availability_zone, None)
+        self.zones_paused.pop(availability_zone, None)
+
     def fail(self, name: str, now: float) -> None:
         """Pause an upstream that could not be reached or broke off."""
         health = self._health(name)
@@ -173,7 +197,7 @@
     def limit(self, upstream: Upstream, service: Service) -> float:
         """Return how many requests an upstream is to have at most."""
         if service.engine is not None:
-            return _engine_limit(service.engine)
+            return max(service.engine.slots, 1)
         load = self._health(upstream.name).load
         slots = load.slots if load and load.slots else _DEFAULT_SLOTS
         return slots * _QUEUE_SHARE
@@ -206,6 +230,30 @@
                     totals[name] = totals.get(name, 0) + count
         return totals
 
+    def _limit_for(
+        self,
+        upstream: Upstream,
+        service: Service,
+        demand: Demand,
+        totals: Mapping[str, int],
+    ) -> float:
+        """Return the limit at which the pauses of a request stay on time.
+
+        A pass takes longer with each request in it; how much longer depends
+        on the skew and is measured.
+        """
+        limit = self.limit(upstream, service)
+        engine = service.engine
+        members = self.groups.group_of(upstream.name)
+        if engine is not None and members and demand.longest_gap < math.inf:
+            empty = engine.step * engine.stride
+            used = sum(totals.get(name, 0) for name in members) / len(members)
+            busy = self.groups.pass_time(upstream.name) - empty
+            room = _GAP_SHARE * demand.longest_gap - empty
+            if busy > 0 and used >= 1:
+                limit = min(limit, max(int(used * room / busy), 1))
+        return limit - demand.spare
+
     def _score(self, upstream: Upstream, taken: int) -> float:
         """Return how long a pass with one more request is expected to take."""
         score = (taken + 1) * self.groups.pass_time(upstream.name)
@@ -218,6 +266,8 @@
         health = self._health(upstream.name)
         if now < health.paused_until:
             return False
+        if now < self.zones_paused.get(upstream.availability_zone, 0):
+            return False
         if self.groups.is_still(upstream.name, now):
             return False
         if not service.cold_rate or now >= upstream.cold_until:
@@ -237,15 +287,3 @@
 
     def _health(self, name: str) -> _Health:
         return self.health.setdefault(name, _Health())
-
-
-def _engine_limit(engine: Engine) -> int:
-    """Return how many requests a rank may run so that events stay on time.
-
-    The popularity of experts changes at once, and the map follows only half
-    a second later: until then a pass takes as long as the hottest rank.
-    """
-    longest = _GAP_SHARE * _LONGEST_GAP / engine.stride - engine.step
-    uneven = 1 + engine.expert_share * (_HIGHEST_SKEW - 1)
-    fitting = longest / (engine.per_sequence * uneven)
-    return max(min(int(fitting), engine.slots), 1)
--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -176,6 +176,7 @@
                 excluded=tuple(self.tried),
                 regions=ticket.regions,
                 spare=_SPARE_PLACES if turn.late else 0,
+                longest_gap=ticket.route.gap_objective,
             ),
         )
 
@@ -237,7 +238,7 @@
                 ticket.route.repeatable,
             )
         except RequestFailed:
-            self.relay.balancer.fail(name, time.monotonic())
+            self.relay.balancer.lose(place.upstream, time.monotonic())
             raise
         try:
             await self._relay_answer(channel)
--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -15,7 +15,7 @@
 
 from ..exceptions import ServiceUnavailable
 from .catalogue import Engine
-from .engines import Engines, RankReport
+from .engines import Counts, Engines, RankReport
 from .knowledge import Knowledge
 from .placement import (
     Limits,
@@ -39,6 +39,9 @@
 # A map is changed if the mean skew falls by more than this.
 _MIN_GAIN = 0.25
 _TARGET_SKEW = 1.35
+# Another rank is read only if it has this many more requests: a window needs
+# two reads of one rank.
+_KEPT_RANK = 2.5
 # Each new expert of a rank takes 0.15 s to load; what two replicas a rank do
 # not level, the next change does.
 _NEW_PER_RANK = 2
@@ -57,7 +60,7 @@
 # Another host may be about to finish what it began, in seconds.
 _FOREIGN_CHANGE = 1.0
 # A gateway that has just started hears of the others first, in seconds.
-_LISTEN_FIRST = 2.5
+_LISTEN_FIRST = 1.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,7 +110,7 @@
         self.running = running
         self.groups: dict[str, _Group] = {}
         self.members: frozenset[Upstream] = frozenset()
-        self.sampled: tuple[str, int, tuple[int, ...]] | None = None
+        self.samples: dict[str, Counts] = {}
         self.changes: set[asyncio.Task[None]] = set()
         self.held_since: dict[str, float] = {}
 
@@ -165,31 +168,33 @@
         ]
 
     async def _sample(self) -> tuple[int, ...] | None:
-        """Return what was chosen since the last sample of the same rank."""
+        """Return what the busiest rank's requests chose since its last read.
+
+        The counts of a rank that has just started are known to be zero.
+        """
         ranks = [rank for group in self.groups.values() for rank in group.ranks]
         if not ranks:
             return None
-        before = self.sampled
-        names = {rank.name: rank for rank in ranks}
-        if before is None or before[0] not in names:
-            before = None
-            rank = max(ranks, key=lambda each: self.running(each.name))
-        else:
-            rank = names[before[0]]
-        self.sampled = None
+        rank = max(ranks, key=self._preference)
+        if not self.running(rank.name):
+            return None
         found = await self.engines.counts(rank)
-        self.sampled = (rank.name, found.epoch, found.counts)
-        if before is None or before[1] != found.epoch:
+        before = self.samples.get(rank.name)
+        self.samples = {rank.name: found}
+        if before is None or before.epoch != found.epoch:
             return None
         counts = tuple(
             after - earlier
-            for after, earlier in zip(found.counts, before[2], strict=True)
+            for after, earlier in zip(found.counts, before.counts, strict=True)
         )
-        if min(counts) < 0 or sum(counts) < _MIN_CHOICES:
-            # An idle rank tells nothing: another is asked next time.
-            self.sampled = None if sum(counts) < _MIN_CHOICES else self.sampled
+        if min(counts) < 0:
             return None
-        return counts
+        return counts if sum(counts) >= _MIN_CHOICES else None
+
+    def _preference(self, rank: Upstream) -> float:
+        """Rank the candidates for a read: busy, and read before."""
+        advantage = _KEPT_RANK if rank.name in self.samples else 0
+        return self.running(rank.name) + advantage
 
     def _consider(
         self,
@@ -334,8 +339,13 @@
             step=first.step,
             stepped_at=time.monotonic(),
         )
-        if await self._recover(group, reports):
-            self.groups[name] = group
+        if not await self._recover(group, reports):
+            return
+        self.groups[name] = group
+        if first.step == 0:
+            nothing = (0,) * (engine.layers * engine.experts)
+            for upstream in upstreams:
+                self.samples[upstream.name] = Counts(first.epoch, 0, nothing)
 
     async def _placement(
         self,
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -15,6 +15,7 @@
 from .balancer import Balancer
 from .budgets import SendBudget
 from .channels import ChannelPool
+from .connections import connect
 from .engines import Engines
 from .experts import ExpertDirector
 from .groups import GroupDirectory
@@ -40,6 +41,8 @@
 _STREAM_TIME = 4.5
 # How often kept connections are checked, in seconds.
 _SWEEP = 1.0
+# How often a zone that is cut off is tried, in seconds.
+_PROBE = 0.4
 _BACKLOG = 1024
 
 
@@ -168,6 +171,7 @@
             self._start(follower.run())
         self._start(self._register())
         self._start(self._sweep())
+        self._start(self._probe_zones())
         self._start(self.director.run())
         self._start(self.directory.run())
         await self.stopping.wait()
@@ -251,6 +255,32 @@
             self.balancer.hosts = self.peers.hosts
             self.budget.hosts = self.peers.hosts
 
+    async def _probe_zones(self) -> None:
+        """Find out when zones that were cut off can be reached again."""
+        while True:
+            await asyncio.sleep(_PROBE)
+            for zone in tuple(self.balancer.zones_paused):
+                await self._probe_zone(zone)
+
+    async def _probe_zone(self, zone: str) -> None:
+        ranks = [
+            upstream
+            for upstream in self.knowledge.fleet.upstreams.values()
+            if upstream.availability_zone == zone
+        ]
+        if not ranks:
+            self.balancer.reach(zone)
+            return
+        rank = self.generator.choice(ranks)
+        try:
+            connection = await connect(rank.host, rank.port, _PROBE)
+        except OSError as error:
+            log.debug('zone cut off', extra={'reason': repr(error)})
+            return
+        connection.close()
+        log.info('zone reached', extra={'reached': zone})
+        self.balancer.reach(zone)
+
     async def _drain(self) -> None:
         """Finish the requests in progress and those that still arrive."""
         loop = asyncio.get_running_loop()
--- a/primroseyoke/gateway/groups.py
+++ b/primroseyoke/gateway/groups.py
@@ -9,6 +9,7 @@
 import dataclasses
 import logging
 import time
+from collections.abc import Collection
 
 from ..exceptions import ServiceUnavailable
 from .engines import Engines
@@ -28,6 +29,8 @@
 # A pass until it is measured, in seconds, and the weight of a measurement.
 _USUAL_PASS = 0.05
 _SMOOTHING = 0.1
+# A longer pause is no pass but a group that stands still, in seconds.
+_LONGEST_PASS = 0.25
 # How often the state of broken groups is read, in seconds.
 _INTERVAL = 0.3
 
@@ -54,6 +57,13 @@
         self.members: dict[str, str] = {}
         self.pulses: dict[str, _Pulse] = {}
 
+    def group_of(self, upstream: str) -> list[str]:
+        """Return the ranks of an upstream's group, itself included."""
+        group = self.members.get(upstream)
+        if group is None:
+            return []
+        return [name for name, each in self.members.items() if each == group]
+
     def begin(self, upstream: str, now: float) -> None:
         """Note that a stream has begun."""
         pulse = self._pulse(upstream)
@@ -73,6 +83,7 @@
         pulse.moved_at = now
         pulse.broken_until = 0
         if gap:
+            gap = min(gap, _LONGEST_PASS)
             pulse.pass_time += _SMOOTHING * (gap - pulse.pass_time)
 
     def pass_time(self, upstream: str) -> float:
@@ -96,6 +107,11 @@
         """Note that a group reports itself open."""
         self.pulses.setdefault(group, _Pulse()).broken_until = 0
 
+    def keep(self, upstreams: Collection[str]) -> None:
+        """Forget the ranks that are gone."""
+        for name in set(self.members) - set(upstreams):
+            del self.members[name]
+
     def is_still(self, upstream: str, now: float) -> bool:
         """Tell whether the group of an upstream seems to stand still."""
         pulse = self._pulse(upstream)
@@ -138,6 +154,7 @@
         """Work until cancelled."""
         while True:
             upstreams = self._ranks()
+            self.watch.keep({rank.name for rank in upstreams})
             unknown = [
                 upstream
                 for upstream in upstreams
