Keep the measured limit above 0.7 of the slots

Cause: beside a slow rank the measured limit fell to 2 of 6, and whoever waited was late. Ruled out: no measured limit at all (147 ms passes in a zone cut).

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -38,6 +38,9 @@
 _SPREAD = 0.4
 # A pass under usual load, in seconds.
 _USUAL_PASS = 0.05
+# The measured limit is at least this share of the slots: with fewer, a slow
+# rank would turn away more than it makes late.
+_LEAST_SHARE = 0.7
 # The share of the longest pause between events that a pass may take.
 _GAP_SHARE = 0.85
 
@@ -251,7 +254,8 @@
             busy = self.groups.pass_time(upstream.name) - empty
             room = _GAP_SHARE * demand.longest_gap - empty
             if busy > 0 and used >= 1:
-                limit = min(limit, max(int(used * room / busy), 1))
+                fitting = int(used * room / busy)
+                limit = min(limit, max(fitting, _LEAST_SHARE * limit))
         return limit - demand.spare
 
     def _score(self, upstream: Upstream, taken: int) -> float:
