--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -1,17 +1,21 @@
-"""One request on its way to upstreams, and its answer on the way back."""
+"""One request on its way to upstreams, until it is answered."""
 
-import asyncio
 import time
 from typing import TYPE_CHECKING, Any
 
-from ..exceptions import ConnectionBroken, RequestFailed, RequestRejected
+from ..exceptions import RequestFailed
 from ..verdicts import Verdict
 from .balancer import Demand, Place
-from .catalogue import Execution
-from .channels import Channel
-from .events import EventSplitter
 from .listeners import Answer
-from .requests import Outgoing, Reply
+from .transfers import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    RETRY_BUSY,
+    SHORTEST,
+    UNAVAILABLE,
+    Progress,
+    Transfer,
+)
 from .waiting import Turn
 
 if TYPE_CHECKING:
@@ -29,24 +33,8 @@
 # A request that will be late takes a place only if this many more are left at
 # the upstream: one that is on time is worth four times as much.
 _SPARE_PLACES = 1
-# When a request that found no place may come back, in seconds: about the time
-# in which a tenth of the places become free.
-_RETRY_BUSY = 0.3
-# Answers up to this size are received whole before the caller gets them, so
-# that a broken one can be tried again; in bytes.
-_BUFFERED = 262144
-# An upstream whose group lost a rank is silent for 1.5 s and then fails; a
-# caller leaves a stream after 2 s of silence. In between, resume elsewhere.
-_SILENCE = 1.3
 # Further sends that upstreams may turn away, beyond those that may run.
 _MAX_REJECTED = 3
-# With less time left, in seconds, an upstream could not answer.
-_SHORTEST = 0.05
-_SUCCESS = range(200, 300)
-_SERVER_ERROR = 500
-_BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
 
 
 class Exchange:
@@ -55,6 +43,7 @@
     Attributes:
         may_have_run: number of sends that may have run.
         rejected: number of sends that upstreams turned away.
+        tried: the upstreams that it was sent to.
     """
 
     def __init__(
@@ -66,16 +55,12 @@
         """Prepare to serve a ticket."""
         self.relay = relay
         self.ticket = ticket
-        self.answer = answer
         self.may_have_run = 0
         self.rejected = 0
         self.tried: list[str] = []
-        self.resume_after = ticket.request.resume_after
         self.waited = 0.0
-        self.first_event_at = 0.0
-        self.event_at = 0.0
-        self.sent_at = 0.0
-        self.longest_gap = 0.0
+        self.progress = Progress(ticket.request.resume_after)
+        self.transfer = Transfer(relay, ticket, answer, self.progress)
 
     async def run(self) -> None:
         """Answer the caller.
@@ -85,37 +70,31 @@
             ConnectionError: the caller has closed.
         """
         self.relay.budget.count(self.ticket.service, time.monotonic())
-        while True:
-            place = await self._acquire()
-            self.tried.append(place.upstream.name)
-            try:
-                await self._attempt(place)
-                return
-            except RequestFailed as failure:
-                self._note_failure(place, failure)
-                self._check_retry(failure)
-            finally:
-                self._release(place)
+        failure = await self._attempt()
+        while failure is not None:
+            self._check_retry(failure)
+            failure = await self._attempt()
 
     def timed_out(self) -> RequestFailed:
         """Return the failure of a request whose deadline has passed."""
-        if self.may_have_run or self.tried:
+        if self.tried:
             return RequestFailed(
                 'no upstream answered in time',
                 Verdict.MAY_HAVE_RUN,
-                _GATEWAY_TIMEOUT,
+                GATEWAY_TIMEOUT,
             )
         return RequestFailed(
             'no upstream was free in time',
             Verdict.NOT_RUN,
-            _UNAVAILABLE,
-            _RETRY_BUSY,
+            UNAVAILABLE,
+            RETRY_BUSY,
         )
 
     def summary(self) -> dict[str, Any]:
         """Return the inputs of the decisions, for the log."""
         ticket = self.ticket
-        first = self.first_event_at
+        first = self.progress.first_event_at
+        begun = first - ticket.request.arrived_at if first else None
         return {
             'route': ticket.route.name,
             'service': ticket.service,
@@ -124,13 +103,31 @@
             'upstreams': self.tried,
             'rejected': self.rejected,
             'may_have_run': self.may_have_run,
-            'waited_ms': round(self.waited * 1000, 1),
-            'first_ms': round((first - ticket.request.arrived_at) * 1000, 1)
-            if first
-            else None,
-            'longest_gap_ms': round(self.longest_gap * 1000, 1),
+            'waited_ms': _milliseconds(self.waited),
+            'first_ms': _milliseconds(begun),
+            'longest_gap_ms': _milliseconds(self.progress.longest_gap),
         }
 
+    async def _attempt(self) -> RequestFailed | None:
+        """Send the request once; return what went wrong, if anything."""
+        place = await self._acquire()
+        self.tried.append(place.upstream.name)
+        try:
+            await self.transfer.run(place, self._is_last())
+        except RequestFailed as failure:
+            return failure
+        finally:
+            self.relay.balancer.release(place)
+            self.relay.line(self.ticket.service).call()
+        return None
+
+    def _is_last(self) -> bool:
+        """Tell whether a failure of the next upstream is final."""
+        route = self.ticket.route
+        if not route.repeatable or self.may_have_run + 1 >= route.attempts:
+            return True
+        return self.ticket.deadline - time.monotonic() <= SHORTEST
+
     async def _acquire(self) -> Place:
         """Wait for a place at an upstream.
 
@@ -144,21 +141,20 @@
             _LONGEST_WAIT,
             _WAIT_SHARE * (ticket.deadline - started),
         )
+        now = started
+        place = self._take_place(now)
         try:
-            while True:
-                now = time.monotonic()
-                turn = self._turn(now)
-                if line.may_go(turn):
-                    place = self._take_place(now, turn)
-                    if place is not None:
-                        return place
+            while place is None:
                 if now >= limit:
                     raise self._no_place()
-                # Turns to late in the line, and news of others may be lost.
-                await line.wait(turn, min(limit - now, _LOOK_AGAIN))
+                # A turn changes with time, and news of others may be lost.
+                await line.wait(self._turn(now), min(limit - now, _LOOK_AGAIN))
+                now = time.monotonic()
+                place = self._take_place(now)
         finally:
             self.waited += time.monotonic() - started
             line.call()
+        return place
 
     def _turn(self, now: float) -> Turn:
         ticket = self.ticket
@@ -166,8 +162,11 @@
         late_at -= self.relay.first_event_time(ticket.service)
         return Turn(now > late_at, ticket.priority, ticket.made_at)
 
-    def _take_place(self, now: float, turn: Turn) -> Place | None:
+    def _take_place(self, now: float) -> Place | None:
         ticket = self.ticket
+        turn = self._turn(now)
+        if not self.relay.line(ticket.service).may_go(turn):
+            return None
         return self.relay.balancer.acquire(
             ticket.catalogue,
             ticket.service,
@@ -180,215 +179,46 @@
             ),
         )
 
-    def _release(self, place: Place) -> None:
-        self.relay.balancer.release(place)
-        self.relay.line(self.ticket.service).call()
-
     def _no_place(self) -> RequestFailed:
         if self.may_have_run:
             return RequestFailed(
                 'no other upstream is free',
                 Verdict.MAY_HAVE_RUN,
-                _BAD_GATEWAY,
+                BAD_GATEWAY,
             )
         return RequestFailed(
             'no upstream is free',
             Verdict.NOT_RUN,
-            _UNAVAILABLE,
-            _RETRY_BUSY,
+            UNAVAILABLE,
+            RETRY_BUSY,
         )
 
-    def _note_failure(self, place: Place, failure: RequestFailed) -> None:
+    def _check_retry(self, failure: RequestFailed) -> None:
+        """Raise the failure unless the request may be sent once more."""
         if failure.verdict is Verdict.NOT_RUN:
             self.rejected += 1
         else:
             self.may_have_run += 1
-
-    def _check_retry(self, failure: RequestFailed) -> None:
-        """Raise the failure unless the request may be sent once more."""
-        ticket = self.ticket
-        now = time.monotonic()
-        if self.may_have_run and not ticket.route.repeatable:
-            raise failure
-        allowed = (
-            self.may_have_run < ticket.route.attempts
-            and self.rejected <= _MAX_REJECTED
-            and ticket.deadline - now > _SHORTEST
-            and self.relay.budget.spend(ticket.service, now)
-        )
-        if allowed:
+        if self._may_retry(time.monotonic()):
             return
         if self.may_have_run and failure.verdict is Verdict.NOT_RUN:
             raise RequestFailed(
                 str(failure),
                 Verdict.MAY_HAVE_RUN,
-                _BAD_GATEWAY,
+                BAD_GATEWAY,
             )
         raise failure
 
-    async def _attempt(self, place: Place) -> None:
+    def _may_retry(self, now: float) -> bool:
         ticket = self.ticket
-        name = place.upstream.name
-        self.sent_at = time.monotonic()
-        try:
-            channel = await self.relay.pool.open_answer(
-                place.upstream,
-                ticket.request,
-                self._outgoing(name),
-                ticket.route.repeatable,
-            )
-        except RequestFailed:
-            self.relay.balancer.lose(place.upstream, time.monotonic())
-            raise
-        try:
-            await self._relay_answer(channel)
-        except RequestRejected:
-            self.relay.pool.release(channel)
-            raise
-        except ConnectionBroken:
-            channel.close()
-            if not channel.reused:
-                self.relay.balancer.fail(name, time.monotonic())
-            raise
-        except BaseException:
-            channel.close()
-            raise
-        self.relay.pool.release(channel)
-
-    def _outgoing(self, name: str) -> Outgoing:
-        ticket = self.ticket
-        return Outgoing(
-            upstream=name,
-            timeout=ticket.deadline - time.monotonic(),
-            client=ticket.client.name if ticket.client else '',
-            resume_after=self.resume_after,
-        )
-
-    async def _relay_answer(self, channel: Channel) -> None:
-        request_id = self.ticket.request.request_id
-        stream = self.ticket.route.execution is Execution.STREAM
-        silence = _SILENCE if self.ticket.route.repeatable and stream else None
-        try:
-            async with asyncio.timeout(silence) as timer:
-                reply = await channel.receive_head(
-                    self.relay.pool.codec,
-                    request_id,
-                )
-                if stream and reply.signed and reply.status in _SUCCESS:
-                    await self._relay_events(channel, reply, timer, silence)
-                else:
-                    await self._relay_whole(channel, reply)
-        except TimeoutError as error:
-            raise ConnectionBroken(
-                f'{channel.upstream.name}: silent for {silence} s',
-                Verdict.MAY_HAVE_RUN,
-                _GATEWAY_TIMEOUT,
-            ) from error
-        self.relay.balancer.succeed(channel.upstream.name, reply.load)
-
-    async def _relay_events(
-        self,
-        channel: Channel,
-        reply: Reply,
-        timer: asyncio.Timeout,
-        silence: float | None,
-    ) -> None:
-        groups = self.relay.balancer.groups
-        name = channel.upstream.name
-        groups.begin(name, time.monotonic())
-        try:
-            await self._forward_events(channel, reply, timer, silence)
-        finally:
-            groups.end(name)
-
-    async def _forward_events(
-        self,
-        channel: Channel,
-        reply: Reply,
-        timer: asyncio.Timeout,
-        silence: float | None,
-    ) -> None:
-        splitter = EventSplitter()
-        loop = asyncio.get_running_loop()
-        async for content in channel.body():
-            self._note_event(channel.upstream.name, time.monotonic())
-            # The time that the caller takes to read is not the upstream's.
-            timer.reschedule(None)
-            for event in splitter.feed(content):
-                if not self.answer.started:
-                    self._note_first_event()
-                    self.answer.start(reply.status, _unframed(reply))
-                await self.answer.send(event.content)
-                self.resume_after = event.event_id or self.resume_after
-            if silence:
-                timer.reschedule(loop.time() + silence)
-        if splitter.rest or not self.answer.started:
-            raise ConnectionBroken(
-                f'{channel.upstream.name}: ended within an event',
-                Verdict.MAY_HAVE_RUN,
-                _BAD_GATEWAY,
-            )
-        self.answer.finish()
-
-    def _note_first_event(self) -> None:
-        self.first_event_at = time.monotonic()
-        self.relay.observe_first_event(
-            self.ticket.service,
-            self.first_event_at - self.sent_at,
-        )
-
-    def _note_event(self, upstream: str, now: float) -> None:
-        gap = now - self.event_at if self.event_at else 0
-        self.relay.balancer.groups.move(upstream, now, gap)
-        self.longest_gap = max(self.longest_gap, gap)
-        self.event_at = now
-
-    async def _relay_whole(self, channel: Channel, reply: Reply) -> None:
-        chunks: list[bytes] = []
-        async for content in channel.body():
-            chunks.append(content)
-        body = b''.join(chunks)
-        if not reply.executed:
-            raise self._rejected(channel, reply)
-        if self.answer.started:
-            raise _broken(channel, f'answered {reply.status} to a resumption')
-        if not reply.signed:
-            raise _broken(channel, f'unsigned answer {reply.status}')
-        last = self.may_have_run + 1 >= self.ticket.route.attempts
-        if reply.status >= _SERVER_ERROR and self.ticket.route.repeatable:
-            if not last and self._can_repeat():
-                raise _broken(channel, f'answered {reply.status}')
-        self.first_event_at = time.monotonic()
-        self.answer.whole(reply.status, reply.headers, body)
-
-    def _can_repeat(self) -> bool:
-        return self.ticket.deadline - time.monotonic() > _SHORTEST
-
-    def _rejected(self, channel: Channel, reply: Reply) -> RequestFailed:
-        now = time.monotonic()
-        if reply.culprit and reply.culprit != channel.upstream.name:
-            self.relay.balancer.groups.reject(channel.upstream.name, now)
-        else:
-            self.relay.balancer.fail(channel.upstream.name, now)
-        return RequestRejected(
-            f'{channel.upstream.name}: turned away with {reply.status}',
-            Verdict.NOT_RUN,
-            _UNAVAILABLE,
-            _RETRY_BUSY,
-        )
-
-
-def _broken(channel: Channel, text: str) -> RequestFailed:
-    return RequestFailed(
-        f'{channel.upstream.name}: {text}',
-        Verdict.MAY_HAVE_RUN,
-        _BAD_GATEWAY,
-    )
+        if self.may_have_run and not ticket.route.repeatable:
+            return False
+        if self.may_have_run >= ticket.route.attempts:
+            return False
+        if self.rejected > _MAX_REJECTED or ticket.deadline - now <= SHORTEST:
+            return False
+        return self.relay.budget.spend(ticket.service, now)
 
 
-def _unframed(reply: Reply) -> list[tuple[bytes, bytes]]:
-    return [
-        (name, text)
-        for name, text in reply.headers
-        if name.lower() != b'content-length'
-    ]
+def _milliseconds(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds * 1000, 1)
