--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,114 @@
+"""Entries of the store, whole, forged and torn."""
+
+import json
+
+import pytest
+
+from primroseyoke.exceptions import ConfigurationInvalid
+from primroseyoke.gateway.catalogue import Execution
+from primroseyoke.platform.entries import decode_catalogue, decode_upstream
+from tests.gateway.deployment import configuration, route
+
+ENTRY = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'ro-centru-a',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'coldLeftMs': 1500,
+    'phase': 'mixed',
+    'born': 1787952131030,
+    'seq': 4,
+}
+ENGINE = {
+    'slots': 6,
+    'kvCapacity': 140000,
+    'kvTokenBytes': 70272,
+    'linkMbps': 92000.0,
+    'stride': 4,
+    'step_ms': 4.55,
+    'per_seq_ms': 1.81,
+    'read_per_s': 61400.0,
+    'layerSets': 6,
+    'experts': 64,
+    'locations': 11,
+    'spares': 4,
+    'expertMb': 1700.0,
+    'expertRatio': 0.85,
+}
+
+
+def test_an_entry_names_an_upstream() -> None:
+    upstream = decode_upstream('i-1', json.dumps(ENTRY).encode(), now=100)
+    assert (upstream.host, upstream.port) == ('10.128.0.9', 8080)
+    assert upstream.availability_zone == 'ro-centru-a'
+    assert upstream.cold_until == 101.5
+    assert upstream.started_at == 1787952131030
+    assert not upstream.draining
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'state': 'sleeping'},
+        {'address': 'nowhere'},
+        {'address': ':80'},
+        {'address': 17},
+        {'service': ''},
+        {'coldLeftMs': 'soon'},
+        {'zone': None},
+        {'born': 1.5},
+    ],
+)
+def test_a_forged_entry_names_none(changed: dict[str, object]) -> None:
+    content = json.dumps({**ENTRY, **changed}).encode()
+    with pytest.raises(ConfigurationInvalid):
+        decode_upstream('i-1', content, now=100)
+
+
+@pytest.mark.parametrize('content', [b'', b'{', b'\xff\xfe', b'[]', b'null'])
+def test_a_torn_entry_names_none(content: bytes) -> None:
+    with pytest.raises(ConfigurationInvalid):
+        decode_upstream('i-1', content, now=100)
+
+
+def test_a_configuration_is_decoded_into_plain_units() -> None:
+    services = [
+        {'name': 'model', 'maxConns': 418, 'coldPerS': 36.0, 'engine': ENGINE},
+    ]
+    content = json.dumps(configuration(9, services=services)).encode()
+    catalogue = decode_catalogue(content)
+    draft = catalogue.match('shop.example', '/draft/x')
+    assert catalogue.version == 9
+    assert draft.execution is Execution.STREAM
+    assert draft.repeatable
+    assert (draft.timeout, draft.objective) == (4.0, 0.5)
+    assert draft.gap_objective == pytest.approx(0.12)
+    engine = catalogue.services['model'].engine
+    assert engine.step == pytest.approx(0.00455)
+    assert engine.expert_load_time == pytest.approx(0.1478, abs=1e-4)
+    assert engine.places_experts
+    assert catalogue.limits.idle_timeout == 2.0
+
+
+def test_an_unknown_kind_must_not_run_twice() -> None:
+    routes = [route('/x/', 'something_new', 'app')]
+    content = json.dumps(configuration(routes=routes)).encode()
+    found = decode_catalogue(content).match('shop.example', '/x/')
+    assert found.execution is Execution.NON_IDEMPOTENT
+
+
+def test_a_split_route_keeps_its_weights() -> None:
+    split = [{'service': 'a', 'weight': 90}, {'service': 'b', 'weight': 10}]
+    changed = route('/x/', 'idempotent', '', split=split)
+    changed.pop('service')
+    content = json.dumps(configuration(routes=[changed])).encode()
+    found = decode_catalogue(content).match('shop.example', '/x/')
+    assert [target.weight for target in found.targets] == [90, 10]
+
+
+@pytest.mark.parametrize('content', [b'{}', b'{"version": "7"}', b'\x00'])
+def test_a_bad_configuration_is_an_error(content: bytes) -> None:
+    with pytest.raises(ConfigurationInvalid):
+        decode_catalogue(content)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,72 @@
+"""The platform's settings file."""
+
+import pathlib
+
+import pytest
+
+from primroseyoke.exceptions import SettingsInvalid
+from primroseyoke.platform.settings import load_platform_settings
+
+SETTINGS = """
+node: "edge-1"
+role: "gateway"
+ip: "10.1.0.40"
+zone: "ro-centru-a"
+zones: {ro-centru-a: "ro-centru"}
+listen: {front: "10.1.0.40:8227", ready: "10.1.0.40:8220"}
+internalPorts: [7340, 7355]
+seeds: ["10.1.0.40:8229", "10.2.0.29:8229"]
+heartbeatMs: 1200
+unknown: {field: 1}
+bounds: {graceS: 8, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 92}
+provider: {address: "10.200.1.7:8223", ttlMinMs: 1000}
+"""
+
+
+def write(folder: pathlib.Path, text: str) -> str:
+    path = folder / 'settings.yaml'
+    path.write_text(text)
+    return str(path)
+
+
+def test_settings_are_translated(tmp_path: pathlib.Path) -> None:
+    settings = load_platform_settings(write(tmp_path, SETTINGS))
+    assert settings.host == 'edge-1'
+    assert str(settings.callers) == '10.1.0.40:8227'
+    assert str(settings.metrics) == '10.1.0.40:7341'
+    assert settings.seeds == ('10.1.0.40', '10.2.0.29')
+    assert settings.region_of == {'ro-centru-a': 'ro-centru'}
+    assert settings.grace == 8
+    assert settings.repeat_slack == 92
+    assert str(settings.store.address) == '10.200.1.7:8223'
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'told'),
+    [
+        ('node: "edge-1"', '', 'node'),
+        ('ip: "10.1.0.40"', 'ip: 7', 'ip'),
+        ('10.1.0.40:8227', '10.1.0.40', 'listen.front'),
+        ('10.200.1.7:8223', 'store', 'provider.address'),
+        ('graceS: 8', 'graceS: soon', 'bounds.graceS'),
+        ('budgetRatio: 0.2', 'budgetRatio: -1', 'bounds.budgetRatio'),
+        ('[7340, 7355]', '[0, 7355]', 'internalPorts'),
+        ('node: "edge-1"', 'node: [', 'unreadable'),
+    ],
+)
+def test_a_wrong_file_names_the_key(
+    tmp_path: pathlib.Path,
+    before: str,
+    after: str,
+    told: str,
+) -> None:
+    path = write(tmp_path, SETTINGS.replace(before, after, 1))
+    with pytest.raises(SettingsInvalid) as raised:
+        load_platform_settings(path)
+    assert path in str(raised.value)
+    assert told in str(raised.value)
+
+
+def test_a_missing_file_is_an_error(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(SettingsInvalid):
+        load_platform_settings(str(tmp_path / 'missing.yaml'))
