--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -40,7 +40,9 @@
 MODEL = catalogue(Service('app', 100, engine=ENGINE))
 
 
-def fill(balancer: Balancer, now: float = 1, demand: Demand = STREAM) -> list[str]:
+def fill(
+    balancer: Balancer, now: float = 1, demand: Demand = STREAM
+) -> list[str]:
     taken = []
     place = balancer.acquire(MODEL, 'app', now, demand)
     while place is not None:
--- a/tests/gateway/test_catalogue.py
+++ b/tests/gateway/test_catalogue.py
@@ -23,7 +23,9 @@
     return Route(**{**fields, **changed})
 
 
-def make_catalogue(*routes: Route, clients: tuple[Client, ...] = ()) -> Catalogue:
+def make_catalogue(
+    *routes: Route, clients: tuple[Client, ...] = ()
+) -> Catalogue:
     return Catalogue(1, routes, {}, clients, CallerLimits())
 
 
--- /dev/null
+++ b/tests/gateway/test_gateway.py
@@ -0,0 +1,169 @@
+"""A gateway process: readiness, drain, reload, metrics and peers."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from primroseyoke.exceptions import SettingsInvalid
+from primroseyoke.gateway.listeners import Answer
+from primroseyoke.gateway.peers import PeerReports
+from primroseyoke.gateway.requests import CallerRequest
+from primroseyoke.gateway.settings import GatewaySettings
+from tests.gateway.deployment import Deployment, deployment, until
+from tests.standins.platform import StandInUpstream, answer_ok
+from primroseyoke.gateway.clients import HttpClient
+
+
+async def slow(
+    upstream: StandInUpstream,
+    request: CallerRequest,
+    answer: Answer,
+) -> None:
+    await asyncio.sleep(0.8)
+    answer.whole(200, upstream.signed(request), b'done')
+
+
+async def long_answer(
+    upstream: StandInUpstream,
+    request: CallerRequest,
+    answer: Answer,
+) -> None:
+    body = b'x' * 3_000_000
+    answer.whole(200, upstream.signed(request), body)
+
+
+def pages(system: Deployment) -> HttpClient:
+    address = system.gateway.settings.readiness
+    return HttpClient(address.host, address.port)
+
+
+def test_a_gateway_is_ready_once_it_knows_a_configuration() -> None:
+    async def scenario() -> None:
+        async with deployment(configured=False) as system:
+            assert (await pages(system).call('GET', '/ready')).status == 503
+        async with deployment(app=(answer_ok,)) as system:
+            assert (await pages(system).call('GET', '/ready')).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_sigterm_finishes_requests_and_turns_readiness_off() -> None:
+    async def scenario() -> None:
+        async with deployment(app=(slow,)) as system:
+            call = asyncio.ensure_future(system.call('/book/', 'POST'))
+            await until(lambda: bool(system.upstreams['app-0'].seen))
+            signal.raise_signal(signal.SIGTERM)
+            await until(lambda: system.gateway.stopping.is_set())
+            assert (await pages(system).call('GET', '/ready')).status == 503
+            received = await call
+            assert (received.status, received.body) == (200, b'done')
+            assert received.headers['connection'] == 'close'
+            late = await system.call('/lookup/')
+            assert late.status == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_wrong_settings_file_leaves_the_settings_in_place(caplog) -> None:
+    async def scenario() -> None:
+        async with deployment(app=(answer_ok,)) as system:
+            before = system.gateway.settings
+            signal.raise_signal(signal.SIGHUP)
+            await until(lambda: 'settings not reloaded' in caplog.text)
+            assert system.gateway.settings is before
+            assert (await system.call('/lookup/')).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_changed_settings_are_applied(monkeypatch) -> None:
+    async def scenario() -> None:
+        async with deployment(app=(answer_ok,)) as system:
+            gateway = system.gateway
+            changed = {
+                field: getattr(gateway.settings, field)
+                for field in GatewaySettings.__slots__
+            }
+            changed['repeat_slack'] = 7.0
+            settings = GatewaySettings(**changed)
+            monkeypatch.setattr(
+                gateway.platform,
+                'read_settings',
+                lambda: settings,
+            )
+            gateway.reload()
+            assert gateway.budget.slack == 7.0
+
+    asyncio.run(scenario())
+
+
+def test_reading_a_missing_settings_file_is_an_error() -> None:
+    async def scenario() -> None:
+        async with deployment() as system:
+            with pytest.raises(SettingsInvalid):
+                system.gateway.platform.read_settings()
+
+    asyncio.run(scenario())
+
+
+def test_metrics_and_state_tell_what_happened() -> None:
+    async def scenario() -> None:
+        async with deployment(app=(answer_ok,)) as system:
+            await system.call('/lookup/')
+            metrics = (await pages(system).call('GET', '/metrics')).body
+            assert b'gateway_answers_total{status="200"' in metrics
+            assert b'gateway_first_event_seconds_bucket' in metrics
+            answer = await pages(system).call('GET', '/state')
+            state = json.loads(answer.body)
+            assert state['configuration'] == 1
+            assert set(state['upstreams']) == {'app-0'}
+
+    asyncio.run(scenario())
+
+
+def test_a_slow_reader_gets_its_whole_answer() -> None:
+    async def scenario() -> None:
+        async with deployment(app=(long_answer,)) as system:
+            received = await system.call('/lookup/')
+            assert received.whole
+            assert len(received.body) == 3_000_000
+
+    asyncio.run(scenario())
+
+
+def test_each_request_ends_in_one_log_line(caplog) -> None:
+    async def scenario() -> None:
+        async with deployment(app=(answer_ok,)) as system:
+            await system.call('/lookup/', request_id='r-77')
+
+    caplog.set_level('INFO')
+    asyncio.run(scenario())
+    lines = [
+        record
+        for record in caplog.records
+        if getattr(record, 'request', '') == 'r-77'
+    ]
+    assert len(lines) == 1
+    assert lines[0].status == 200
+    assert lines[0].upstreams == ['app-0']
+    assert lines[0].configuration == 1
+
+
+def test_peers_skip_what_is_not_a_report() -> None:
+    peers = PeerReports('me', '127.0.0.1', 1)
+    for content in (b'', b'\xff', b'\x83\x01\x02\x03', b'\xa0'):
+        peers.datagram_received(content, ('127.0.0.2', 1))
+    assert not peers.heard
+
+
+def test_the_lowest_address_that_is_heard_leads() -> None:
+    peers = PeerReports('me', '10.0.0.5', 1)
+    assert peers.is_first
+    peers.introduce(['10.0.0.9'])
+    assert peers.is_first
+    peers.introduce(['10.0.0.1'])
+    assert not peers.is_first
+    peers.heard['10.0.0.1'] -= 5
+    assert peers.is_first
