--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -146,6 +146,32 @@
         """Return the requests of all hosts in progress at an upstream."""
         return self._totals(now).get(name, 0)
 
+    def explain(self, service: Service, now: float) -> str:
+        """Return why the upstreams of a service have no place."""
+        accepting = self.fleet.accepting(service.name)
+        known = [
+            upstream
+            for upstream in self.fleet.upstreams.values()
+            if upstream.service == service.name
+        ]
+        paused = [
+            upstream.name
+            for upstream in accepting
+            if self.health.is_paused(upstream, now)
+        ]
+        still = [
+            upstream.name
+            for upstream in accepting
+            if self.groups.is_still(upstream.name, now)
+        ]
+        totals = self._totals(now)
+        taken = sum(totals.get(upstream.name, 0) for upstream in accepting)
+        return (
+            f'{len(known)} upstreams known, {len(accepting)} in service, '
+            f'{len(paused)} paused, {len(still)} standing still, '
+            f'{taken} requests there, {len(self.news)} other hosts heard'
+        )
+
     def prune(self) -> None:
         """Drop what is known of upstreams that are gone."""
         self.health.keep(frozenset(self.fleet.upstreams))
--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -1,11 +1,13 @@
 """One request on its way to upstreams, until it is answered."""
 
+import logging
 import time
 from typing import TYPE_CHECKING, Any
 
 from ..exceptions import RequestFailed
 from ..verdicts import Verdict
 from .balancer import Demand, Place
+from .catalogue import Service
 from .listeners import Answer
 from .transfers import (
     BAD_GATEWAY,
@@ -24,6 +26,8 @@
 
 __all__ = ('Exchange',)
 
+log = logging.getLogger(__name__)
+
 # How long a request waits for a place at most, in seconds: a caller leaves a
 # stream that has not begun after 2 s.
 _LONGEST_WAIT = 1.4
@@ -187,14 +191,19 @@
         )
 
     def _no_place(self) -> RequestFailed:
+        service = self.ticket.service
+        why = self.relay.balancer.explain(
+            self.ticket.catalogue.services.get(service) or Service(service, 0),
+            time.monotonic(),
+        )
         if self.may_have_run:
             return RequestFailed(
-                'no other upstream is free',
+                f'no other upstream is free: {why}',
                 Verdict.MAY_HAVE_RUN,
                 BAD_GATEWAY,
             )
         return RequestFailed(
-            'no upstream is free',
+            f'no upstream is free: {why}',
             Verdict.NOT_RUN,
             UNAVAILABLE,
             RETRY_BUSY,
@@ -206,7 +215,18 @@
             self.rejected += 1
         else:
             self.may_have_run += 1
-        if self._may_retry(time.monotonic()):
+        again = self._may_retry(time.monotonic())
+        log.info(
+            'send failed',
+            extra={
+                'request': self.ticket.request.request_id,
+                'upstream': self.tried[-1],
+                'reason': str(failure),
+                'verdict': failure.verdict.value,
+                'sent_again': again,
+            },
+        )
+        if again:
             return
         if self.may_have_run and failure.verdict is Verdict.NOT_RUN:
             raise RequestFailed(
--- a/primroseyoke/gateway/groups.py
+++ b/primroseyoke/gateway/groups.py
@@ -109,8 +109,12 @@
     def reject(self, upstream: str, now: float) -> None:
         """Note that a rank turned a request away for the sake of another."""
         pulse = self._pulse(upstream)
-        if pulse is not None:
-            pulse.broken_until = now + _BROKEN
+        if pulse is None:
+            return
+        if now >= pulse.broken_until:
+            group = self.members[upstream]
+            log.warning('group broken', extra={'group': group})
+        pulse.broken_until = now + _BROKEN
 
     def reopen(self, group: str) -> None:
         """Note that a group reports itself open."""
--- a/primroseyoke/gateway/health.py
+++ b/primroseyoke/gateway/health.py
@@ -1,6 +1,7 @@
 """Which upstreams and availability zones are avoided for a while."""
 
 import dataclasses
+import logging
 import random
 
 from .requests import Load
@@ -8,6 +9,8 @@
 
 __all__ = ('HealthTable',)
 
+log = logging.getLogger(__name__)
+
 # An upstream that failed is not used for this time, in seconds, which doubles
 # with each failure in a row up to the limit.
 _FIRST_PAUSE = 0.5
@@ -75,6 +78,11 @@
         lost[upstream.name] = now
         recent = [at for at in lost.values() if now - at < _ZONE_WINDOW]
         if len(recent) >= _ZONE_LOSSES:
+            if zone not in self.zones_paused:
+                log.warning(
+                    'zone avoided',
+                    extra={'avoided': zone, 'unreachable': sorted(lost)},
+                )
             self.zones_paused[zone] = now + _ZONE_PAUSE
 
     def reach(self, availability_zone: str) -> None:
--- a/tests/gateway/test_switching.py
+++ b/tests/gateway/test_switching.py
@@ -135,7 +135,9 @@
     run(scenario())
 
 
-def test_a_delayed_order_to_arm_has_no_effect_after_a_change_is_undone() -> None:
+def test_a_delayed_order_to_arm_has_no_effect_after_a_change_is_undone() -> (
+    None
+):
     async def scenario() -> None:
         group = FakeGroup(random.Random(1), lost=0, late=0)
         switch = MapSwitch(group, upstreams(), EPOCH)
