Keep a call that waits in vain from closing another's connection

A call that timed out while it waited for the connection closed it under the call in progress, so a report and an order at one rank failed each other and a held pass waited for its release. Change: only the call that owns the connection closes it; orders have connections of their own and wait longer with each try; an order to hold a pass without an answer is followed by its release; groups that stand still are surveyed. test_clients fails without the change.

--- a/primroseyoke/gateway/clients.py
+++ b/primroseyoke/gateway/clients.py
@@ -51,16 +51,9 @@
         """
         try:
             async with asyncio.timeout(timeout), self.lock:
-                await self._open()
-                return await self._exchange(method, target, body, headers or {})
-        except ServiceRefused:
-            raise
-        except (OSError, h11.ProtocolError) as error:
-            self.close()
-            raise ServiceUnavailable(f'{target}: {error!r}') from error
-        except BaseException:
-            self.close()
-            raise
+                return await self._call(method, target, body, headers or {})
+        except TimeoutError as error:
+            raise ServiceUnavailable(f'{target}: no answer in time') from error
 
     def close(self) -> None:
         """Close the connection."""
@@ -68,6 +61,27 @@
             self.connection.abort()
             self.connection = None
 
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> HttpAnswer:
+        """Make a call; the connection is used by no other meanwhile."""
+        whole = False
+        try:
+            await self._open()
+            answer = await self._exchange(method, target, body, headers)
+            whole = True
+        except (ConnectionError, h11.ProtocolError) as error:
+            raise ServiceUnavailable(f'{target}: {error!r}') from error
+        finally:
+            # An answer that is still to come belongs to nobody.
+            if not whole:
+                self.close()
+        return answer
+
     async def _open(self) -> None:
         if self.connection is not None and self.connection.idle:
             return
--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -72,6 +72,7 @@
         knowledge: Knowledge,
         is_leader: Callable[[], bool],
         running: Callable[[str], int],
+        is_still: Callable[[str], bool],
     ) -> None:
         """Give orders through ``engines`` while ``is_leader``.
 
@@ -81,12 +82,14 @@
             knowledge: the upstreams and the configuration.
             is_leader: whether this host gives the orders now.
             running: requests in progress at an upstream, by name.
+            is_still: whether the group of an upstream seems to stand still.
         """
         self.host_number = zlib.crc32(host.encode()) % VERSION_STEP
         self.engines = engines
         self.knowledge = knowledge
         self.is_leader = is_leader
         self.running = running
+        self.is_still = is_still
         self.surveyor = Surveyor(engines)
         self.groups: dict[str, Group] = {}
         self.members: dict[str, frozenset[Upstream]] = {}
@@ -148,9 +151,7 @@
         )
         now = time.monotonic()
         if members == self.members.get(service):
-            known = {
-                rank for group in self.groups.values() for rank in group.ranks
-            }
+            known = self._moving_ranks()
             if members <= known or now - self.surveyed_at < _SURVEY_PAUSE:
                 return
         self.members[service] = members
@@ -163,6 +164,18 @@
             self.groups[surveyed.name] = surveyed
             self.samples.update(zero_counts(surveyed, engine))
 
+    def _moving_ranks(self) -> set[Upstream]:
+        """Return the known ranks but for those whose group stands still.
+
+        A pass may be held by an order that was carried out late.
+        """
+        return {
+            rank
+            for group in self.groups.values()
+            for rank in group.ranks
+            if group.busy or not self.is_still(rank.name)
+        }
+
     async def _sample(self, groups: list[Group]) -> tuple[int, ...] | None:
         """Return what the busiest rank's requests chose since its last read.
 
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -84,6 +84,7 @@
             self.knowledge,
             lambda: self.ready and self.peers.is_first,
             lambda name: self.balancer.total(name, time.monotonic()),
+            lambda name: self.balancer.groups.is_still(name, time.monotonic()),
         )
         self.callers = CallerListener(
             platform.codec,
--- a/primroseyoke/gateway/switching.py
+++ b/primroseyoke/gateway/switching.py
@@ -39,9 +39,11 @@
 
 log = logging.getLogger(__name__)
 
-# How long one order may take, in seconds: a round trip between zones takes 3 ms,
-# and a pass may be held meanwhile.
+# How long the first try of an order may take, in seconds: a round trip between
+# zones takes 3 ms, and a pass may be held meanwhile. It doubles with each try
+# up to the limit, since a slow host needs longer.
 _ORDER_TIMEOUT = 0.04
+_LONGEST_TIMEOUT = 0.4
 # How often an order is repeated before a change is given up.
 _TRIES = 6
 # Ranks are armed this often before the change is undone; in between they may
@@ -109,23 +111,14 @@
         """
         held = await self._send(self.ranks[0], Hold(self.epoch, step), _TRIES)
         if held is OrderResult.UNKNOWN:
-            # It may be carried out later: whoever leads releases it then.
+            # It may be held now, or soon: no rank is armed, so let it begin.
             self.held = step
+            await self.release(step)
             return SwitchOutcome.MAYBE_HELD
         if held is not OrderResult.ACCEPTED:
             return SwitchOutcome.NOT_HELD
         self.held = step
-        armed = await self._all_accept(
-            Arm(self.epoch, version, step),
-            _ARM_TRIES,
-        )
-        if armed:
-            await self.release(step)
-            return SwitchOutcome.SWITCHED
-        if not await self.undo(version, current):
-            return SwitchOutcome.STUCK
-        await self.release(step)
-        return SwitchOutcome.UNDONE
+        return await self._switch_held(version, current, step)
 
     async def finish(self, version: int, step: int) -> bool:
         """Arm the remaining ranks for a pass that is held, and release it."""
@@ -163,6 +156,21 @@
         if result is not OrderResult.UNKNOWN:
             self.held = None
 
+    async def _switch_held(
+        self,
+        version: int,
+        current: Placement,
+        step: int,
+    ) -> SwitchOutcome:
+        outcome = SwitchOutcome.SWITCHED
+        order = Arm(self.epoch, version, step)
+        if not await self._all_accept(order, _ARM_TRIES):
+            if not await self.undo(version, current):
+                return SwitchOutcome.STUCK
+            outcome = SwitchOutcome.UNDONE
+        await self.release(step)
+        return outcome
+
     async def _undo_rank(
         self,
         rank: Upstream,
@@ -201,10 +209,13 @@
         state asked for accepts them.
         """
         result = OrderResult.UNKNOWN
+        timeout = _ORDER_TIMEOUT
         for _ in range(tries):
             if result is OrderResult.CONFLICT:
                 await asyncio.sleep(_PAUSE)
-            result = await self.engines.order(rank, order, _ORDER_TIMEOUT)
+            result = await self.engines.order(rank, order, timeout)
+            if result is OrderResult.UNKNOWN:
+                timeout = min(timeout * 2, _LONGEST_TIMEOUT)
             if result in {OrderResult.ACCEPTED, OrderResult.REFUSED}:
                 return result
             waits = isinstance(order, Arm)
--- a/primroseyoke/platform/engines.py
+++ b/primroseyoke/platform/engines.py
@@ -81,11 +81,16 @@
 
 
 class EngineCalls:
-    """Calls engines over one kept connection each."""
+    """Calls engines, over kept connections.
+
+    Orders have connections of their own: a pass may be held until they are
+    answered, and a report can take long.
+    """
 
     def __init__(self) -> None:
         """Start without connections."""
-        self.clients: dict[str, HttpClient] = {}
+        self.readers: dict[str, HttpClient] = {}
+        self.writers: dict[str, HttpClient] = {}
 
     async def report(self, upstream: Upstream) -> RankReport | None:
         """Return what a rank says of itself, None if it is in no group.
@@ -144,7 +149,7 @@
         """Send an order; ``timeout`` in seconds."""
         body = encode_order(order)
         try:
-            answer = await self._client(upstream).call(
+            answer = await _client(self.writers, upstream).call(
                 'POST',
                 '/order',
                 body,
@@ -158,7 +163,7 @@
         return _RESULTS.get(answer.status, OrderResult.CONFLICT)
 
     async def _get(self, upstream: Upstream, target: str) -> HttpAnswer:
-        answer = await self._client(upstream).call(
+        answer = await _client(self.readers, upstream).call(
             'GET',
             target,
             timeout=_TIMEOUT,
@@ -168,12 +173,16 @@
             raise ServiceUnavailable(f'{upstream.name}: {answer.status}')
         return answer
 
-    def _client(self, upstream: Upstream) -> HttpClient:
-        client = self.clients.get(upstream.name)
-        if client is None:
-            client = HttpClient(upstream.host, upstream.port)
-            self.clients[upstream.name] = client
-        return client
+
+def _client(
+    clients: dict[str, HttpClient],
+    upstream: Upstream,
+) -> HttpClient:
+    client = clients.get(upstream.name)
+    if client is None:
+        client = HttpClient(upstream.host, upstream.port)
+        clients[upstream.name] = client
+    return client
 
 
 class _Order(msgspec.Struct, tag_field='op'):
--- /dev/null
+++ b/tests/gateway/test_clients.py
@@ -0,0 +1,63 @@
+"""Calls over one kept connection."""
+
+import asyncio
+
+import pytest
+
+from primroseyoke.exceptions import ServiceRefused, ServiceUnavailable
+from primroseyoke.gateway.clients import HttpClient
+from primroseyoke.gateway.listeners import Answer
+from primroseyoke.gateway.requests import CallerRequest
+from tests.gateway.deployment import free_port
+from tests.standins.platform import StandInUpstream
+
+
+async def slow_or_quick(
+    upstream: StandInUpstream,
+    request: CallerRequest,
+    answer: Answer,
+) -> None:
+    if request.path == '/slow':
+        await asyncio.sleep(0.3)
+    if request.path == '/never':
+        await asyncio.sleep(60)
+    answer.whole(200, (), request.path.encode())
+
+
+def test_a_call_that_waits_in_vain_leaves_the_one_before_alone() -> None:
+    """It used to close the connection on which the other call waited."""
+
+    async def scenario() -> None:
+        upstream = StandInUpstream('u', slow_or_quick)
+        await upstream.start()
+        client = HttpClient('127.0.0.1', upstream.port)
+        first = asyncio.ensure_future(client.call('GET', '/slow'))
+        await asyncio.sleep(0.05)
+        with pytest.raises(ServiceUnavailable):
+            await client.call('GET', '/quick', timeout=0.05)
+        assert (await first).body == b'/slow'
+        upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_late_answer_is_not_taken_for_the_next() -> None:
+    async def scenario() -> None:
+        upstream = StandInUpstream('u', slow_or_quick)
+        await upstream.start()
+        client = HttpClient('127.0.0.1', upstream.port)
+        for path in ('/never', '/slow'):
+            with pytest.raises(ServiceUnavailable):
+                await client.call('GET', path, timeout=0.1)
+        assert (await client.call('GET', '/quick')).body == b'/quick'
+        upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_refused_connection_says_that_nothing_was_sent() -> None:
+    async def scenario() -> None:
+        with pytest.raises(ServiceRefused):
+            await HttpClient('127.0.0.1', free_port()).call('GET', '/')
+
+    asyncio.run(scenario())
--- a/tests/gateway/test_experts.py
+++ b/tests/gateway/test_experts.py
@@ -39,6 +39,7 @@
 async def directed(
     group: FakeGroup,
     leads: bool = True,
+    still: bool = False,
 ) -> AsyncIterator[ExpertDirector]:
     knowledge = Knowledge()
     service = Service('app', 100, engine=SMALL)
@@ -51,6 +52,7 @@
         knowledge,
         lambda: leads,
         lambda name: 1,
+        lambda name: still,
     )
     passes = asyncio.ensure_future(group.run_passes())
     running = asyncio.ensure_future(director.run())
@@ -135,3 +137,18 @@
         assert found[0].placement == PLACEMENT
 
     asyncio.run(scenario())
+
+
+def test_a_pass_that_a_late_order_holds_is_released() -> None:
+    """An order to hold a pass can be carried out seconds after the change."""
+
+    async def scenario() -> None:
+        group = FakeGroup(random.Random(1), lost=0, late=0)
+        async with directed(group, still=True) as director:
+            await until(lambda: 'g' in director.groups, 8)
+            step = group.step + 5
+            group.carry_out(group.ranks[0], Hold(EPOCH, step))
+            await until(lambda: group.step > step + 3, 8)
+        assert not group.mixed_steps
+
+    asyncio.run(scenario())
