--- a/primroseyoke/gateway/channels.py
+++ b/primroseyoke/gateway/channels.py
@@ -175,7 +175,6 @@
         """Translate headers with ``codec``."""
         self.codec = codec
         self.kept: dict[str, list[Channel]] = {}
-        self.opened = 0
 
     async def open_answer(
         self,
@@ -244,5 +243,4 @@
                 f'{upstream.name}: no connection: {error!r}',
                 Verdict.NOT_RUN,
             ) from error
-        self.opened += 1
         return Channel(upstream, connection)
--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -10,16 +10,16 @@
 import logging
 import math
 import time
-import zlib
 from collections.abc import Callable
 
 from ..exceptions import ServiceUnavailable
 from .catalogue import Engine
+from .changes import MapChanger
 from .engines import Counts, Engines
 from .knowledge import Knowledge
 from .placement import Limits, Plan, plan_replicas
 from .surveys import Group, Surveyor, zero_counts
-from .switching import VERSION_STEP, MapSwitch, SwitchOutcome
+from .switching import SwitchOutcome
 from .upstreams import Upstream
 
 __all__ = ('ExpertDirector',)
@@ -40,16 +40,6 @@
 # Each new expert of a rank takes 0.15 s to load; what two replicas a rank do
 # not level, the next change does.
 _NEW_PER_RANK = 2
-# Reports are up to this old, in seconds.
-_REPORT_AGE = 0.25
-# A few orders take this long if one answer is lost, in seconds.
-_ORDERS_TIME = 0.08
-# Loading is a little slower than the link allows, in seconds.
-_LOAD_MARGIN = 0.04
-# Bounds of a pass, in seconds: idle, and under full load with a slow rank.
-_SHORTEST_PASS = 0.02
-_LONGEST_PASS = 0.3
-_HOLD_TRIES = 3
 # A rank that was armed late still refuses to prepare; then it is surveyed.
 _MAX_CONFLICTS = 2
 # A group that is broken or about to switch is looked at this often, in seconds.
@@ -84,18 +74,17 @@
             running: requests in progress at an upstream, by name.
             is_still: whether the group of an upstream seems to stand still.
         """
-        self.host_number = zlib.crc32(host.encode()) % VERSION_STEP
         self.engines = engines
         self.knowledge = knowledge
         self.is_leader = is_leader
         self.running = running
         self.is_still = is_still
         self.surveyor = Surveyor(engines)
+        self.changer = MapChanger(host, engines)
         self.groups: dict[str, Group] = {}
         self.members: dict[str, frozenset[Upstream]] = {}
         self.samples: dict[str, Counts] = {}
         self.changes: dict[str, asyncio.Task[None]] = {}
-        self.last_version = 0
         self.surveyed_at = -math.inf
 
     async def run(self) -> None:
@@ -239,74 +228,11 @@
             self.groups.pop(group.name, None)
 
     async def _change(self, group: Group, engine: Engine, plan: Plan) -> None:
-        started = time.monotonic()
-        version = self._next_version(group)
-        outcome = await self._switch(group, engine, plan, version)
-        log.info(
-            'map change',
-            extra={
-                'outcome': outcome.value,
-                'group': group.name,
-                'epoch': group.epoch,
-                'version': version,
-                'copies': sum(plan.copies),
-                'skew_before': round(plan.before, 2),
-                'skew_after': round(plan.after, 2),
-                'seconds': round(time.monotonic() - started, 2),
-            },
-        )
+        outcome = await self.changer.change(group, engine, plan)
         if outcome is SwitchOutcome.SWITCHED:
-            group.placement = plan.placement
             group.conflicts = 0
-            # Until that pass the ranks take no further order to prepare.
-            await asyncio.sleep(_REPORT_AGE)
             return
         group.conflicts += 1
         unknown = outcome is not SwitchOutcome.NOT_PREPARED
         if unknown or group.conflicts > _MAX_CONFLICTS:
             self.groups.pop(group.name, None)
-
-    async def _switch(
-        self,
-        group: Group,
-        engine: Engine,
-        plan: Plan,
-        version: int,
-    ) -> SwitchOutcome:
-        switch = MapSwitch(self.engines, group.ranks, group.epoch)
-        if not await switch.prepare(version, plan.placement):
-            return SwitchOutcome.NOT_PREPARED
-        load_time = max(plan.copies) * engine.expert_load_time
-        await asyncio.sleep(load_time + _LOAD_MARGIN)
-        outcome = SwitchOutcome.NOT_HELD
-        for attempt in range(_HOLD_TRIES):
-            step = await self._next_step(group, attempt)
-            outcome = await switch.switch(version, group.placement, step)
-            if outcome is not SwitchOutcome.NOT_HELD:
-                break
-        return outcome
-
-    def _next_version(self, group: Group) -> int:
-        """Return a version that no host has used for this group."""
-        highest = max(group.highest, self.last_version)
-        version = (highest // VERSION_STEP + 1) * VERSION_STEP
-        version += self.host_number
-        group.highest = version
-        self.last_version = version
-        return version
-
-    async def _next_step(self, group: Group, attempt: int) -> int:
-        """Return a pass that has not begun but soon will."""
-        report = await self.engines.report(group.ranks[0])
-        now = time.monotonic()
-        if report is None:
-            raise ServiceUnavailable(f'{group.name}: rank 0 left its group')
-        passes = report.step - group.step
-        if passes > 0:
-            measured = (now - group.stepped_at) / passes
-            group.pass_time = min(max(measured, _SHORTEST_PASS), _LONGEST_PASS)
-            group.step = report.step
-            group.stepped_at = now
-        ahead = (_REPORT_AGE + _ORDERS_TIME) / group.pass_time
-        # An idle group may have begun many short passes since its report.
-        return report.step + math.ceil(ahead * (attempt + 1)) + 1
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -28,8 +28,6 @@
     key: str = ''
     timeout: float = math.inf
     resume_after: str = ''
-    prompt_tokens: int = 0
-    output_tokens: int = 0
     arrived_at: float = 0
     body: bytes = b''
 
@@ -41,7 +39,6 @@
     upstream: str
     timeout: float
     client: str = ''
-    priority: int | None = None
     resume_after: str = ''
 
 
@@ -71,7 +68,6 @@
     load: Load | None = None
     culprit: str = ''
     keep_alive: float = math.inf
-    cold_time: float = 0
 
 
 class Codec(Protocol):
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -10,10 +10,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSettings:
-    """Where the store is; ``shortest_lease`` in seconds."""
+    """Where the store is."""
 
     address: Address
-    shortest_lease: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/topics.py
+++ b/primroseyoke/gateway/topics.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Protocol
 
 from ..exceptions import PrimroseyokeError, ServiceUnavailable
@@ -175,10 +175,3 @@
             self.receive(Returned(time.monotonic()))
         self.reachable = True
         self.failures = 0
-
-
-def newest_by_key(
-    records: Sequence[KeyedRecord],
-) -> dict[str, KeyedRecord]:
-    """Return the last record of each key."""
-    return {record.key: record for record in records}
--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -19,8 +19,6 @@
 _TIMEOUT = b'x-primroseyoke-request-timeout-ms'
 # Name of the client account, whatever the caller sent in it.
 _CLIENT = b'x-primroseyoke-tenant'
-# Prompt tokens and the most output tokens, separated by a comma.
-_TOKENS = b'x-primroseyoke-token-usage'
 _PRIORITY = b'x-primroseyoke-request-priority'
 # Another upstream at the address answers 421 and does not run the request.
 _EXPECTED_UPSTREAM = b'x-primroseyoke-expect-instance'
@@ -30,8 +28,6 @@
 _NOT_EXECUTED = b'x-primroseyoke-not-executed'
 # Running, waiting and slots, separated by commas.
 _LOAD = b'x-primroseyoke-instance-load'
-# Milliseconds for which the upstream stays cold.
-_COLD = b'x-primroseyoke-cold-ms'
 # The upstream at fault for a failure.
 _CULPRIT = b'at-server'
 _LAST_EVENT = b'last-event-id'
@@ -63,7 +59,6 @@
     ) -> CallerRequest:
         """Return a request without its body; ``now`` in monotonic seconds."""
         found = dict(headers)
-        prompt, output = _numbers(found.get(_TOKENS, b''), 2)
         return CallerRequest(
             method=method,
             path=target.partition('?')[0],
@@ -74,8 +69,6 @@
             key=_credential(_text(found.get(b'authorization', b''))),
             timeout=_seconds(found.get(_TIMEOUT), math.inf),
             resume_after=_text(found.get(_LAST_EVENT, b'')),
-            prompt_tokens=prompt,
-            output_tokens=output,
             arrived_at=now,
         )
 
@@ -92,8 +85,6 @@
             headers.append((_TIMEOUT, left.encode()))
         if outgoing.client:
             headers.append((_CLIENT, outgoing.client.encode()))
-        if outgoing.priority is not None:
-            headers.append((_PRIORITY, str(outgoing.priority).encode()))
         if outgoing.resume_after:
             headers.append((_LAST_EVENT, outgoing.resume_after.encode()))
         if request.body or request.method not in {'GET', 'HEAD'}:
@@ -117,7 +108,6 @@
             load=_load(found.get(_LOAD, b'')),
             culprit=_text(found.get(_CULPRIT, b'')),
             keep_alive=_keep_alive(_text(found.get(b'keep-alive', b''))),
-            cold_time=_seconds(found.get(_COLD), 0),
         )
 
 
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -14,10 +14,8 @@
 
 _PATH_VARIABLE = 'PRIMROSEYOKE_CONFIG'
 _DEFAULT_PATH = '/etc/primroseyoke/settings.yaml'
-_MS = 1000
 
 _Ratio = Annotated[float, msgspec.Meta(ge=0)]
-_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -31,12 +29,10 @@
     budget_ratio: _Ratio = 0.2
     budget_window_s: _Ratio = 10
     budget_slack: _Ratio = 0
-    drain_ms: _Milliseconds = 2000
 
 
-class _Provider(msgspec.Struct, rename='camel'):
+class _Provider(msgspec.Struct):
     address: str
-    ttl_min_ms: _Milliseconds = 1000
 
 
 class _Settings(msgspec.Struct, rename='camel'):
@@ -48,7 +44,6 @@
     zones: dict[str, str] = {}
     internal_ports: tuple[_Port, ...] = ()
     seeds: tuple[str, ...] = ()
-    heartbeat_ms: _Milliseconds = 1200
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -95,7 +90,6 @@
             address=_address(
                 path, 'provider.address', settings.provider.address
             ),
-            shortest_lease=settings.provider.ttl_min_ms / _MS,
         ),
         grace=bounds.grace_s,
         repeat_ratio=bounds.budget_ratio,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -28,7 +28,6 @@
     assert (request.key, request.request_id) == ('secret', '9c41')
     assert request.timeout == 8.04
     assert request.resume_after == '12'
-    assert (request.prompt_tokens, request.output_tokens) == (1460, 80)
 
 
 def test_the_upstream_gets_what_is_the_callers_and_what_is_ours() -> None:
@@ -86,5 +85,4 @@
     ]
     request = CODEC.decode_request('GET', '/', odd, 50)
     assert request.timeout == math.inf
-    assert request.prompt_tokens == 0
     assert not request.key
