Start background work again if it fails

A topic that is no longer followed would leave a host with an old configuration for ever. The news that the store is back no longer counts as a confirmation of the configuration: the records that were read come next.

--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from ..exceptions import ServiceUnavailable, SettingsInvalid
@@ -42,6 +42,22 @@
 # How often kept connections are checked, in seconds.
 _SWEEP = 1.0
 _BACKLOG = 1024
+# A failure that comes back at once must not fill the log, in seconds.
+_RESTART_PAUSE = 1.0
+
+Work = Callable[[], Coroutine[Any, Any, None]]
+
+
+async def keep_running(work: Work) -> None:
+    """Run background work to its end; start it again if it fails."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            log.exception('background work failed; it starts again')
+            await asyncio.sleep(_RESTART_PAUSE)
+        else:
+            return
 
 
 class Gateway:
@@ -166,27 +182,27 @@
             listeners.append((self.settings.metrics, self.pages))
         return listeners
 
-    def _background(self) -> list[Coroutine[Any, Any, None]]:
+    def _background(self) -> list[Work]:
         followers = self.platform.followers(
             self.knowledge,
             self._upstreams_changed,
             self.generator,
         )
         return [
-            *(follower.run() for follower in followers),
-            self._register(),
-            self._sweep(),
+            *(follower.run for follower in followers),
+            self._register,
+            self._sweep,
             ZoneProber(
                 self.knowledge.fleet,
                 self.balancer.health,
                 self.generator,
-            ).run(),
-            self.director.run(),
+            ).run,
+            self.director.run,
             GroupDirectory(
                 self.platform.engines,
                 self.knowledge,
                 self.balancer.groups,
-            ).run(),
+            ).run,
         ]
 
     async def _listen(
@@ -211,17 +227,12 @@
             local_addr=(self.settings.address, self.settings.peer_ports[0]),
         )
         self.peers.introduce(self.settings.seeds)
-        self._start(self.peers.run())
+        self._start(self.peers.run)
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+    def _start(self, work: Work) -> None:
+        task = asyncio.get_running_loop().create_task(keep_running(work))
         self.tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task[None]) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error('task failed', exc_info=task.exception())
+        task.add_done_callback(self.tasks.discard)
 
     def _upstreams_changed(self) -> None:
         self.balancer.prune()
--- a/primroseyoke/platform/feeds.py
+++ b/primroseyoke/platform/feeds.py
@@ -47,7 +47,7 @@
 
     @receive.register
     def _receive_return(self, news: Returned) -> None:
-        self.knowledge.confirmed_at = news.read_at
+        """Do nothing: the records that were read come next."""
 
     def _set_zones(
         self,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -7,13 +7,15 @@
 import pytest
 
 from primroseyoke.exceptions import SettingsInvalid
+from primroseyoke.gateway.clients import HttpClient
+from primroseyoke.gateway.gateway import keep_running
 from primroseyoke.gateway.listeners import Answer
 from primroseyoke.gateway.peers import PeerReports
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.settings import GatewaySettings
+from tests.clock import run
 from tests.gateway.deployment import Deployment, deployment, until
 from tests.standins.platform import StandInUpstream, answer_ok
-from primroseyoke.gateway.clients import HttpClient
 
 
 async def slow(
@@ -167,3 +169,17 @@
     assert not peers.is_first
     peers.heard['10.0.0.1'] -= 5
     assert peers.is_first
+
+
+def test_background_work_that_fails_starts_again(caplog) -> None:
+    """A topic that is not followed any more would leave the host stale."""
+    runs = []
+
+    async def work() -> None:
+        runs.append(1)
+        if len(runs) < 3:
+            raise KeyError('unexpected')
+
+    run(keep_running(work))
+    assert len(runs) == 3
+    assert caplog.text.count('starts again') == 2
