--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -35,7 +35,7 @@
 # two reads of one rank.
 _KEPT_RANK = 2.5
 # A map is changed if the mean skew falls by more than this.
-_MIN_GAIN = 0.25
+_MIN_GAIN = 0.5
 _TARGET_SKEW = 1.35
 # Each new expert of a rank takes 0.15 s to load; what two replicas a rank do
 # not level, the next change does.
