Count a request as in progress until its caller has the answer

Cause: an answer that was written whole counted as done while a slow reader had not taken it; a stopping process would have cut it. Found by reading. Change: a request ends when the connection has handed all to the network, or the caller has left. tests/gateway/test_listeners.py fails without it.

--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -11,6 +11,8 @@
 _READ_AHEAD = 65536
 # A peer that does not read may leave this many bytes waiting to be sent.
 _WRITE_AHEAD = 262144
+# How often it is checked whether a slow reader has taken its answer, in seconds.
+_FLUSH_INTERVAL = 0.05
 # How long sent data may stay unacknowledged before the connection counts as
 # lost, in milliseconds: a silent partition is otherwise noticed after minutes.
 _UNACKNOWLEDGED_MS = 4000
@@ -128,6 +130,11 @@
         if self.closed:
             raise ConnectionResetError('the connection is closed')
 
+    async def flush(self) -> None:
+        """Wait until all that was written is handed to the network."""
+        while not self.ended and self.transport.get_write_buffer_size():
+            await asyncio.sleep(_FLUSH_INTERVAL)
+
     def close(self) -> None:
         """Close after what was written is sent."""
         if self.transport is not None:
--- a/primroseyoke/gateway/listeners.py
+++ b/primroseyoke/gateway/listeners.py
@@ -185,6 +185,7 @@
         self.busy += 1
         try:
             await self._handle(connection, request, answer)
+            await connection.flush()
         finally:
             self.busy -= 1
         if not answer.finished:
--- /dev/null
+++ b/tests/gateway/test_listeners.py
@@ -0,0 +1,58 @@
+"""Connections from callers."""
+
+import asyncio
+import socket
+
+from primroseyoke.gateway.listeners import Answer
+from primroseyoke.gateway.requests import CallerRequest
+from tests.gateway.deployment import until
+from tests.standins.platform import StandInUpstream
+
+BODY = b'x' * 20_000_000
+
+
+async def large(
+    upstream: StandInUpstream,
+    request: CallerRequest,
+    answer: Answer,
+) -> None:
+    answer.whole(200, (), BODY)
+
+
+def read_all(sock: socket.socket) -> int:
+    size = 0
+    while size < len(BODY):
+        size += len(sock.recv(65536))
+    return size
+
+
+def test_a_request_is_in_progress_until_its_caller_has_the_answer() -> None:
+    """A stopping process would otherwise cut the answer of a slow reader."""
+
+    async def scenario() -> None:
+        upstream = StandInUpstream('u', large)
+        await upstream.start()
+        with socket.create_connection(('127.0.0.1', upstream.port)) as sock:
+            sock.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+            await until(lambda: bool(upstream.seen))
+            await asyncio.sleep(0.3)
+            assert upstream.listener.busy == 1
+            assert await asyncio.to_thread(read_all, sock) >= len(BODY)
+            await until(lambda: upstream.listener.busy == 0, 1)
+        upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_caller_that_leaves_does_not_keep_a_request_in_progress() -> None:
+    async def scenario() -> None:
+        upstream = StandInUpstream('u', large)
+        await upstream.start()
+        sock = socket.create_connection(('127.0.0.1', upstream.port))
+        sock.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        await until(lambda: bool(upstream.seen))
+        sock.close()
+        await until(lambda: upstream.listener.busy == 0, 1)
+        upstream.stop()
+
+    asyncio.run(scenario())
