Keep one constant for the usual pass, one follower in the tests of the store

The usual pass of 0.05 s stood in groups and in balancer, and the balancer divides by the first to compare with the second; three tests built the same follower of a topic. No behaviour, bound or assertion is changed. Checks: formatter, linter and types clean; tests of the platform, balancer, groups and relay pass.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterator, Mapping
 
 from .catalogue import Catalogue, Service
-from .groups import GroupWatch
+from .groups import USUAL_PASS, GroupWatch
 from .health import HealthTable
 from .upstreams import Fleet, Upstream
 
@@ -29,8 +29,6 @@
 _SPREAD = 0.4
 # A group whose pauses are too long is used only if no other has a place.
 _LATE = 100
-# A pass under usual load, in seconds.
-_USUAL_PASS = 0.05
 # The measured limit is at least this share of the slots: with fewer, a slow
 # rank would turn away more than it makes late.
 _LEAST_SHARE = 0.7
@@ -238,7 +236,7 @@
     ) -> float:
         """Return how long a pass with one more request is expected to take."""
         pass_time = self.groups.pass_time(upstream.name, now)
-        score = (taken + 1) * pass_time / _USUAL_PASS
+        score = (taken + 1) * pass_time / USUAL_PASS
         if pass_time > demand.longest_gap:
             score += _LATE
         if upstream.availability_zone == self.availability_zone:
--- a/primroseyoke/gateway/groups.py
+++ b/primroseyoke/gateway/groups.py
@@ -16,7 +16,7 @@
 from .knowledge import Knowledge
 from .upstreams import Upstream
 
-__all__ = ('GroupDirectory', 'GroupWatch')
+__all__ = ('USUAL_PASS', 'GroupDirectory', 'GroupWatch')
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +27,7 @@
 # its state was read since.
 _BROKEN = 2.0
 # A pass until it is measured, in seconds, and the weight of a measurement.
-_USUAL_PASS = 0.05
+USUAL_PASS = 0.05
 _SMOOTHING = 0.1
 # A measurement tells nothing after this time, in seconds.
 _MEASURED = 1.0
@@ -43,7 +43,7 @@
 
     streams: int = 0
     moved_at: float = 0
-    pass_time: float = _USUAL_PASS
+    pass_time: float = USUAL_PASS
     broken_until: float = 0
 
 
@@ -97,7 +97,7 @@
         """Return how long a pass of an upstream's group takes, in seconds."""
         pulse = self._pulse(upstream)
         if pulse is None or now - pulse.moved_at > _MEASURED:
-            return _USUAL_PASS
+            return USUAL_PASS
         return pulse.pass_time
 
     def end(self, upstream: str) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,6 +17,21 @@
 LENGTH = struct.Struct('>I')
 
 
+def follow(
+    store: StandInStore,
+    topic: str,
+    feed: OperatorFeed | UpstreamFeed,
+    interval: float = 0,
+) -> TopicFollower:
+    return TopicFollower(
+        topic,
+        KeyedLog(HttpClient('127.0.0.1', store.port), topic),
+        feed.receive,
+        interval,
+        random.Random(1),
+    )
+
+
 def record(key: bytes, value: bytes) -> bytes:
     content = bytes((len(key),)) + key + value
     return LENGTH.pack(len(content)) + content
@@ -63,13 +78,8 @@
         store = StandInStore()
         await store.start()
         knowledge = Knowledge()
-        follower = TopicFollower(
-            'keyed.op',
-            KeyedLog(HttpClient('127.0.0.1', store.port), 'keyed.op'),
-            OperatorFeed(knowledge).receive,
-            0,
-            random.Random(1),
-        )
+        feed = OperatorFeed(knowledge)
+        follower = follow(store, 'keyed.op', feed)
         task = asyncio.ensure_future(follower.run())
         store.put('keyed.op', 'config', configuration(1))
         await until(lambda: knowledge.catalogue is not None)
@@ -102,13 +112,8 @@
         store = StandInStore()
         await store.start()
         knowledge = Knowledge()
-        follower = TopicFollower(
-            'keyed.op',
-            KeyedLog(HttpClient('127.0.0.1', store.port), 'keyed.op'),
-            OperatorFeed(knowledge).receive,
-            0,
-            random.Random(1),
-        )
+        feed = OperatorFeed(knowledge)
+        follower = follow(store, 'keyed.op', feed)
         store.put('keyed.op', 'config', configuration(1))
         task = asyncio.ensure_future(follower.run())
         await until(lambda: store.calls == 2)
@@ -131,13 +136,8 @@
         store.put('keyed.servers', 'bad', {'service': 1})
         store.put('keyed.servers', 'torn', b'\xff\x00')
         knowledge = Knowledge()
-        follower = TopicFollower(
-            'keyed.servers',
-            KeyedLog(HttpClient('127.0.0.1', store.port), 'keyed.servers'),
-            UpstreamFeed(knowledge, lambda: None).receive,
-            0.01,
-            random.Random(1),
-        )
+        feed = UpstreamFeed(knowledge, lambda: None)
+        follower = follow(store, 'keyed.servers', feed, 0.01)
         task = asyncio.ensure_future(follower.run())
         fleet = knowledge.fleet
         await until(lambda: 'good' in fleet.upstreams)
