Wait for the link of a restarted agent before refusing

Cause: an entry refused at once ("no upstream takes requests") while the only link of a service was being made again; that takes up to 2 s after the agent listens. Ruled out: the agent's limits; its upstream had begun nothing when it refused. Waiting does not earn retry budget again.

--- a/primroseyoke/balancing.py
+++ b/primroseyoke/balancing.py
@@ -51,12 +51,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choose:
-    """Ask for an upstream and count the request there."""
+    """Ask for an upstream and count the request there.
+
+    ``repeated`` is true for a request that asked before and found none.
+    """
 
     service: str
     client: str
     excluded: tuple[str, ...]
     prefix: int = 0
+    repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,7 +144,7 @@
             message.excluded,
             message.prefix,
         )
-        if not message.excluded:
+        if not message.excluded and not message.repeated:
             budget = self._budget(message.client)
             budget.earn(message.client, time.monotonic())
         if choice is not None:
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -270,7 +270,7 @@
             ),
         )
         tried: tuple[str, ...] = ()
-        upstream = self._choose(request, tried)
+        upstream = self._choose_first(request, deadline)
         while upstream is not None:
             tried += (upstream,)
             start = _start(request, deadline, idempotent=True)
@@ -282,6 +282,39 @@
             upstream = self._choose_again(request, tried, deadline)
         return outcome
 
+    def _choose_first(
+        self,
+        request: CallerRequest,
+        deadline: float,
+    ) -> str | None:
+        """Choose an upstream; wait for links that are being made again.
+
+        An agent that was restarted is linked within seconds. One that is
+        linked and refuses work has its reasons, so nothing waits for it.
+        """
+        patience = min(deadline, time.monotonic() + _LINK_PATIENCE)
+        awaits_link = self._awaits_link(request.service)
+        upstream = self._choose(request, ())
+        while upstream is None and awaits_link:
+            if time.monotonic() + _RETRY_PAUSE >= patience:
+                break
+            time.sleep(_RETRY_PAUSE)
+            upstream = self._choose(request, (), repeated=True)
+        return upstream
+
+    def _awaits_link(self, service: str) -> bool:
+        """Tell whether an upstream of a service has lost its link."""
+        configuration = self.configuration
+        if configuration is None:
+            return False
+        return any(
+            upstream.service == service
+            and configuration.takes_work(name)
+            and not self.pool.is_linked(name)
+            for name, upstream in configuration.group('upstream').items()
+            if name in self.pool.links
+        )
+
     def _choose_again(
         self,
         request: CallerRequest,
@@ -346,8 +379,15 @@
         self,
         request: CallerRequest,
         tried: tuple[str, ...],
+        repeated: bool = False,
     ) -> str | None:
-        ask = Choose(request.service, request.client, tried, request.prefix)
+        ask = Choose(
+            request.service,
+            request.client,
+            tried,
+            request.prefix,
+            repeated,
+        )
         choice: Any = self.routing.ask(ask)
         return str(choice) if choice else None
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -106,6 +106,16 @@
     assert counts(fleet, 'draft-1')['crashes'] == 0
 
 
+def test_request_waits_for_a_link_that_is_made_again(fleet):
+    """Guards against a refusal while a restarted agent is linked again."""
+    fleet.service('draft', 'model', ZONES[:1])
+    open_fleet(fleet, entries=1)
+    fleet.processes['draft-1'].kill()
+    wait_for(lambda: not accepts_all(fleet.entries[0]))
+    fleet.restart_agent('draft-1')
+    assert chat(fleet.entries[0], 'draft', 'after').status == 200
+
+
 @pytest.mark.parametrize('removed', ['zone', 'upstream', 'part'])
 def test_upstream_that_is_taken_out_gets_no_new_work(fleet, removed):
     """Guards against new work after a removal, and against cut answers.
