--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,56 @@
+"""Drafts on time while rank groups are overloaded or have a slow rank.
+
+Eight gateways share two groups of eight ranks; engines are emulated, in virtual
+time. A draft counts 1 if its first event comes within 0.5 s of the caller's
+first attempt and no pause is over 0.12 s, and 0.25 if it is whole but late; a
+caller that is refused comes back once. The naive version gives each rank as
+many requests as it has slots, whatever its passes take.
+"""
+
+from unittest import mock
+
+from bench.figures import report
+from primroseyoke.gateway.capacity import PassMeter
+from tests.standins.gateways import run
+
+SECONDS = 40
+SEEDS = (1, 2, 3)
+# Requests a second and a slow rank: its start, length (seconds) and pace.
+SCENARIOS = {
+    'usual': (30, None),
+    'peak': (40, None),
+    'over': (48, None),
+    'slow_rank': (30, (10, 8, 3.64)),
+}
+FIELDS = ('worth', 'on_time_share', 'late_share', 'refused_share')
+
+
+def play(rate, slow):
+    """Return the mean of each figure over the seeds."""
+    tallies = [run(seed, rate, SECONDS, slow) for seed in SEEDS]
+    return {
+        field: sum(getattr(tally, field) for tally in tallies) / len(tallies)
+        for field in FIELDS
+    }
+
+
+def slots(meter, engine, ranks, longest_gap, now):
+    return engine.slots * ranks
+
+
+def main():
+    for name, scenario in SCENARIOS.items():
+        product = play(*scenario)
+        with mock.patch.object(PassMeter, 'limit', slots):
+            naive = play(*scenario)
+        for field in FIELDS:
+            report(
+                f'overload_{name}_{field}',
+                product[field],
+                'share',
+                naive[field],
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/primroseyoke/gateway/authorization.py
+++ b/primroseyoke/gateway/authorization.py
@@ -6,7 +6,7 @@
 
 from ..exceptions import RequestFailed
 from ..verdicts import Verdict
-from .catalogue import Catalogue, Client, Execution, Route
+from .catalogue import Catalogue, Client, Engine, Execution, Route
 from .knowledge import Knowledge
 from .requests import CallerRequest
 
@@ -15,6 +15,8 @@
 # When a request that could not be judged may be tried again, in seconds: the
 # store's news arrive within about this time.
 _RETRY_UNKNOWN = 0.3
+# Callers' timeouts on a route differ by up to this share of the longest.
+_TIMEOUT_SPREAD = 0.2
 _NOT_FOUND = 404
 _UNAUTHORIZED = 401
 _UNAVAILABLE = 503
@@ -43,6 +45,12 @@
             return self.client.priority
         return self.route.priority
 
+    @property
+    def engine(self) -> Engine | None:
+        """Return the model engine of the service, if it has one."""
+        service = self.catalogue.services.get(self.service)
+        return service.engine if service else None
+
     @property
     def regions(self) -> frozenset[str]:
         """Return the regions that the request is bound to, empty for any."""
@@ -127,8 +135,8 @@
     def _time_spent(self, route: Route, request: CallerRequest) -> float:
         """Return how long ago the caller made a request, in seconds.
 
-        All callers of a route give themselves the same time; one that comes
-        back after a refusal has less of it left.
+        The callers of a route give themselves about the same time; one that
+        comes back after a refusal has much less of it left.
         """
         if request.timeout == math.inf:
             return 0
@@ -136,7 +144,8 @@
         if request.timeout >= longest:
             self.longest_timeouts[route.prefix] = request.timeout
             return 0
-        return longest - request.timeout
+        spent = longest - request.timeout
+        return spent if spent > _TIMEOUT_SPREAD * longest else 0
 
 
 def _unknown(detail: str) -> RequestFailed:
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -1,24 +1,24 @@
 """Choice of an upstream for a request, within what each bears.
 
-The places of an upstream are shared by all hosts. Each host tells the others
-how many requests it has at each upstream; what a host knows is its own count
-and the last news of the others.
+The places of an upstream are shared by all hosts, and those of a rank group
+by all its ranks; see ``usage`` and ``capacity``.
 """
 
 import dataclasses
 import math
 import random
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
-from .catalogue import Catalogue, Service
-from .groups import USUAL_PASS, GroupWatch
+from .capacity import USUAL_PASS
+from .catalogue import Catalogue, Engine, Service
+from .groups import GroupWatch
 from .health import HealthTable
 from .upstreams import Fleet, Upstream
+from .usage import Usage
+from .waiting import Urgency
 
 __all__ = ('Balancer', 'Demand', 'Place')
 
-# News of another host counts for this time, in seconds: about ten reports.
-_NEWS_LIFETIME = 1.5
 # A plain service without a reported number of slots.
 _DEFAULT_SLOTS = 8
 # A plain service queues a few requests; more than these per slot wait too long.
@@ -28,12 +28,12 @@
 # Hosts that see the same load must not all choose alike, in requests.
 _SPREAD = 0.4
 # A group whose pauses are too long is used only if no other has a place.
-_LATE = 100
-# The measured limit is at least this share of the slots: with fewer, a slow
-# rank would turn away more than it makes late.
-_LEAST_SHARE = 0.7
-# The share of the longest pause between events that a pass may take.
-_GAP_SHARE = 0.85
+_SLOW = 100
+# Places that late requests leave to others, at an upstream of a plain service
+# and as a share of those of a rank group: a place is taken for seconds, and an
+# answer on time is worth four late ones.
+_SPARE_PLACES = 2
+_SPARE_SHARE = 0.12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,14 +41,14 @@
     """What a request asks of an upstream.
 
     ``excluded`` are those that it was sent to before, ``regions`` those that
-    it is bound to (empty for any). ``spare`` places are left for others.
-    ``longest_gap`` is the pause between events that is still on time, in
-    seconds.
+    it is bound to (empty for any). Requests that are late leave some places
+    to others; all but those on time put up with long pauses. ``longest_gap``
+    is the pause between events that is still on time, in seconds.
     """
 
     excluded: Collection[str] = ()
     regions: frozenset[str] = frozenset()
-    spare: int = 0
+    urgency: Urgency = Urgency.ON_TIME
     longest_gap: float = math.inf
 
 
@@ -60,21 +60,23 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _News:
-    """In-progress requests of another host, by upstream."""
+class _Room:
+    """Whether a rank group takes a request, and how long its passes take."""
 
-    counts: Mapping[str, int]
-    heard_at: float
+    free: bool
+    slow: bool
+    pass_time: float
 
 
 class Balancer:
     """Tracks the use of upstreams and chooses among them.
 
     Attributes:
-        running: requests of this host in progress, by upstream.
+        usage: requests in progress, of this host and of the others.
         hosts: number of hosts that share the upstreams, this one included.
         health: upstreams and zones that are avoided.
         groups: rank groups and how they move.
+        on_begin: called when a place was taken.
     """
 
     def __init__(
@@ -89,20 +91,12 @@
         self.availability_zone = availability_zone
         self.generator = generator
         self.region_of = region_of
-        self.running: dict[str, int] = {}
-        self.news: dict[str, _News] = {}
+        self.usage = Usage()
+        self.on_begin: Callable[[], None] = _ignore_begin
         self.hosts = 1
         self.health = HealthTable(generator)
         self.groups = GroupWatch()
 
-    def hear(self, host: str, counts: Mapping[str, int], now: float) -> None:
-        """Take another host's report of its requests in progress."""
-        self.news[host] = _News(counts, now)
-
-    def forget(self, host: str) -> None:
-        """Drop the report of a host that has stopped."""
-        self.news.pop(host, None)
-
     def acquire(
         self,
         catalogue: Catalogue,
@@ -111,6 +105,7 @@
         demand: Demand,
     ) -> Place | None:
         """Take a place at the least loaded upstream, None if all are full."""
+        self.usage.expire(now)
         details = catalogue.services.get(service) or Service(service, 0)
         best = min(
             self._scored(details, now, demand),
@@ -120,17 +115,30 @@
         if best is None:
             return None
         upstream = best[1]
-        self.running[upstream.name] = self.running.get(upstream.name, 0) + 1
+        self.usage.begin(upstream.name)
+        self.on_begin()
         if details.cold_rate and now < upstream.cold_until:
             self.health.take_cold(upstream.name)
         return Place(upstream)
 
     def release(self, place: Place) -> None:
         """Give a place back."""
-        name = place.upstream.name
-        left = self.running.pop(name, 0) - 1
-        if left > 0:
-            self.running[name] = left
+        self.usage.end(place.upstream.name)
+
+    def move(
+        self,
+        upstream: Upstream,
+        engine: Engine | None,
+        pause: float,
+        now: float,
+    ) -> None:
+        """Note an event of a stream, ``pause`` seconds after the one before."""
+        self.groups.move(upstream.name, now)
+        meter = self.groups.meter(upstream.name)
+        if meter is not None:
+            members = self.groups.group_of(upstream.name)
+            used = self.usage.sum(members)
+            meter.observe(engine, len(members), used, pause, now)
 
     def limit(self, upstream: Upstream, service: Service) -> float:
         """Return how many requests an upstream is to have at most."""
@@ -140,9 +148,14 @@
         slots = load.slots if load else 0
         return (slots or _DEFAULT_SLOTS) * _QUEUE_SHARE
 
-    def total(self, name: str, now: float) -> int:
-        """Return the requests of all hosts in progress at an upstream."""
-        return self._totals(now).get(name, 0)
+    def is_out(self, service: str, now: float) -> bool:
+        """Tell whether no upstream of a service works, full or not."""
+        accepting = self.fleet.accepting(service)
+        return all(
+            self.groups.is_broken(upstream.name, now)
+            or self.health.is_zone_paused(upstream, now)
+            for upstream in accepting
+        )
 
     def explain(self, service: Service, now: float) -> str:
         """Return why the upstreams of a service have no place."""
@@ -162,12 +175,11 @@
             for upstream in accepting
             if self.groups.is_still(upstream.name, now)
         ]
-        totals = self._totals(now)
-        taken = sum(totals.get(upstream.name, 0) for upstream in accepting)
+        taken = self.usage.sum(upstream.name for upstream in accepting)
         return (
             f'{len(known)} upstreams known, {len(accepting)} in service, '
             f'{len(paused)} paused, {len(still)} standing still, '
-            f'{taken} requests there, {len(self.news)} other hosts heard'
+            f'{taken} requests there, {len(self.usage.news)} other hosts heard'
         )
 
     def prune(self) -> None:
@@ -181,64 +193,91 @@
         demand: Demand,
     ) -> Iterator[tuple[float, Upstream]]:
         """Yield the upstreams that have a place, with their scores."""
-        totals = self._totals(now)
-        for upstream in self.fleet.accepting(
-            service.name,
-            demand.regions,
-            self.region_of,
-        ):
-            if upstream.name in demand.excluded:
-                continue
-            taken = totals.get(upstream.name, 0)
-            limit = self._limit_for(upstream, service, demand, totals, now)
-            if taken < limit and self._bears(upstream, service, now):
-                yield self._score(upstream, taken, demand, now), upstream
-
-    def _totals(self, now: float) -> dict[str, int]:
-        totals = dict(self.running)
-        for news in self.news.values():
-            if now - news.heard_at < _NEWS_LIFETIME:
-                for name, count in news.counts.items():
-                    totals[name] = totals.get(name, 0) + count
-        return totals
-
-    def _limit_for(
+        usable = [
+            upstream
+            for upstream in self.fleet.accepting(
+                service.name,
+                demand.regions,
+                self.region_of,
+            )
+            if upstream.name not in demand.excluded
+            and self._bears(upstream, service, now)
+        ]
+        rooms = self._rooms(usable, service, demand, now)
+        for upstream in usable:
+            room = rooms[self.groups.members.get(upstream.name, '')]
+            taken = self.usage.total(upstream.name)
+            limit = math.floor(self.limit(upstream, service))
+            if service.engine is None and demand.urgency is Urgency.LATE:
+                limit -= _SPARE_PLACES
+            if room.free and taken < limit:
+                yield self._score(upstream, taken, room), upstream
+
+    def _rooms(
         self,
-        upstream: Upstream,
+        usable: list[Upstream],
         service: Service,
         demand: Demand,
-        totals: Mapping[str, int],
         now: float,
-    ) -> float:
-        """Return the limit at which the pauses of a request stay on time.
+    ) -> dict[str, _Room]:
+        """Return which groups take a request; '' stands for no group.
 
-        A pass takes longer with each request in it; how much longer depends
-        on the skew and is measured.
+        A request that can be on time is not sent where it would be late,
+        unless all groups are slow.
         """
-        limit = self.limit(upstream, service)
-        members = self.groups.group_of(upstream.name)
-        if service.engine is not None and members:
-            empty = service.engine.step * service.engine.stride
-            used = sum(totals.get(name, 0) for name in members) / len(members)
-            busy = self.groups.pass_time(upstream.name, now) - empty
-            room = _GAP_SHARE * demand.longest_gap - empty
-            if busy > 0 and used >= 1:
-                least = math.floor(_LEAST_SHARE * limit)
-                limit = min(limit, max(used * room / busy, least))
-        return math.floor(limit) - demand.spare
-
-    def _score(
+        ungrouped = {'': _Room(free=True, slow=False, pass_time=USUAL_PASS)}
+        engine = service.engine
+        if engine is None:
+            return ungrouped
+        ranks: dict[str, list[Upstream]] = {}
+        for upstream in usable:
+            group = self.groups.members.get(upstream.name)
+            if group is not None:
+                ranks.setdefault(group, []).append(upstream)
+        rooms = {
+            group: self._room(members, engine, demand, now)
+            for group, members in ranks.items()
+        }
+        all_slow = all(room.slow for room in rooms.values())
+        if demand.urgency is Urgency.ON_TIME and not all_slow:
+            rooms = {
+                group: dataclasses.replace(
+                    room,
+                    free=room.free and not room.slow,
+                )
+                for group, room in rooms.items()
+            }
+        return ungrouped | rooms
+
+    def _room(
         self,
-        upstream: Upstream,
-        taken: int,
+        ranks: list[Upstream],
+        engine: Engine,
         demand: Demand,
         now: float,
-    ) -> float:
+    ) -> _Room:
+        """Return whether a group takes a request at one of some ranks."""
+        meter = self.groups.meter(ranks[0].name)
+        if meter is None:
+            return _Room(free=True, slow=False, pass_time=USUAL_PASS)
+        members = self.groups.group_of(ranks[0].name)
+        limit = meter.limit(engine, len(members), demand.longest_gap, now)
+        # Others may be paused, draining or in a zone that was taken out.
+        limit = min(limit, engine.slots * len(ranks))
+        if demand.urgency is Urgency.LATE:
+            limit *= 1 - _SPARE_SHARE
+        pass_time = meter.pass_time(now)
+        return _Room(
+            free=self.usage.sum(members) < limit,
+            slow=pass_time > demand.longest_gap,
+            pass_time=pass_time,
+        )
+
+    def _score(self, upstream: Upstream, taken: int, room: _Room) -> float:
         """Return how long a pass with one more request is expected to take."""
-        pass_time = self.groups.pass_time(upstream.name, now)
-        score = (taken + 1) * pass_time / USUAL_PASS
-        if pass_time > demand.longest_gap:
-            score += _LATE
+        score = (taken + 1) * room.pass_time / USUAL_PASS
+        if room.slow:
+            score += _SLOW
         if upstream.availability_zone == self.availability_zone:
             score -= _LOCAL_ADVANTAGE
         return score + self.generator.random() * _SPREAD
@@ -253,3 +292,7 @@
         # Each host takes an even share of what the cold upstream bears.
         rate = service.cold_rate / (self.hosts + 1)
         return self.health.bears_cold(upstream.name, rate, now)
+
+
+def _ignore_begin() -> None:
+    """Do nothing until somebody wants to know."""
--- a/primroseyoke/gateway/catalogue.py
+++ b/primroseyoke/gateway/catalogue.py
@@ -76,6 +76,8 @@
 
     A step takes ``step``, and for each running request ``per_sequence`` more,
     of which ``expert_share`` is spent in experts. A pass has ``stride`` steps.
+    ``prompt_time`` is how long a prompt of the usual length is read,
+    ``report_age`` how old a report can be.
     ``placement_slots`` is the number of experts that a rank can hold in a
     layer, ``spare_slots`` how many of them may be new in one change.
     """
@@ -85,7 +87,8 @@
     step: float
     per_sequence: float
     stride: int
-    tokens_per_second: float
+    prompt_time: float = 0
+    report_age: float = 0.25
     layers: int = 0
     experts: int = 0
     placement_slots: int = 0
--- a/primroseyoke/gateway/changes.py
+++ b/primroseyoke/gateway/changes.py
@@ -5,6 +5,7 @@
 import math
 import time
 import zlib
+from collections.abc import Callable
 
 from ..exceptions import ServiceUnavailable
 from .catalogue import Engine
@@ -17,25 +18,39 @@
 
 log = logging.getLogger(__name__)
 
-# Reports are up to this old, in seconds.
-_REPORT_AGE = 0.25
 # A few orders take this long if one answer is lost, in seconds.
 _ORDERS_TIME = 0.08
 # Loading is a little slower than the link allows, in seconds.
 _LOAD_MARGIN = 0.04
-# Bounds of a pass, in seconds: idle, and under full load with a slow rank.
-_SHORTEST_PASS = 0.02
+# Bounds of a pass, in seconds: almost idle, and under full load with a slow
+# rank. A shorter one would put the switch seconds away if load begins.
+_SHORTEST_PASS = 0.03
 _LONGEST_PASS = 0.3
-_HOLD_TRIES = 3
+_HOLD_TRIES = 4
+# If the pass has begun, one that comes so many later is tried.
+_PASSES_LATER = 4
 
 
 class MapChanger:
     """Chooses versions and passes, and switches groups to plans."""
 
-    def __init__(self, host: str, engines: Engines) -> None:
-        """Give orders as ``host``, whose versions no other host uses."""
+    def __init__(
+        self,
+        host: str,
+        engines: Engines,
+        pass_time: Callable[[str], float],
+    ) -> None:
+        """Give orders as ``host``, whose versions no other host uses.
+
+        Args:
+            host: name of this host.
+            engines: calls the ranks.
+            pass_time: how long a pass of an upstream's group takes, in
+                seconds.
+        """
         self.host_number = zlib.crc32(host.encode()) % VERSION_STEP
         self.engines = engines
+        self.pass_time = pass_time
         self.last_version = 0
 
     async def change(
@@ -68,7 +83,7 @@
         if outcome is SwitchOutcome.SWITCHED:
             group.placement = plan.placement
             # Until that pass the ranks take no further order to prepare.
-            await asyncio.sleep(_REPORT_AGE)
+            await asyncio.sleep(engine.report_age)
         return outcome
 
     async def _switch(
@@ -85,7 +100,7 @@
         await asyncio.sleep(load_time + _LOAD_MARGIN)
         outcome = SwitchOutcome.NOT_HELD
         for attempt in range(_HOLD_TRIES):
-            step = await self._next_step(group, attempt)
+            step = await self._next_step(group, engine, attempt)
             outcome = await switch.switch(version, group.placement, step)
             if outcome is not SwitchOutcome.NOT_HELD:
                 break
@@ -100,18 +115,20 @@
         self.last_version = version
         return version
 
-    async def _next_step(self, group: Group, attempt: int) -> int:
+    async def _next_step(
+        self,
+        group: Group,
+        engine: Engine,
+        attempt: int,
+    ) -> int:
         """Return a pass that has not begun but soon will."""
-        report = await self.engines.report(group.ranks[0])
-        now = time.monotonic()
+        first = group.ranks[0]
+        report = await self.engines.report(first)
         if report is None:
             raise ServiceUnavailable(f'{group.name}: rank 0 left its group')
-        passes = report.step - group.step
-        if passes > 0:
-            measured = (now - group.stepped_at) / passes
-            group.pass_time = min(max(measured, _SHORTEST_PASS), _LONGEST_PASS)
-            group.step = report.step
-            group.stepped_at = now
-        ahead = (_REPORT_AGE + _ORDERS_TIME) / group.pass_time
-        # An idle group may have begun many short passes since its report.
-        return report.step + math.ceil(ahead * (attempt + 1)) + 1
+        pass_time = min(
+            max(self.pass_time(first.name), _SHORTEST_PASS),
+            _LONGEST_PASS,
+        )
+        ahead = math.ceil((engine.report_age + _ORDERS_TIME) / pass_time)
+        return report.step + ahead + attempt * _PASSES_LATER + 1
--- /dev/null
+++ b/primroseyoke/gateway/estimates.py
@@ -0,0 +1,33 @@
+"""Smoothed measurements with their spread."""
+
+__all__ = ('Estimate',)
+
+# Weight of a new measurement in the mean and in the mean deviation.
+_SMOOTHING = 0.1
+# An upper value lies this many mean deviations above the mean.
+_DEVIATIONS = 2.0
+
+
+class Estimate:
+    """Mean and mean deviation of a measurement, as in RFC 6298.
+
+    Attributes:
+        mean: the smoothed mean.
+        deviation: the smoothed distance from the mean.
+    """
+
+    def __init__(self, mean: float, deviation: float = 0) -> None:
+        """Start with values that are usual."""
+        self.mean = mean
+        self.deviation = deviation
+
+    @property
+    def upper(self) -> float:
+        """Return a value that few measurements exceed."""
+        return self.mean + _DEVIATIONS * self.deviation
+
+    def observe(self, measured: float) -> None:
+        """Take a measurement."""
+        distance = abs(measured - self.mean)
+        self.deviation += _SMOOTHING * (distance - self.deviation)
+        self.mean += _SMOOTHING * (measured - self.mean)
--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -18,7 +18,7 @@
     Progress,
     Transfer,
 )
-from .waiting import Turn
+from .waiting import Turn, Urgency
 
 if TYPE_CHECKING:
     from .authorization import Ticket
@@ -35,13 +35,10 @@
 _WAIT_SHARE = 0.5
 # A waiting request looks for a place at least this often, in seconds.
 _LOOK_AGAIN = 0.1
-# A request that will be late takes a place only if this many more are left at
-# the upstream: one that is on time is worth four times as much.
-_SPARE_PLACES = 2
 # When a request that waited in vain may come back, in seconds, and as a share
 # of the time that its caller has left: callers wait a third of it at most.
 _RETRY_LATE = 2.0
-_RETRY_SHARE = 0.3
+_RETRY_SHARE = 0.33
 # Further sends that upstreams may turn away, beyond those that may run.
 _MAX_REJECTED = 3
 
@@ -160,7 +157,7 @@
         place = self._take_place(now)
         try:
             while place is None:
-                if now >= limit:
+                if now >= limit or self._is_hopeless(now):
                     raise self._no_place()
                 # A turn changes with time, and news of others may be lost.
                 await line.wait(self._turn(now), min(limit - now, _LOOK_AGAIN))
@@ -171,11 +168,25 @@
             line.call()
         return place
 
+    def _is_hopeless(self, now: float) -> bool:
+        """Tell whether waiting here leads to nothing.
+
+        A stream in progress waits all the same: its caller has part of it.
+        """
+        if self.may_have_run:
+            return False
+        return self.relay.balancer.is_out(self.ticket.service, now)
+
     def _turn(self, now: float) -> Turn:
         ticket = self.ticket
         late_at = ticket.made_at + ticket.route.objective
-        late_at -= self.relay.first_event_time(ticket.service)
-        return Turn(now > late_at, ticket.priority, ticket.made_at)
+        late_at -= self.relay.first_event(ticket.service).upper
+        urgency = Urgency.ON_TIME
+        if self.progress.first_event_at:
+            urgency = Urgency.RESUMED
+        elif now > late_at:
+            urgency = Urgency.LATE
+        return Turn.of(urgency, ticket.priority, ticket.made_at)
 
     def _take_place(self, now: float) -> Place | None:
         ticket = self.ticket
@@ -189,7 +200,7 @@
             Demand(
                 excluded=tuple(self.tried),
                 regions=ticket.regions,
-                spare=_SPARE_PLACES if turn.late else 0,
+                urgency=turn.urgency,
                 longest_gap=ticket.route.gap_objective,
             ),
         )
@@ -216,11 +227,14 @@
     def _return_time(self) -> float:
         """Return when a request that waited in vain may come back, in seconds.
 
-        It will be late anyway. What filled the upstreams, or cut them off,
-        takes some seconds to pass.
+        It will be late anyway. What filled the upstreams takes some seconds
+        to pass, and what cut them off takes longer.
         """
-        left = self.ticket.deadline - time.monotonic()
-        return min(_RETRY_LATE, left * _RETRY_SHARE)
+        now = time.monotonic()
+        longest = (self.ticket.deadline - now) * _RETRY_SHARE
+        if self.relay.balancer.is_out(self.ticket.service, now):
+            return longest
+        return min(_RETRY_LATE, longest)
 
     def _check_retry(self, failure: RequestFailed) -> None:
         """Raise the failure unless the request may be sent once more."""
--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -13,9 +13,11 @@
 from collections.abc import Callable
 
 from ..exceptions import ServiceUnavailable
+from .capacity import USUAL_PASS
 from .catalogue import Engine
 from .changes import MapChanger
 from .engines import Counts, Engines
+from .groups import GroupWatch
 from .knowledge import Knowledge
 from .placement import Limits, Plan, plan_replicas
 from .surveys import Group, Surveyor, zero_counts
@@ -45,7 +47,7 @@
 # A group that is broken or about to switch is looked at this often, in seconds.
 _SURVEY_PAUSE = 0.5
 # A gateway that has just started hears of the others first, in seconds.
-_LISTEN_FIRST = 1.2
+_LISTEN_FIRST = 0.5
 
 
 class ExpertDirector:
@@ -62,7 +64,7 @@
         knowledge: Knowledge,
         is_leader: Callable[[], bool],
         running: Callable[[str], int],
-        is_still: Callable[[str], bool],
+        groups: GroupWatch,
     ) -> None:
         """Give orders through ``engines`` while ``is_leader``.
 
@@ -72,15 +74,15 @@
             knowledge: the upstreams and the configuration.
             is_leader: whether this host gives the orders now.
             running: requests in progress at an upstream, by name.
-            is_still: whether the group of an upstream seems to stand still.
+            groups: how the groups of upstreams move.
         """
         self.engines = engines
         self.knowledge = knowledge
         self.is_leader = is_leader
         self.running = running
-        self.is_still = is_still
+        self.watch = groups
         self.surveyor = Surveyor(engines)
-        self.changer = MapChanger(host, engines)
+        self.changer = MapChanger(host, engines, self._pass_time)
         self.groups: dict[str, Group] = {}
         self.members: dict[str, frozenset[Upstream]] = {}
         self.samples: dict[str, Counts] = {}
@@ -153,16 +155,21 @@
             self.groups[surveyed.name] = surveyed
             self.samples.update(zero_counts(surveyed, engine))
 
+    def _pass_time(self, name: str) -> float:
+        meter = self.watch.meter(name)
+        return meter.pass_time(time.monotonic()) if meter else USUAL_PASS
+
     def _moving_ranks(self) -> set[Upstream]:
         """Return the known ranks but for those whose group stands still.
 
         A pass may be held by an order that was carried out late.
         """
+        now = time.monotonic()
         return {
             rank
             for group in self.groups.values()
             for rank in group.ranks
-            if group.busy or not self.is_still(rank.name)
+            if group.busy or not self.watch.is_still(rank.name, now)
         }
 
     async def _sample(self, groups: list[Group]) -> tuple[int, ...] | None:
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -94,13 +94,14 @@
         )
         self.peers.balancer = self.balancer
         self.peers.on_news = self.relay.call_waiting
+        self.balancer.on_begin = self.peers.begun.set
         self.director = ExpertDirector(
             settings.host,
             platform.engines,
             self.knowledge,
             lambda: self.ready and self.peers.is_first,
-            lambda name: self.balancer.total(name, time.monotonic()),
-            lambda name: self.balancer.groups.is_still(name, time.monotonic()),
+            self.balancer.usage.total,
+            self.balancer.groups,
         )
         self.callers = CallerListener(
             platform.codec,
--- a/primroseyoke/gateway/groups.py
+++ b/primroseyoke/gateway/groups.py
@@ -12,27 +12,21 @@
 from collections.abc import Collection
 
 from ..exceptions import ServiceUnavailable
+from .capacity import PassMeter
 from .engines import Engines
 from .knowledge import Knowledge
 from .upstreams import Upstream
 
-__all__ = ('USUAL_PASS', 'GroupDirectory', 'GroupWatch')
+__all__ = ('GroupDirectory', 'GroupWatch')
 
 log = logging.getLogger(__name__)
 
 # A pass takes up to 0.15 s under full load. A group from which no stream got
 # an event for this time, in seconds, stands still.
 _STILL = 0.45
-# How long a group is avoided after it turned requests away, in seconds, unless
-# its state was read since.
+# How long a group is avoided after the last sign that it is broken, in seconds,
+# unless a rank reports it open.
 _BROKEN = 2.0
-# A pass until it is measured, in seconds, and the weight of a measurement.
-USUAL_PASS = 0.05
-_SMOOTHING = 0.1
-# A measurement tells nothing after this time, in seconds.
-_MEASURED = 1.0
-# A longer pause is no pass but a group that stands still, in seconds.
-_LONGEST_PASS = 0.25
 # How often the state of broken groups is read, in seconds.
 _INTERVAL = 0.3
 
@@ -43,8 +37,12 @@
 
     streams: int = 0
     moved_at: float = 0
-    pass_time: float = USUAL_PASS
     broken_until: float = 0
+    meter: PassMeter = dataclasses.field(default_factory=PassMeter)
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether no stream has moved for some time."""
+        return self.streams > 0 and now - self.moved_at > _STILL
 
 
 class GroupWatch:
@@ -78,27 +76,17 @@
             pulse.streams += 1
             pulse.moved_at = now
 
-    def move(self, upstream: str, now: float, gap: float) -> None:
-        """Note that an event of a stream has arrived.
-
-        ``gap`` is the time since the event before, 0 for the first, in
-        seconds: a pass makes one event of each stream.
-        """
+    def move(self, upstream: str, now: float) -> None:
+        """Note that an event of a stream has arrived."""
         pulse = self._pulse(upstream)
-        if pulse is None:
-            return
-        pulse.moved_at = now
-        pulse.broken_until = 0
-        if gap:
-            gap = min(gap, _LONGEST_PASS)
-            pulse.pass_time += _SMOOTHING * (gap - pulse.pass_time)
-
-    def pass_time(self, upstream: str, now: float) -> float:
-        """Return how long a pass of an upstream's group takes, in seconds."""
+        if pulse is not None:
+            pulse.moved_at = now
+            pulse.broken_until = 0
+
+    def meter(self, upstream: str) -> PassMeter | None:
+        """Return what measures the passes of an upstream's group, if any."""
         pulse = self._pulse(upstream)
-        if pulse is None or now - pulse.moved_at > _MEASURED:
-            return USUAL_PASS
-        return pulse.pass_time
+        return pulse.meter if pulse else None
 
     def end(self, upstream: str) -> None:
         """Note that a stream has ended."""
@@ -108,11 +96,14 @@
 
     def reject(self, upstream: str, now: float) -> None:
         """Note that a rank turned a request away for the sake of another."""
-        pulse = self._pulse(upstream)
-        if pulse is None:
-            return
+        group = self.members.get(upstream)
+        if group is not None:
+            self.break_off(group, now)
+
+    def break_off(self, group: str, now: float) -> None:
+        """Note a sign that a group is broken."""
+        pulse = self.pulses.setdefault(group, _Pulse())
         if now >= pulse.broken_until:
-            group = self.members[upstream]
             log.warning('group broken', extra={'group': group})
         pulse.broken_until = now + _BROKEN
 
@@ -128,20 +119,31 @@
     def is_still(self, upstream: str, now: float) -> bool:
         """Tell whether the group of an upstream seems to stand still."""
         pulse = self._pulse(upstream)
-        if pulse is None:
-            return False
-        if now < pulse.broken_until:
-            return True
-        return pulse.streams > 0 and now - pulse.moved_at > _STILL
+        return pulse is not None and (
+            now < pulse.broken_until or pulse.is_silent(now)
+        )
+
+    def is_broken(self, upstream: str, now: float) -> bool:
+        """Tell whether the group of an upstream is known to be broken."""
+        pulse = self._pulse(upstream)
+        return pulse is not None and now < pulse.broken_until
 
     def broken(self, now: float) -> list[str]:
-        """Return the groups that turned requests away lately."""
+        """Return the groups that are known to be broken."""
         return [
             name
             for name, pulse in self.pulses.items()
             if now < pulse.broken_until
         ]
 
+    def silent(self, now: float) -> list[str]:
+        """Return the groups whose streams do not move, not known as broken."""
+        return [
+            name
+            for name, pulse in self.pulses.items()
+            if pulse.is_silent(now) and now >= pulse.broken_until
+        ]
+
     def _pulse(self, upstream: str) -> _Pulse | None:
         group = self.members.get(upstream)
         if group is None:
@@ -162,6 +164,7 @@
         self.engines = engines
         self.knowledge = knowledge
         self.watch = watch
+        self.rounds = 0
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -174,7 +177,9 @@
                 if upstream.name not in self.watch.members
             ]
             await asyncio.gather(*(self._learn(rank) for rank in unknown))
+            self.rounds += 1
             await self._check_broken(upstreams)
+            await self._check_silent(upstreams)
             await asyncio.sleep(_INTERVAL)
 
     def _ranks(self) -> list[Upstream]:
@@ -195,21 +200,39 @@
         except ServiceUnavailable as error:
             log.debug('no report', extra={'reason': str(error)})
             return
-        if report is not None:
-            self.watch.learn(rank.name, report.group)
+        if report is None:
+            return
+        self.watch.learn(rank.name, report.group)
+        if not report.is_open:
+            self.watch.break_off(report.group, time.monotonic())
 
     async def _check_broken(self, upstreams: list[Upstream]) -> None:
         for group in self.watch.broken(time.monotonic()):
-            members = self.watch.ranks.get(group, [])
-            ranks = [rank for rank in upstreams if rank.name in members]
-            if ranks and await self._is_open(ranks[0]):
+            if await self._is_open(group, upstreams):
                 log.info('group open', extra={'group': group})
                 self.watch.reopen(group)
+            else:
+                # Also if the rank could not be reached: another is asked next.
+                self.watch.break_off(group, time.monotonic())
 
-    async def _is_open(self, rank: Upstream) -> bool:
+    async def _check_silent(self, upstreams: list[Upstream]) -> None:
+        for group in self.watch.silent(time.monotonic()):
+            if await self._is_open(group, upstreams) is False:
+                self.watch.break_off(group, time.monotonic())
+
+    async def _is_open(
+        self,
+        group: str,
+        upstreams: list[Upstream],
+    ) -> bool | None:
+        """Return what a rank says of its group, None if it says nothing."""
+        members = self.watch.ranks.get(group, [])
+        ranks = [rank for rank in upstreams if rank.name in members]
+        if not ranks:
+            return None
         try:
-            report = await self.engines.report(rank)
+            report = await self.engines.report(ranks[self.rounds % len(ranks)])
         except ServiceUnavailable as error:
             log.debug('no report', extra={'reason': str(error)})
-            return False
-        return report is not None and report.is_open
+            return None
+        return report.is_open if report else None
--- a/primroseyoke/gateway/health.py
+++ b/primroseyoke/gateway/health.py
@@ -90,9 +90,13 @@
         self.lost.pop(availability_zone, None)
         self.zones_paused.pop(availability_zone, None)
 
+    def is_zone_paused(self, upstream: Upstream, now: float) -> bool:
+        """Tell whether the availability zone of an upstream is avoided."""
+        return now < self.zones_paused.get(upstream.availability_zone, 0)
+
     def is_paused(self, upstream: Upstream, now: float) -> bool:
         """Tell whether an upstream is avoided."""
-        if now < self.zones_paused.get(upstream.availability_zone, 0):
+        if self.is_zone_paused(upstream, now):
             return True
         return now < self._row(upstream.name).paused_until
 
--- a/primroseyoke/gateway/pages.py
+++ b/primroseyoke/gateway/pages.py
@@ -62,7 +62,7 @@
                     'draining': upstream.draining,
                     'cold': now < upstream.cold_until,
                     'paused': balancer.health.is_paused(upstream, now),
-                    'requests': balancer.total(upstream.name, now),
+                    'requests': balancer.usage.total(upstream.name),
                 }
                 for upstream in knowledge.fleet.upstreams.values()
             },
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Callable, Iterable
@@ -20,8 +21,10 @@
 
 log = logging.getLogger(__name__)
 
-# Reports go out this often while requests come and go, in seconds. Within it
-# a host starts about one request.
+# A report goes out at once when a request begins, so that others do not take
+# the same place, but not before this time has passed since the last.
+_LEAST_INTERVAL = 0.01
+# Requests that end are reported within this time, in seconds.
 _INTERVAL = 0.06
 # ... and this often without any change, so that the news does not expire.
 _QUIET_INTERVAL = 0.8
@@ -61,6 +64,7 @@
         self.last: dict[str, int] = {}
         self.last_sent = 0.0
         self.stopping = False
+        self.begun = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -106,7 +110,11 @@
         while True:
             self._forget_silent(time.monotonic())
             self.report()
-            await asyncio.sleep(_INTERVAL)
+            await asyncio.sleep(_LEAST_INTERVAL)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_INTERVAL):
+                    await self.begun.wait()
+            self.begun.clear()
 
     def report(self, stopping: bool = False) -> None:
         """Send a report if anything has changed or the last one is old."""
@@ -115,10 +123,10 @@
             return
         self.stopping = self.stopping or stopping
         now = time.monotonic()
-        unchanged = balancer.running == self.last and not stopping
+        unchanged = balancer.usage.running == self.last and not stopping
         if unchanged and now - self.last_sent < _QUIET_INTERVAL:
             return
-        self.last = dict(balancer.running)
+        self.last = dict(balancer.usage.running)
         self.last_sent = now
         report = _Report(self.host, self.last, self.stopping)
         content = cbor2.dumps(msgspec.to_builtins(report))
@@ -128,13 +136,13 @@
     def _take(self, report: _Report, address: str, balancer: Balancer) -> None:
         if report.stopping:
             self.heard.pop(address, None)
-            balancer.forget(report.host)
+            balancer.usage.forget(report.host)
             return
         now = time.monotonic()
         if address not in self.heard:
             log.info('peer found', extra={'peer': report.host})
         self.heard[address] = now
-        balancer.hear(report.host, report.running, now)
+        balancer.usage.hear(report.host, report.running, now)
         self.on_news()
 
     def _forget_silent(self, now: float) -> None:
--- a/primroseyoke/gateway/relay.py
+++ b/primroseyoke/gateway/relay.py
@@ -9,6 +9,7 @@
 from .balancer import Balancer
 from .budgets import SendBudget
 from .channels import ChannelPool
+from .estimates import Estimate
 from .exchanges import Exchange
 from .listeners import Answer
 from .measures import Measures
@@ -19,10 +20,11 @@
 
 log = logging.getLogger(__name__)
 
-# How long an answer takes to begin until that is measured, in seconds, and
-# the weight of a new measurement.
+# How long an answer takes to begin until that is measured, in seconds.
 _FIRST_EVENT = 0.2
-_SMOOTHING = 0.1
+# Hosts look for places at different times within this span, in seconds: a
+# report takes up to 2 ms.
+_LOOK_SPREAD = 0.03
 
 
 class Relay:
@@ -42,7 +44,7 @@
         self.budget = budget
         self.measures = Measures()
         self.lines: dict[str, WaitingLine] = {}
-        self.first_events: dict[str, float] = {}
+        self.first_events: dict[str, Estimate] = {}
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer one request."""
@@ -66,18 +68,21 @@
         return self.lines.setdefault(service, WaitingLine())
 
     def call_waiting(self) -> None:
-        """Let waiting requests look for places after news of other hosts."""
-        for line in self.lines.values():
-            line.call()
+        """Let waiting requests look for places after news of other hosts.
 
-    def first_event_time(self, service: str) -> float:
-        """Return how long an answer of a service takes to begin, in seconds."""
-        return self.first_events.get(service, _FIRST_EVENT)
+        All hosts hear of a free place at the same time. They look for it at
+        different times, so that the first can tell the others that it is
+        taken.
+        """
+        loop = asyncio.get_running_loop()
+        for line in self.lines.values():
+            if line.waiters:
+                pause = self.balancer.generator.random() * _LOOK_SPREAD
+                loop.call_later(pause, line.call)
 
-    def observe_first_event(self, service: str, seconds: float) -> None:
-        """Note how long an answer took to begin."""
-        known = self.first_event_time(service)
-        self.first_events[service] = known + _SMOOTHING * (seconds - known)
+    def first_event(self, service: str) -> Estimate:
+        """Return how long an answer of a service takes to begin."""
+        return self.first_events.setdefault(service, Estimate(_FIRST_EVENT))
 
     async def _run(self, exchange: Exchange, answer: Answer) -> str:
         """Run an exchange to its end; return what went wrong, if anything."""
--- a/primroseyoke/gateway/surveys.py
+++ b/primroseyoke/gateway/surveys.py
@@ -27,7 +27,7 @@
     """A rank group; ``ranks`` in the order of their rank.
 
     ``highest`` is the highest version that any rank has had, ``step`` the
-    last pass that was reported, at ``stepped_at`` (monotonic seconds).
+    last pass that was reported.
     """
 
     name: str
@@ -37,8 +37,6 @@
     highest: int
     placement: Placement
     step: int
-    stepped_at: float
-    pass_time: float = 0.06
     busy: bool = False
     conflicts: int = 0
 
@@ -95,7 +93,6 @@
             highest=max(_highest_version(report) for _, report in members),
             placement=await self._placement(first, upstreams, engine),
             step=first.step,
-            stepped_at=time.monotonic(),
         )
         reports = [report for _, report in members]
         return group if await self._is_settled(group, reports) else None
--- a/primroseyoke/gateway/transfers.py
+++ b/primroseyoke/gateway/transfers.py
@@ -13,6 +13,7 @@
 from .events import Event, EventSplitter
 from .listeners import Answer
 from .requests import Headers, Outgoing, Reply
+from .upstreams import Upstream
 
 if TYPE_CHECKING:
     from .authorization import Ticket
@@ -142,26 +143,27 @@
         timer: asyncio.Timeout,
     ) -> None:
         groups = self.relay.balancer.groups
-        name = channel.upstream.name
-        groups.begin(name, time.monotonic())
+        upstream = channel.upstream
+        groups.begin(upstream.name, time.monotonic())
         splitter = EventSplitter()
         try:
             async for content in channel.body():
-                await self._pass_on(name, reply, splitter.feed(content), timer)
+                events = splitter.feed(content)
+                await self._pass_on(upstream, reply, events, timer)
         finally:
-            groups.end(name)
+            groups.end(upstream.name)
         if splitter.rest or not self.answer.started:
             raise _broken(channel, 'ended within an event')
         self.answer.finish()
 
     async def _pass_on(
         self,
-        name: str,
+        upstream: Upstream,
         reply: Reply,
         events: list[Event],
         timer: asyncio.Timeout,
     ) -> None:
-        self._note_content(name, time.monotonic())
+        self._note_content(upstream, time.monotonic())
         deadline = timer.when()
         # The time that the caller takes to read is not the upstream's.
         timer.reschedule(None)
@@ -179,15 +181,13 @@
     def _note_first_event(self) -> None:
         now = time.monotonic()
         self.progress.first_event_at = now
-        self.relay.observe_first_event(
-            self.ticket.service,
-            now - self.progress.sent_at,
-        )
+        estimate = self.relay.first_event(self.ticket.service)
+        estimate.observe(now - self.progress.sent_at)
 
-    def _note_content(self, upstream: str, now: float) -> None:
+    def _note_content(self, upstream: Upstream, now: float) -> None:
         progress = self.progress
         gap = now - progress.event_at if progress.event_at else 0
-        self.relay.balancer.groups.move(upstream, now, gap)
+        self.relay.balancer.move(upstream, self.ticket.engine, gap, now)
         progress.longest_gap = max(progress.longest_gap, gap)
         progress.event_at = now
 
--- a/primroseyoke/gateway/waiting.py
+++ b/primroseyoke/gateway/waiting.py
@@ -3,21 +3,42 @@
 import asyncio
 import bisect
 import dataclasses
+import enum
 
-__all__ = ('Turn', 'WaitingLine')
+__all__ = ('Turn', 'Urgency', 'WaitingLine')
+
+
+class Urgency(enum.IntEnum):
+    """What a place is worth to a waiting request, most first."""
+
+    #: Its answer can still be on time.
+    ON_TIME = 0
+    #: Its caller has part of the answer and leaves soon.
+    RESUMED = 1
+    #: Its answer will be late.
+    LATE = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Turn:
     """The rank of a waiting request; the lowest is served first.
 
-    A request that can still be answered on time goes before one that can't,
-    then the more urgent, then the one that was made first (monotonic seconds).
+    Requests that can be answered on time go first, then the more urgent. Of
+    those on time the newest goes first: under overload a queue in order of
+    arrival would answer each just too late. Of the others the oldest does,
+    which may have come back after a refusal.
     """
 
-    late: bool
+    urgency: Urgency
     priority: int
-    made_at: float
+    #: Monotonic seconds, negated where the newest goes first.
+    order: float
+
+    @classmethod
+    def of(cls, urgency: Urgency, priority: int, made_at: float) -> 'Turn':
+        """Return the turn of a request made at ``made_at``."""
+        newest_first = urgency is Urgency.ON_TIME
+        return cls(urgency, priority, -made_at if newest_first else made_at)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
--- a/primroseyoke/platform/entries.py
+++ b/primroseyoke/platform/entries.py
@@ -68,6 +68,11 @@
     allowed_regions: tuple[str, ...] = ()
 
 
+class _Usual(msgspec.Struct):
+    # Mean number of prompt tokens.
+    prompt: _Amount = 0
+
+
 class _Engine(msgspec.Struct):
     slots: _Whole
     # Tokens that the memory of an upstream holds.
@@ -76,6 +81,9 @@
     per_seq_ms: _Amount
     # Prompt tokens per second.
     read_per_s: _Amount
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    # How old a report is at most.
+    report_lag_ms: _Amount = 250
     stride: _Whole = 1
     link_mbps: _Amount = msgspec.field(name='linkMbps', default=0)
     # Layers whose experts are placed together.
@@ -222,8 +230,9 @@
         memory_tokens=engine.kv_capacity,
         step=engine.step_ms / _MS,
         per_sequence=engine.per_seq_ms / _MS,
+        report_age=engine.report_lag_ms / _MS,
         stride=max(engine.stride, 1),
-        tokens_per_second=engine.read_per_s,
+        prompt_time=engine.usual.prompt / max(engine.read_per_s, 1),
         layers=engine.layer_sets,
         experts=engine.experts,
         placement_slots=engine.locations,
--- /dev/null
+++ b/tests/gateway/test_overload.py
@@ -0,0 +1,18 @@
+"""Answers on time while groups are busy, over emulated engines."""
+
+from tests.standins.gateways import run
+
+
+def test_at_the_usual_load_all_answers_are_on_time() -> None:
+    """Guards against limits that cost time where there is room.
+
+    The load and the objectives are those of the users' deployments.
+    """
+    tally = run(seed=1, rate=30, seconds=12)
+    assert tally.on_time == tally.made
+
+
+def test_under_overload_most_of_what_is_served_is_on_time() -> None:
+    """Guards against a queue that answers each request just too late."""
+    tally = run(seed=1, rate=48, seconds=12)
+    assert tally.on_time > tally.late
--- /dev/null
+++ b/tests/standins/gateways.py
@@ -0,0 +1,311 @@
+"""Gateways without sockets before emulated engines, in virtual time.
+
+The relay, balancer, waiting lines and reports of the gateways are the product's
+own; engines, callers and the network between gateways are emulated.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import random
+import time
+from unittest import mock
+
+from primroseyoke.gateway.authorization import Authorizer
+from primroseyoke.gateway.balancer import Balancer
+from primroseyoke.gateway.budgets import SendBudget
+from primroseyoke.gateway.catalogue import (
+    CallerLimits,
+    Catalogue,
+    Execution,
+    Route,
+    Service,
+    Target,
+)
+from primroseyoke.gateway.knowledge import Knowledge
+from primroseyoke.gateway.peers import PeerReports
+from primroseyoke.gateway.relay import Relay
+from primroseyoke.gateway.requests import CallerRequest, Reply
+from primroseyoke.gateway.upstreams import Upstream
+from tests.clock import JumpingLoop
+from tests.standins.enginegroup import (
+    ENGINE,
+    FIRST_EVENT,
+    EngineGroup,
+    Job,
+)
+
+HOSTS = 8
+GROUPS = 2
+RANKS = 8
+READ_RATE = 61400
+OBJECTIVE = 0.5
+GAP = 0.12
+BUDGET = 8.0
+REPORT_DELAY = 0.0015
+POPULARITY_PERIOD = 3.7
+REACTION = 0.9
+LATE_WORTH = 0.25
+CATALOGUE = Catalogue(
+    1,
+    (
+        Route(
+            name='draft',
+            host='h',
+            prefix='/',
+            execution=Execution.STREAM,
+            targets=(Target('model', 1),),
+            timeout=BUDGET,
+            objective=OBJECTIVE,
+            gap_objective=GAP,
+            attempts=2,
+            resumable=True,
+        ),
+    ),
+    {'model': Service('model', 400, engine=ENGINE)},
+    (),
+    CallerLimits(),
+)
+
+
+class Channel:
+    """A request at an emulated rank."""
+
+    def __init__(self, upstream, group, rank, generator):
+        self.upstream = upstream
+        self.reused = True
+        length = generator.lognormvariate(3.0, 0.6)
+        prompt = generator.lognormvariate(6.5, 0.6)
+        self.job = Job(min(int(prompt), 2800), max(min(int(length), 60), 2))
+        group.submit(rank, self.job)
+
+    async def receive_head(self, codec, request_id):
+        self.first = await self.job.queue.get()
+        await asyncio.sleep(FIRST_EVENT)
+        return Reply(200, (), request_id, signed=True)
+
+    async def body(self):
+        left = self.first
+        number = 1
+        yield b'id: 1\ndata: x\n\n'
+        while left:
+            left = await self.job.queue.get()
+            number += 1
+            yield b'id: %d\ndata: x\n\n' % number
+
+    def close(self):
+        self.job.left = True
+
+
+class Pool:
+    codec = None
+
+    def __init__(self, groups, generator):
+        self.groups = groups
+        self.generator = generator
+
+    async def open_answer(self, upstream, request, outgoing, repeatable):
+        group, rank = map(int, upstream.name.split('-'))
+        if not self.groups[group].up:
+            await asyncio.sleep(1)
+        return Channel(upstream, self.groups[group], rank, self.generator)
+
+    def release(self, channel):
+        pass
+
+
+class Answer:
+    """Notes when events arrive."""
+
+    def __init__(self):
+        self.started = False
+        self.finished = False
+        self.status = 0
+        self.retry_after = 0
+        self.times = []
+
+    def start(self, status, headers):
+        self.started = True
+        self.status = status
+
+    async def send(self, content):
+        self.times.append(time.monotonic())
+
+    def finish(self):
+        self.finished = True
+
+    def refuse(self, status, detail, verdict, retry_after=0):
+        self.status = status
+        self.retry_after = retry_after
+
+    def abort(self):
+        self.status = 0
+
+
+class Wire:
+    """Carries reports between gateways."""
+
+    def __init__(self, sender, peers):
+        self.sender = sender
+        self.peers = peers
+
+    def sendto(self, content, address):
+        asyncio.get_running_loop().call_later(
+            REPORT_DELAY,
+            self.peers[address[0]].datagram_received,
+            content,
+            (self.sender, 0),
+        )
+
+
+@dataclasses.dataclass
+class Tally:
+    made: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused_twice: int = 0
+
+    @property
+    def worth(self):
+        return (self.on_time + LATE_WORTH * self.late) / self.made
+
+    @property
+    def on_time_share(self):
+        return self.on_time / self.made
+
+    @property
+    def late_share(self):
+        return self.late / self.made
+
+    @property
+    def refused_share(self):
+        return self.refused_twice / self.made
+
+
+class Gateways:
+    """Eight gateways, two rank groups and the callers."""
+
+    def __init__(self, seed):
+        self.generator = random.Random(seed)
+        self.groups = [
+            EngineGroup(ENGINE, RANKS, READ_RATE, self.generator)
+            for _ in range(GROUPS)
+        ]
+        self.relays = []
+        self.tally = Tally()
+        self.numbers = itertools.count()
+        self.tasks = []
+        peers = {}
+        for number in range(HOSTS):
+            self._add_host(f'10.0.0.{number}', peers)
+        for address, reports in peers.items():
+            reports.transport = Wire(address, peers)
+            reports.introduce(peers)
+            self.start(reports.run())
+        for group in self.groups:
+            self.start(group.run())
+            self.start(group.follow_popularity(POPULARITY_PERIOD, REACTION))
+
+    def start(self, work):
+        self.tasks.append(asyncio.ensure_future(work))
+
+    def _add_host(self, address, peers):
+        generator = random.Random(self.generator.random())
+        knowledge = Knowledge()
+        knowledge.publish(CATALOGUE)
+        balancer = Balancer(knowledge.fleet, 'a', generator, {})
+        for group, rank in itertools.product(range(GROUPS), range(RANKS)):
+            name = f'{group}-{rank}'
+            knowledge.fleet.put(Upstream(name, 'model', 'h', 1, 'a'))
+            balancer.groups.learn(name, str(group))
+        relay = Relay(
+            Authorizer(knowledge, generator),
+            balancer,
+            Pool(self.groups, generator),
+            SendBudget(0.2, 92, 10),
+        )
+        reports = PeerReports(address, address, 1)
+        reports.balancer = balancer
+        reports.on_news = relay.call_waiting
+        balancer.on_begin = reports.begun.set
+        peers[address] = reports
+        self.relays.append(relay)
+
+    async def call(self):
+        """Make a request as a caller does, and once more if it is refused."""
+        made = time.monotonic()
+        self.tally.made += 1
+        budget = BUDGET * self.generator.uniform(0.87, 1)
+        answer = await self._attempt(made + budget)
+        if answer.status == 503:
+            left = made + budget - time.monotonic()
+            await asyncio.sleep(min(answer.retry_after, left / 3))
+            answer = await self._attempt(made + budget)
+            self.tally.refused_twice += answer.status == 503
+        if answer.status != 200 or not answer.finished:
+            return
+        pauses = [b - a for a, b in itertools.pairwise(answer.times)]
+        first = answer.times[0] - made
+        if first <= OBJECTIVE and max(pauses, default=0) <= GAP:
+            self.tally.on_time += 1
+        else:
+            self.tally.late += 1
+
+    async def _attempt(self, deadline):
+        now = time.monotonic()
+        answer = Answer()
+        request = CallerRequest(
+            'POST',
+            '/x',
+            '/x',
+            'h',
+            (),
+            request_id=str(next(self.numbers)),
+            timeout=deadline - now,
+            arrived_at=now,
+        )
+        relay = self.generator.choice(self.relays)
+        await relay.handle(request, answer)
+        return answer
+
+    async def load(self, rate, seconds):
+        calls = []
+        ends = time.monotonic() + seconds
+        while time.monotonic() < ends:
+            await asyncio.sleep(self.generator.expovariate(rate))
+            calls.append(asyncio.ensure_future(self.call()))
+        await asyncio.wait(calls)
+
+    async def slow(self, start, seconds, pace):
+        await asyncio.sleep(start)
+        self.groups[0].paces[3] = pace
+        await asyncio.sleep(seconds)
+        self.groups[0].paces[3] = 1.0
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+async def play(seed, rate, seconds, slow=None):
+    gateways = Gateways(seed)
+    if slow:
+        gateways.start(gateways.slow(*slow))
+    await gateways.load(rate, seconds)
+    await gateways.stop()
+    return gateways.tally
+
+
+def run(seed, rate, seconds, slow=None):
+    """Return how requests at ``rate`` a second ended.
+
+    ``slow`` is the start, the length and the pace of a slow rank.
+    """
+    loop = JumpingLoop()
+    with (
+        mock.patch('time.monotonic', loop.time),
+        contextlib.closing(loop),
+    ):
+        return loop.run_until_complete(play(seed, rate, seconds, slow))
