Relieve slow ranks; keep hosts that drain and partitions from misleading others

Change: plans weigh ranks by pace, and a slow rank gives its experts away within loads of 1 s; loads of a change are bounded by time, not by number. Reports go on while a host drains; it leaves with a last one. No host leads in the smaller part of a partition; addresses are kept for 10 minutes; heartbeats go to all known hosts each 0.35 s also while requests come and go. Ranks are armed 0.2 s further ahead for 6 s after an answer was lost.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -33,7 +33,7 @@
 # and as a share of those of a rank group: a place is taken for seconds, and an
 # answer on time is worth four late ones.
 _SPARE_PLACES = 2
-_SPARE_SHARE = 0.12
+_SPARE_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/capacity.py
+++ b/primroseyoke/gateway/capacity.py
@@ -31,7 +31,7 @@
 _SHORT_MEMORY = 1.0
 _HIGHEST_SKEW = 3.3
 # Share of the longest pause on time that the longest pass may take.
-_PASS_SHARE = 0.95
+_PASS_SHARE = 0.87
 
 
 class PassMeter:
@@ -41,6 +41,7 @@
         """Start without measurements."""
         self.moved_at = -math.inf
         self.smoothed = USUAL_PASS
+        self.cost = 0.0
         self.highest_cost: float | None = None
         self.cost_at = 0.0
 
@@ -68,6 +69,7 @@
         if engine is None or used < _TELLING_SHARE * engine.slots * ranks:
             return
         cost = max(pause - _fixed_time(engine), 0) / used
+        self.cost += _SMOOTHING * (cost - self.cost)
         self.highest_cost = max(cost, self._remembered(engine, ranks, now))
         self.cost_at = now
 
@@ -77,6 +79,14 @@
             return USUAL_PASS
         return self.smoothed
 
+    def skew(self, engine: Engine, ranks: int) -> float:
+        """Return the skew of experts that would explain the passes."""
+        usual = engine.stride * engine.per_sequence / ranks
+        share = engine.expert_share
+        if not usual or not share:
+            return 1
+        return (self.cost / usual - 1 + share) / share
+
     def limit(
         self,
         engine: Engine,
--- a/primroseyoke/gateway/changes.py
+++ b/primroseyoke/gateway/changes.py
@@ -18,8 +18,12 @@
 
 log = logging.getLogger(__name__)
 
-# A few orders take this long if one answer is lost, in seconds.
+# A few orders take this long if one answer is lost, in seconds, and if many are:
+# a pass that is held meanwhile makes every stream of the group late.
 _ORDERS_TIME = 0.08
+_LOSSY_ORDERS_TIME = 0.3
+# Answers that got lost foretell more for this time, in seconds.
+_LOSSY_TIME = 6.0
 # Loading is a little slower than the link allows, in seconds.
 _LOAD_MARGIN = 0.04
 # Bounds of a pass, in seconds: almost idle, and under full load with a slow
@@ -52,6 +56,7 @@
         self.engines = engines
         self.pass_time = pass_time
         self.last_version = 0
+        self.lost_at = -math.inf
 
     async def change(
         self,
@@ -94,8 +99,24 @@
         version: int,
     ) -> SwitchOutcome:
         switch = MapSwitch(self.engines, group.ranks, group.epoch)
+        try:
+            return await self._carry_out(switch, group, engine, plan, version)
+        finally:
+            if switch.lost:
+                self.lost_at = time.monotonic()
+
+    async def _carry_out(
+        self,
+        switch: MapSwitch,
+        group: Group,
+        engine: Engine,
+        plan: Plan,
+        version: int,
+    ) -> SwitchOutcome:
         if not await switch.prepare(version, plan.placement):
             return SwitchOutcome.NOT_PREPARED
+        if switch.lost:
+            self.lost_at = time.monotonic()
         load_time = max(plan.copies) * engine.expert_load_time
         await asyncio.sleep(load_time + _LOAD_MARGIN)
         outcome = SwitchOutcome.NOT_HELD
@@ -130,5 +151,7 @@
             max(self.pass_time(first.name), _SHORTEST_PASS),
             _LONGEST_PASS,
         )
-        ahead = math.ceil((engine.report_age + _ORDERS_TIME) / pass_time)
+        lossy = time.monotonic() - self.lost_at < _LOSSY_TIME
+        orders_time = _LOSSY_ORDERS_TIME if lossy else _ORDERS_TIME
+        ahead = math.ceil((engine.report_age + orders_time) / pass_time)
         return report.step + ahead + attempt * _PASSES_LATER + 1
--- a/primroseyoke/gateway/engines.py
+++ b/primroseyoke/gateway/engines.py
@@ -28,7 +28,8 @@
     ``epoch`` is that of its group, ``step`` the last pass that began,
     ``placement`` the version in use, ``prepared`` the version whose weights
     are loaded, ``armed`` the version that it is to switch to, ``held`` the
-    pass that does not begin before it is released.
+    pass that does not begin before it is released. Its work takes ``pace``
+    times as long as usual.
     """
 
     group: str
@@ -42,6 +43,7 @@
     armed: int | None = None
     armed_step: int | None = None
     held: int | None = None
+    pace: float = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/exchanges.py
+++ b/primroseyoke/gateway/exchanges.py
@@ -28,9 +28,11 @@
 
 log = logging.getLogger(__name__)
 
-# How long a request waits for a place at most, in seconds: a caller leaves a
-# stream that has not begun after 2 s.
-_LONGEST_WAIT = 1.4
+# How long a request waits for a place at most, in seconds: a little longer than
+# it can be on time. One that has come back after a refusal has no further try,
+# but its caller leaves a stream that has not begun after 2 s.
+_LONGEST_WAIT = 0.7
+_LAST_WAIT = 1.4
 # ... and as a share of the time that it has left.
 _WAIT_SHARE = 0.5
 # A waiting request looks for a place at least this often, in seconds.
@@ -149,9 +151,11 @@
         ticket = self.ticket
         started = time.monotonic()
         line = self.relay.line(ticket.service)
+        longest = _LONGEST_WAIT
+        if ticket.made_at < ticket.request.arrived_at:
+            longest = _LAST_WAIT
         limit = started + min(
-            _LONGEST_WAIT,
-            _WAIT_SHARE * (ticket.deadline - started),
+            longest, _WAIT_SHARE * (ticket.deadline - started)
         )
         now = started
         place = self._take_place(now)
--- a/primroseyoke/gateway/experts.py
+++ b/primroseyoke/gateway/experts.py
@@ -39,9 +39,15 @@
 # A map is changed if the mean skew falls by more than this.
 _MIN_GAIN = 0.5
 _TARGET_SKEW = 1.35
-# Each new expert of a rank takes 0.15 s to load; what two replicas a rank do
-# not level, the next change does.
-_NEW_PER_RANK = 2
+# How long the weights of one change may take to load, in seconds: passes are
+# slower meanwhile, and what one change does not level the next one does. To
+# relieve a slow rank takes more, and pays for longer.
+_LOAD_TIME = 0.3
+_RELIEF_TIME = 1.0
+# A group whose passes take as long as with this skew may have a slow rank, and
+# one that is known to is watched; both this often, in seconds.
+_SUSPECT_SKEW = 2.2
+_PACE_INTERVAL = 0.6
 # A rank that was armed late still refuses to prepare; then it is surveyed.
 _MAX_CONFLICTS = 2
 # A group that is broken or about to switch is looked at this often, in seconds.
@@ -127,6 +133,8 @@
         groups = [
             group for group in self.groups.values() if group.service == service
         ]
+        for moving in groups:
+            await self._watch_paces(moving, engine)
         counts = await self._sample(groups)
         if counts is None:
             return
@@ -155,6 +163,28 @@
             self.groups[surveyed.name] = surveyed
             self.samples.update(zero_counts(surveyed, engine))
 
+    async def _watch_paces(self, group: Group, engine: Engine) -> None:
+        """Read how slow the ranks of a group are, if one may be slow."""
+        now = time.monotonic()
+        if now - group.paced_at < _PACE_INTERVAL:
+            return
+        meter = self.watch.meter(group.ranks[0].name)
+        skew = meter.skew(engine, len(group.ranks)) if meter else 0
+        if group.slowest == 1 and skew < _SUSPECT_SKEW:
+            return
+        group.paced_at = now
+        before = group.slowest
+        await self.surveyor.read_paces(group)
+        if group.slowest != before:
+            log.info(
+                'rank pace',
+                extra={
+                    'group': group.name,
+                    'slowest': group.slowest,
+                    'measured_skew': round(skew, 2),
+                },
+            )
+
     def _pass_time(self, name: str) -> float:
         meter = self.watch.meter(name)
         return meter.pass_time(time.monotonic()) if meter else USUAL_PASS
@@ -211,9 +241,10 @@
             Limits(
                 slots=engine.placement_slots,
                 new_per_layer=engine.spare_slots,
-                new_per_rank=_NEW_PER_RANK,
+                new_per_rank=_new_per_rank(engine, group),
                 target=_TARGET_SKEW,
             ),
+            group.paces,
         )
         if plan.before - plan.after < _MIN_GAIN:
             return
@@ -243,3 +274,11 @@
         unknown = outcome is not SwitchOutcome.NOT_PREPARED
         if unknown or group.conflicts > _MAX_CONFLICTS:
             self.groups.pop(group.name, None)
+
+
+def _new_per_rank(engine: Engine, group: Group) -> int:
+    """Return how many experts a rank may load in one change."""
+    budget = _RELIEF_TIME if group.slowest > 1 else _LOAD_TIME
+    if not engine.expert_load_time:
+        return engine.spare_slots
+    return max(int(budget / engine.expert_load_time), 1)
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -134,6 +134,7 @@
             self._start(work)
         await self.stopping.wait()
         await self._drain()
+        self.peers.leave()
         log.info('stopped', extra={'unfinished': self.callers.busy})
         await self.close()
 
@@ -265,7 +266,7 @@
         self.relay.authorizer.last_stream_at = (
             time.monotonic() + self.settings.grace - _STREAM_TIME
         )
-        self.peers.report(stopping=True)
+        self.peers.drain()
         with contextlib.suppress(ServiceUnavailable):
             await self.platform.unregister()
         await asyncio.sleep(max(started + _NOTICE - loop.time(), 0))
--- a/primroseyoke/gateway/pages.py
+++ b/primroseyoke/gateway/pages.py
@@ -66,7 +66,7 @@
                 }
                 for upstream in knowledge.fleet.upstreams.values()
             },
-            'peers': sorted(gateway.peers.heard),
+            'peers': sorted(gateway.peers.peers),
             'leads_expert_maps': gateway.peers.is_first,
         }
 
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
+import math
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -27,29 +29,52 @@
 # Requests that end are reported within this time, in seconds.
 _INTERVAL = 0.06
 # ... and this often without any change, so that the news does not expire.
-_QUIET_INTERVAL = 0.8
+_QUIET_INTERVAL = 0.35
 # A host that was heard within this time, in seconds, does its duties.
-_PRESENT = 1.7
-# A host that was not heard for this time is gone, in seconds.
+_PRESENT = 0.9
+# A host that was not heard for this time no longer counts, in seconds: a zone
+# that is cut off for longer still has its part of what is shared.
 _LIFETIME = 10.0
+# A host that was heard within this time, in seconds, may do duties in another
+# part of a partition; those of today last up to 12 s.
+_PARTITION = 20.0
+# Its address is kept for this time, in seconds, so that hosts find each other
+# again after a long partition.
+_ADDRESS_LIFETIME = 600.0
 
 
 class _Report(msgspec.Struct, array_like=True):
     """What a gateway tells the others.
 
-    ``running`` is its requests in progress by upstream.
+    ``running`` is its requests in progress by upstream. A host that drains
+    finishes them and gives up its duties; one that is ``gone`` has none left.
     """
 
     host: str
     running: dict[str, int]
-    stopping: bool = False
+    draining: bool = False
+    gone: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """Another gateway; times in monotonic seconds.
+
+    ``known_at`` is when its address was learned, which says little of whether
+    it runs.
+    """
+
+    known_at: float
+    heard_at: float = -math.inf
+    draining: bool = False
 
 
 class PeerReports(asyncio.DatagramProtocol):
     """Sends and receives reports.
 
     Attributes:
-        heard: when each peer was last heard, by address (monotonic seconds).
+        peers: the other gateways that are known, by address.
+        draining: whether this host is about to stop.
     """
 
     def __init__(self, host: str, address: str, port: int) -> None:
@@ -60,10 +85,10 @@
         self.balancer: Balancer | None = None
         self.on_news: Callable[[], None] = _ignore_news
         self.transport: Any = None
-        self.heard: dict[str, float] = {}
+        self.peers: dict[str, _Peer] = {}
         self.last: dict[str, int] = {}
-        self.last_sent = 0.0
-        self.stopping = False
+        self.beaten_at = -math.inf
+        self.draining = False
         self.begun = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -86,23 +111,35 @@
     def introduce(self, addresses: Iterable[str]) -> None:
         """Report to these addresses too."""
         now = time.monotonic()
-        for address in addresses:
-            if address != self.address:
-                self.heard.setdefault(address, now)
+        for address in set(addresses) - {self.address} - set(self.peers):
+            self.peers[address] = _Peer(now)
+            # They are told at once, and answer with their next report.
+            self.beaten_at = -math.inf
 
     @property
     def hosts(self) -> int:
         """Return the number of hosts that share the load, this one included."""
-        return len(self.heard) + 1
+        now = time.monotonic()
+        counted = [
+            peer
+            for peer in self.peers.values()
+            if now - max(peer.known_at, peer.heard_at) < _LIFETIME
+        ]
+        return len(counted) + 1
 
     @property
     def is_first(self) -> bool:
-        """Tell whether this host comes first of those that are heard now."""
-        now = time.monotonic()
+        """Tell whether this host comes first of those that do duties now.
+
+        None does in the smaller part of a partition: two leaders undo each
+        other's work.
+        """
+        present = self._heard_within(_PRESENT)
+        if 2 * len(present) < len(self._heard_within(_PARTITION)):
+            return False
         return not any(
-            address < self.address
-            for address, heard_at in self.heard.items()
-            if now - heard_at < _PRESENT
+            address < self.address and not self.peers[address].draining
+            for address in present
         )
 
     async def run(self) -> None:
@@ -116,39 +153,67 @@
                     await self.begun.wait()
             self.begun.clear()
 
-    def report(self, stopping: bool = False) -> None:
+    def report(self) -> None:
         """Send a report if anything has changed or the last one is old."""
         balancer = self.balancer
-        if balancer is None or self.transport is None:
+        if balancer is None:
             return
-        self.stopping = self.stopping or stopping
         now = time.monotonic()
-        unchanged = balancer.usage.running == self.last and not stopping
-        if unchanged and now - self.last_sent < _QUIET_INTERVAL:
+        if now - self.beaten_at >= _QUIET_INTERVAL:
+            self.beaten_at = now
+            self._send(tuple(self.peers), balancer)
+        elif balancer.usage.running != self.last:
+            self._send(self._heard_within(_LIFETIME), balancer)
+
+    def drain(self) -> None:
+        """Tell the others that this host is about to stop."""
+        self.draining = True
+        if self.balancer is not None:
+            self._send(tuple(self.peers), self.balancer)
+
+    def leave(self) -> None:
+        """Tell the others that this host has stopped."""
+        if self.balancer is not None:
+            self._send(tuple(self.peers), self.balancer, gone=True)
+
+    def _send(
+        self,
+        addresses: Iterable[str],
+        balancer: Balancer,
+        gone: bool = False,
+    ) -> None:
+        if self.transport is None:
             return
         self.last = dict(balancer.usage.running)
-        self.last_sent = now
-        report = _Report(self.host, self.last, self.stopping)
+        report = _Report(self.host, self.last, self.draining, gone)
         content = cbor2.dumps(msgspec.to_builtins(report))
-        for address in self.heard:
+        for address in addresses:
             self.transport.sendto(content, (address, self.port))
 
     def _take(self, report: _Report, address: str, balancer: Balancer) -> None:
-        if report.stopping:
-            self.heard.pop(address, None)
+        if report.gone:
+            self.peers.pop(address, None)
             balancer.usage.forget(report.host)
             return
         now = time.monotonic()
-        if address not in self.heard:
+        if address not in self.peers:
             log.info('peer found', extra={'peer': report.host})
-        self.heard[address] = now
+        self.peers[address] = _Peer(now, now, report.draining)
         balancer.usage.hear(report.host, report.running, now)
         self.on_news()
 
+    def _heard_within(self, seconds: float) -> list[str]:
+        now = time.monotonic()
+        return [
+            address
+            for address, peer in self.peers.items()
+            if now - peer.heard_at < seconds
+        ]
+
     def _forget_silent(self, now: float) -> None:
-        for address, heard_at in tuple(self.heard.items()):
-            if now - heard_at > _LIFETIME:
-                self.heard.pop(address)
+        for address, peer in tuple(self.peers.items()):
+            if now - max(peer.known_at, peer.heard_at) > _ADDRESS_LIFETIME:
+                self.peers.pop(address)
                 log.info('peer lost', extra={'peer': address})
 
 
--- a/primroseyoke/gateway/placement.py
+++ b/primroseyoke/gateway/placement.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Sequence
 
 __all__ = ('Limits', 'Placement', 'Plan', 'first_placement', 'plan_replicas')
@@ -17,6 +18,8 @@
 
 # How many experts of the hottest rank are considered for a further replica.
 _TRIED = 3
+# A rank that takes this many times as long as usual gives experts away.
+_SLOW = 1.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +42,7 @@
 class Plan:
     """A placement; ``before`` and ``after`` are the mean skew of the layers.
 
+    The load of a slow rank counts as many times as its work takes longer.
     ``copies`` is the number of experts that are new to a rank, by rank.
     """
 
@@ -58,6 +62,7 @@
     counts: Sequence[int],
     current: Placement,
     limits: Limits,
+    paces: Sequence[float] = (),
 ) -> Plan:
     """Return a placement with more replicas of what is hot now.
 
@@ -65,6 +70,8 @@
         counts: how often each expert was chosen, layer after layer.
         current: placement in force.
         limits: what one change may do.
+        paces: how many times as long as usual the work of each rank takes;
+            empty if no rank is slow.
 
     Raises:
         ValueError: counts and placement differ in size.
@@ -72,11 +79,14 @@
     experts, rest = divmod(len(counts), len(current))
     if rest or not experts:
         raise ValueError(f'{len(counts)} counts for {len(current)} layers')
+    weights = paces or tuple(1.0 for _ in current[0])
     layers = []
     for index, held in enumerate(current):
         layer_counts = counts[index * experts : (index + 1) * experts]
-        layers.append(_Layer(layer_counts, held, limits))
-    before = _mean([layer.skew for layer in layers])
+        layers.append(_Layer(layer_counts, held, limits, weights))
+    before = _mean([unchanged.skew for unchanged in layers])
+    for each in layers:
+        each.relieve_slow()
     copies = [0 for _ in current[0]]
     open_layers = list(layers)
     while open_layers:
@@ -99,8 +109,10 @@
         counts: Sequence[int],
         layer: Sequence[Sequence[int]],
         limits: Limits,
+        weights: Sequence[float],
     ) -> None:
         self.limits = limits
+        self.weights = weights
         mean = sum(counts) / len(layer) or 1
         self.loads = [count / mean for count in counts]
         self.held = [set(experts) for experts in layer]
@@ -120,6 +132,12 @@
         """Return the experts of each rank."""
         return tuple(tuple(sorted(experts)) for experts in self.held)
 
+    def relieve_slow(self) -> None:
+        """Drop what slow ranks hold and others hold too: that is free."""
+        for rank, weight in enumerate(self.weights):
+            if weight > _SLOW:
+                self._relieve(rank, self.limits.target / weight)
+
     def add_replica(self, copies: list[int]) -> bool:
         """Add the replica that relieves the most loaded rank most.
 
@@ -129,12 +147,34 @@
         loads = self._rank_loads()
         hottest = loads.index(max(loads))
         ranked = sorted(self.held[hottest], key=self._share, reverse=True)
-        for expert in ranked[:_TRIED]:
-            for rank in sorted(range(len(loads)), key=loads.__getitem__):
-                if self._place(expert, rank, copies):
-                    return True
+        targets = self._targets(loads)
+        for expert, rank in itertools.product(ranked[:_TRIED], targets):
+            if self._place(expert, rank, copies):
+                if self.weights[hottest] > _SLOW:
+                    self._remove(expert, hottest)
+                return True
         return False
 
+    def _relieve(self, rank: int, target: float) -> None:
+        """Drop shared experts of a rank until its load is below ``target``."""
+        hottest_first = sorted(
+            self.held[rank],
+            key=self._share,
+            reverse=True,
+        )
+        for expert in hottest_first:
+            if self._rank_load(rank) <= target:
+                return
+            if self.replicas[expert] > 1:
+                self._remove(expert, rank)
+
+    def _targets(self, loads: Sequence[float]) -> list[int]:
+        """Return the ranks that are not slow, the least loaded first."""
+        usual = [
+            rank for rank, weight in enumerate(self.weights) if weight <= _SLOW
+        ]
+        return sorted(usual, key=loads.__getitem__)
+
     def _place(self, expert: int, rank: int, copies: list[int]) -> bool:
         held = self.held[rank]
         returning = expert in self.original[rank]
@@ -175,10 +215,13 @@
 
     def _rank_loads(self) -> list[float]:
         return [
-            sum(self._share(expert) for expert in experts)
-            for experts in self.held
+            weight * self._rank_load(rank)
+            for rank, weight in enumerate(self.weights)
         ]
 
+    def _rank_load(self, rank: int) -> float:
+        return sum(self._share(expert) for expert in self.held[rank])
+
 
 def _mean(numbers: Sequence[float]) -> float:
     return sum(numbers) / len(numbers)
--- a/primroseyoke/gateway/surveys.py
+++ b/primroseyoke/gateway/surveys.py
@@ -27,7 +27,8 @@
     """A rank group; ``ranks`` in the order of their rank.
 
     ``highest`` is the highest version that any rank has had, ``step`` the
-    last pass that was reported.
+    last pass that was reported, ``paces`` how many times as long as usual the
+    work of each rank takes, read at ``paced_at`` (monotonic seconds).
     """
 
     name: str
@@ -37,9 +38,16 @@
     highest: int
     placement: Placement
     step: int
+    paces: tuple[float, ...] = ()
+    paced_at: float = 0
     busy: bool = False
     conflicts: int = 0
 
+    @property
+    def slowest(self) -> float:
+        """Return the pace of the slowest rank, 1 if none is slow."""
+        return max(self.paces, default=1)
+
 
 class Surveyor:
     """Finds the groups that are complete and have no open change."""
@@ -77,6 +85,19 @@
                 groups.append(await self._group(name, ordered, engine))
         return [group for group in groups if group is not None]
 
+    async def read_paces(self, group: Group) -> None:
+        """Learn how slow the ranks of a group are."""
+        reports = await asyncio.gather(
+            *(self.engines.report(rank) for rank in group.ranks),
+            return_exceptions=True,
+        )
+        # A rank that does not answer is taken to be as before.
+        known = group.paces or (1.0,) * len(group.ranks)
+        group.paces = tuple(
+            report.pace if isinstance(report, RankReport) else before
+            for report, before in zip(reports, known)
+        )
+
     async def _group(
         self,
         name: str,
@@ -93,6 +114,7 @@
             highest=max(_highest_version(report) for _, report in members),
             placement=await self._placement(first, upstreams, engine),
             step=first.step,
+            paces=tuple(report.pace for _, report in members),
         )
         reports = [report for _, report in members]
         return group if await self._is_settled(group, reports) else None
--- a/primroseyoke/gateway/switching.py
+++ b/primroseyoke/gateway/switching.py
@@ -77,6 +77,7 @@
 
     Attributes:
         held: the pass that may be held, None if none can be.
+        lost: number of orders that were not answered.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.ranks = ranks
         self.epoch = epoch
         self.held: int | None = None
+        self.lost = 0
 
     async def prepare(self, version: int, placement: Placement) -> bool:
         """Make every rank load the weights; tell whether all confirmed."""
@@ -215,6 +217,7 @@
                 await asyncio.sleep(_PAUSE)
             result = await self.engines.order(rank, order, timeout)
             if result is OrderResult.UNKNOWN:
+                self.lost += 1
                 timeout = min(timeout * 2, _LONGEST_TIMEOUT)
             if result in {OrderResult.ACCEPTED, OrderResult.REFUSED}:
                 return result
--- a/primroseyoke/platform/engines.py
+++ b/primroseyoke/platform/engines.py
@@ -58,6 +58,8 @@
     enabled: Any = None
     # The pass that is held.
     held: Any = None
+    # How many times as long as usual its work takes.
+    pace: float = 1
 
 
 class _Counts(msgspec.Struct):
@@ -114,6 +116,7 @@
             armed=_number(found.enabled, 'version'),
             armed_step=_step(found.enabled),
             held=_number(found.held, 'step'),
+            pace=found.pace,
         )
 
     async def counts(self, upstream: Upstream) -> Counts:
--- a/tests/gateway/test_experts.py
+++ b/tests/gateway/test_experts.py
@@ -22,6 +22,7 @@
     EXPERTS,
     LAYERS,
     PLACEMENT,
+    RANKS,
     FakeGroup,
     upstreams,
 )
@@ -158,3 +159,21 @@
         assert not group.mixed_steps
 
     asyncio.run(scenario())
+
+
+def test_a_slow_rank_is_found_and_relieved() -> None:
+    async def scenario() -> None:
+        group = FakeGroup(random.Random(1), lost=0, late=0)
+        group.paces[2] = 3.6
+        async with directed(group) as director:
+            meter = director.watch.meter('0')
+            meter.observe(SMALL, RANKS, SMALL.slots * RANKS, 0.24, 1)
+            meter.cost = meter.highest_cost
+            await until(lambda: group.ranks[0].version > 0, 8)
+            current = group.placements[group.ranks[0].version]
+            assert len(current[0][2]) < len(PLACEMENT[0][2])
+            group.paces[2] = 1.0
+            found = director.groups['g']
+            await until(lambda: found.slowest == 1, 8)
+
+    asyncio.run(scenario())
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -10,7 +10,6 @@
 from primroseyoke.gateway.clients import HttpClient
 from primroseyoke.gateway.gateway import keep_running
 from primroseyoke.gateway.listeners import Answer
-from primroseyoke.gateway.peers import PeerReports
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.settings import GatewaySettings
 from tests.clock import run
@@ -153,24 +152,6 @@
     assert lines[0].configuration == 1
 
 
-def test_peers_skip_what_is_not_a_report() -> None:
-    peers = PeerReports('me', '127.0.0.1', 1)
-    for content in (b'', b'\xff', b'\x83\x01\x02\x03', b'\xa0'):
-        peers.datagram_received(content, ('127.0.0.2', 1))
-    assert not peers.heard
-
-
-def test_the_lowest_address_that_is_heard_leads() -> None:
-    peers = PeerReports('me', '10.0.0.5', 1)
-    assert peers.is_first
-    peers.introduce(['10.0.0.9'])
-    assert peers.is_first
-    peers.introduce(['10.0.0.1'])
-    assert not peers.is_first
-    peers.heard['10.0.0.1'] -= 5
-    assert peers.is_first
-
-
 def test_background_work_that_fails_starts_again(caplog) -> None:
     """A topic that is not followed any more would leave the host stale."""
     runs = []
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -66,3 +66,35 @@
 def test_counts_of_another_size_are_an_error() -> None:
     with pytest.raises(ValueError, match='layers'):
         plan_replicas([1] * 7, first_placement(2, 4, 2), LIMITS)
+
+
+@pytest.mark.parametrize('pace', [1.6, 3.64, 12])
+@pytest.mark.parametrize('seed', range(5))
+def test_a_slow_rank_gives_its_experts_away(seed: int, pace: float) -> None:
+    """Guards against a group whose passes all wait for a slow rank."""
+    limits = Limits(slots=11, new_per_layer=4, new_per_rank=6, target=1.35)
+    placement = first_placement(LAYERS, EXPERTS, RANKS)
+    paces = [1.0] * RANKS
+    paces[3] = pace
+    for _ in range(3):
+        plan = plan_replicas(popular(seed), placement, limits, paces)
+        assert plan.after <= plan.before
+        for before, after in zip(placement, plan.placement):
+            assert {e for rank in after for e in rank} == set(range(EXPERTS))
+            assert not set(after[3]) - set(before[3])
+        placement = plan.placement
+    assert plan.after < 1.7
+
+
+def test_experts_come_back_to_a_rank_that_is_well_again() -> None:
+    limits = Limits(slots=11, new_per_layer=4, new_per_rank=2, target=1.35)
+    start = first_placement(LAYERS, EXPERTS, RANKS)
+    emptied = tuple(
+        tuple(
+            () if rank == 3 else (*layer[rank], layer[3][rank % 8])
+            for rank in range(RANKS)
+        )
+        for layer in start
+    )
+    plan = plan_replicas(popular(1), emptied, limits)
+    assert any(layer[3] for layer in plan.placement)
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -237,11 +237,11 @@
         made = time.monotonic()
         self.tally.made += 1
         budget = BUDGET * self.generator.uniform(0.87, 1)
-        answer = await self._attempt(made + budget)
+        answer = await self.attempt(made + budget)
         if answer.status == 503:
             left = made + budget - time.monotonic()
             await asyncio.sleep(min(answer.retry_after, left / 3))
-            answer = await self._attempt(made + budget)
+            answer = await self.attempt(made + budget)
             self.tally.refused_twice += answer.status == 503
         if answer.status != 200 or not answer.finished:
             return
@@ -252,7 +252,7 @@
         else:
             self.tally.late += 1
 
-    async def _attempt(self, deadline):
+    async def attempt(self, deadline, relay=None):
         now = time.monotonic()
         answer = Answer()
         request = CallerRequest(
@@ -265,7 +265,7 @@
             timeout=deadline - now,
             arrived_at=now,
         )
-        relay = self.generator.choice(self.relays)
+        relay = relay or self.generator.choice(self.relays)
         await relay.handle(request, answer)
         return answer
 
--- a/tests/standins/rankgroup.py
+++ b/tests/standins/rankgroup.py
@@ -55,6 +55,7 @@
         self.popularity = [1000 for _ in range(LAYERS * EXPERTS)]
         self.chosen = [0 for _ in self.popularity]
         self.placements: dict[int, Placement] = {0: PLACEMENT}
+        self.paces = [1.0 for _ in range(RANKS)]
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run_passes(self) -> None:
@@ -150,6 +151,7 @@
             armed=rank.armed[0] if rank.armed else None,
             armed_step=rank.armed[1] if rank.armed else None,
             held=rank.held,
+            pace=self.paces[int(upstream.name)],
         )
 
     async def counts(self, upstream: Upstream) -> Counts:
