--- a/primroseyoke/admission.py
+++ b/primroseyoke/admission.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 
 from .queues import Ticket, WaitingQueue
 
@@ -92,6 +93,8 @@
         # Reserved bytes of abandoned requests in descending order.
         self.abandoned_sizes: list[int] = []
         self.running_ranges = (_RunningCountRange(0), _RunningCountRange(0))
+        # When the last report was processed, in monotonic seconds.
+        self.last_report_at = -math.inf
 
     @property
     def waiting(self) -> dict[int, Ticket]:
@@ -184,11 +187,17 @@
         elif outcome is RequestOutcome.COMPLETED and in_ramp:
             self._count_completed()
 
-    def observe_load(self, report: UpstreamLoad, requested_at: float) -> None:
+    def observe_load(
+        self,
+        report: UpstreamLoad,
+        requested_at: float,
+        received_at: float | None = None,
+    ) -> None:
         """Process a load report; restart slow start if the upstream restarted.
 
-        ``requested_at`` is when the report was requested (monotonic seconds).
-        Reports requested before admission was suspended are ignored.
+        ``requested_at`` and ``received_at`` are monotonic seconds; the latter
+        is the same as the former if it is not given. Reports requested before
+        admission was suspended are ignored.
         """
         if self.suspended_at is not None:
             if requested_at < self.suspended_at:
@@ -196,7 +205,13 @@
             self.suspended_at = None
         previous = self.last_report
         self.last_report = report
-        self._estimate_untracked(report.running)
+        # Two reports may be requested at about the same time. The second one
+        # then describes a moment before the first one was processed.
+        overlaps_previous = requested_at < self.last_report_at
+        self.last_report_at = (
+            requested_at if received_at is None else received_at
+        )
+        self._estimate_untracked(report.running, overlaps_previous)
         if previous is None:
             self.current_limit = max(self.limits.cold_limit, report.running)
         elif (
@@ -270,15 +285,24 @@
         if self.current_limit >= self.limits.max_running:
             self.ramp_slowdown = 1
 
-    def _estimate_untracked(self, reported: int) -> None:
+    def _estimate_untracked(
+        self, reported: int, overlaps_previous: bool
+    ) -> None:
         """Estimate how many running requests this process does not track.
 
-        A report can be stale by one report interval. The estimate changes only
-        by what the tracked requests of that interval cannot explain, so that a
-        stale report does not block requests needlessly.
+        A report describes some moment since it was requested, so the requests
+        tracked since the previous report can explain a difference, and those of
+        the interval before if the report was requested in it. The estimate
+        changes only by what they cannot explain, so that a report does not
+        block requests needlessly.
         """
-        lowest = min(counts.lowest for counts in self.running_ranges)
-        highest = max(counts.highest for counts in self.running_ranges)
+        ranges = (
+            self.running_ranges
+            if overlaps_previous
+            else self.running_ranges[:1]
+        )
+        lowest = min(counts.lowest for counts in ranges)
+        highest = max(counts.highest for counts in ranges)
         at_least = reported - highest
         at_most = max(reported - lowest, 0)
         self.untracked_running = min(
--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -45,6 +45,7 @@
 )
 from .response_buffering import BufferLimits
 from .state_dumps import agent_state
+from .send_gate import SendGate
 from .suspects import Classification
 from .upstream_client import UpstreamClient
 from .verdicts import Verdict
@@ -65,6 +66,9 @@
 _RESPONSE_RESERVE_BYTES = 16384
 _MIN_TIMEOUT_SECONDS = 0.1
 _KEY_EXPIRY_INTERVAL_SECONDS = 10.0
+# Share of the concurrency limit that an upstream which restarted unnoticed may
+# receive at most, because no load report has confirmed its state since.
+_UNCONFIRMED_SHARE = 0.5
 # Status for a request that has crashed upstreams. It is a client error because
 # callers retry requests that fail with a server error.
 _SUSPECT_STATUS = 403
@@ -156,14 +160,13 @@
             threads,
             thread_name_prefix='execution',
         )
+        poll = functools.partial(
+            poll_load, self.upstream_client, self.actor_ref.tell
+        )
         self.crash_detector = CrashDetector(
-            upstream,
-            lambda: self.executor.submit(
-                poll_load,
-                self.upstream_client,
-                self.actor_ref.tell,
-            ),
+            upstream, lambda: self.executor.submit(poll)
         )
+        self.send_gate = SendGate(poll)
 
     @functools.singledispatchmethod
     def on_receive(self, message: Any) -> Any:
@@ -202,7 +205,14 @@
     @on_receive.register
     def _(self, message: LoadPolled) -> None:
         if message.report is not None:
-            self.admission.observe_load(message.report, message.requested_at)
+            restarts_before = self.admission.restart_count
+            self.admission.observe_load(
+                message.report, message.requested_at, time.monotonic()
+            )
+            if self.admission.restart_count != restarts_before:
+                self.send_gate.withhold()
+            elif self.admission.suspended_at is None:
+                self.send_gate.confirm(message.requested_at)
             if self.admission.suspended_at is None:
                 self.unreachable = False
         elif (
@@ -251,6 +261,11 @@
     def _(self, message: ExecutionEnded) -> None:
         job = self.jobs.by_number[message.execution.number]
         self.admission.finish(job.number, outcome_of(message))
+        if message.withheld and time.monotonic() < job.deadline:
+            job.start = message.execution.start
+            job.execution = None
+            self._accept(job, self.refusal_reason())
+            return
         if message.failure is None:
             self._complete(job, message)
             self._admit_waiting()
@@ -344,11 +359,9 @@
         job = Job(peer, start, call, time.monotonic() + start.deadline - age)
         if call is not None and not self._claim(job, call):
             return
-        refusal = self.refusal_reason() or self._missing_key_reason(start)
-        if refusal:
-            self._refuse(job, refusal, 503)
-            return
-        self._enqueue(job)
+        self._accept(
+            job, self.refusal_reason() or self._missing_key_reason(start)
+        )
 
     def _missing_key_reason(self, start: Start) -> str:
         """Return why a non-idempotent call without a key cannot be executed.
@@ -388,12 +401,17 @@
             return self.keys.claim(call, homes, fresh, now)
         return self.keys.invalidate(call, homes, fresh, now)
 
-    def _enqueue(self, job: Job) -> None:
+    def _accept(self, job: Job, refusal: str) -> None:
+        """Queue a job for admission, or refuse it for the given reason."""
+        if refusal:
+            self._refuse(job, refusal, 503)
+            return
         classification = self.crash_detector.classify(job.start.fingerprint)
         if classification is Classification.REFUSED:
             self._refuse_suspect(job)
             return
-        self.jobs.add(job)
+        if not job.number:
+            self.jobs.add(job)
         ticket = Ticket(
             job.number,
             job.start.client,
@@ -412,6 +430,10 @@
     def _admit_waiting(self) -> None:
         # After a pause of the process, jobs past their deadline must not start.
         admitted, expired = self.admission.advance(time.monotonic())
+        self.send_gate.allowance = max(
+            self.admission.limits.cold_limit,
+            int(self.admission.current_limit * _UNCONFIRMED_SHARE),
+        )
         reason = 'the deadline passed in the queue'
         self._refuse_tickets(expired, reason, 504)
         for ticket in admitted:
@@ -435,12 +457,18 @@
                 self.jobs.by_number[number].ran_concurrently = True
         job.start = dataclasses.replace(job.start, body=b'')
         timeout = max(job.deadline - time.monotonic(), _MIN_TIMEOUT_SECONDS)
-        self.executor.submit(execution.run, timeout)
+        self.executor.submit(
+            execution.run_confirmed,
+            timeout,
+            self.send_gate,
+            self.send_gate.generation,
+        )
 
     def _defer_failure(self, job: Job, failure: RequestFailed) -> None:
         """Suspend admission and defer the reply until the cause is known."""
         now = time.monotonic()
         self.admission.suspend(now)
+        self.send_gate.withhold()
         self.crash_detector.defer(
             BrokenAttempt(
                 job.start.fingerprint,
@@ -456,6 +484,7 @@
         self.unreachable = True
         self.admission.restart_ramp()
         self.admission.suspend(time.monotonic())
+        self.send_gate.withhold()
         self._admit_or_refuse_waiting()
 
     def _reclassify(self, fingerprints: Collection[int]) -> None:
--- a/primroseyoke/executions.py
+++ b/primroseyoke/executions.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +11,7 @@
 from .idempotency_keys import MAX_STORED_RESPONSE_BYTES, StoredResponse
 from .messages import Body, End, Failed, Head, Load, Message, Start
 from .response_buffering import BufferLimits, ResponseBuffer, ResponseChecksum
+from .send_gate import SendGate
 from .upstream_client import UpstreamAnswer, UpstreamClient, UpstreamRequest
 from .verdicts import Verdict
 
@@ -24,12 +26,15 @@
 
     ``failure`` is None if the response is complete. ``stored_response`` is
     kept for replay. ``cancelled`` means that the entry cancelled the attempt.
+    ``withheld`` means that the request was not sent, because the upstream may
+    have restarted since it was admitted.
     """
 
     execution: 'Execution'
     failure: RequestFailed | None
     stored_response: StoredResponse | None
     cancelled: bool = False
+    withheld: bool = False
 
 
 class SharedBuffers:
@@ -99,6 +104,25 @@
         """Return whether no received bytes are left to send."""
         return self.cancelled or not self.buffer.size
 
+    def run_confirmed(
+        self, timeout: float, gate: SendGate, generation: int
+    ) -> None:
+        """Execute the request once ``gate`` lets it pass.
+
+        Args:
+            timeout: time for the wait and the execution, in seconds.
+            gate: tells whether the upstream is known not to have restarted.
+            generation: the generation of the gate at the admission.
+        """
+        deadline = time.monotonic() + timeout
+        if not gate.enter(self.number, generation, deadline):
+            self.on_end(_withheld(self))
+            return
+        try:
+            self.run(max(deadline - time.monotonic(), 0))
+        finally:
+            gate.leave(self.number)
+
     def run(self, timeout: float) -> None:
         """Execute the request; ``timeout`` is in seconds."""
         failure = None
@@ -223,6 +247,16 @@
         self.buffer = ResponseBuffer(merging=False)
 
 
+def _withheld(execution: Execution) -> ExecutionEnded:
+    failure = RequestFailed(
+        'the upstream may have restarted; the request was not sent',
+        Verdict.NOT_RUN,
+    )
+    return ExecutionEnded(
+        execution, failure, None, execution.cancelled, withheld=True
+    )
+
+
 def replay_messages(start: Start, response: StoredResponse, load: Load) -> Any:
     """Yield the messages that replay a stored response."""
     checksum = ResponseChecksum()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -350,6 +350,42 @@
     assert admission.untracked_running == 0
 
 
+def test_estimate_is_exact_after_two_reports():
+    """Guards against slots held by abandoned requests that have ended.
+
+    The estimate used to need a third report if the number of running requests
+    had changed twice since the report before.
+    """
+    admission = Admission(Limits(1, 1, 24, 5))
+    for _ in range(2):
+        admission.observe_load(UpstreamLoad('one', 10, 0), 0)
+    admission.enqueue(Ticket(1, 'a', 1, 99))
+    admission.advance(0)
+    admission.change_limits(Limits(2, 5, 92, 1))
+    admission.enqueue(Ticket(2, 'a', 1, 99))
+    admission.advance(0)
+    admission.finish(1, RequestOutcome.ABANDONED)
+    for _ in range(2):
+        admission.observe_load(UpstreamLoad('one', 11, 1), 0)
+    assert admission.untracked_running == 0
+
+
+def test_report_requested_before_the_previous_one_was_processed():
+    """Guards against requests counted twice after two reports at once.
+
+    Both reports describe the time before a request ended; the second is
+    processed after its end.
+    """
+    admission = warm(running=4)
+    admission.observe_load(UpstreamLoad('one', 11, 0), 1, 1)
+    running = fill(admission, 4)
+    admission.observe_load(UpstreamLoad('one', 12, 4), 2, 2)
+    admission.finish(running[0], RequestOutcome.COMPLETED)
+    admission.observe_load(UpstreamLoad('one', 13, 4), 3, 3.2)
+    admission.observe_load(UpstreamLoad('one', 13, 4), 2.9, 3.3)
+    assert admission.untracked_running == 0
+
+
 def test_cold_upstream_alternates_between_clients():
     """Guards against one client's long queue that blocks another client."""
     admission = warm(Limits(max_running=1))
