Read the store's topics on a few hosts and pass changes on between gateways

Change: heartbeats announce offset, digest and age of each topic. Two hosts, and one more for each 64, read; a host with the same digest is confirmed, one that is behind fetches the changes from a peer, and one that nobody has confirmed for 0.45 of the bound reads the store itself. Entries that upstreams merely write again are not passed on. A host that starts while the store is away now gets its state from its peers.

--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -25,6 +25,7 @@
 from .retry_budget import RetryBudget
 from .routing_state import RoutingState
 from .settings import GatewaySettings
+from .topic_sharing import TopicSharing
 from .zones import ZoneProber
 
 __all__ = ('Gateway',)
@@ -91,7 +92,16 @@
             settings.host,
             settings.address,
             settings.peer_ports[0] if settings.peer_ports else 0,
+            settings.availability_zone,
+        )
+        topic_sharing = TopicSharing(
+            self.peer_reporter,
+            settings.peer_ports[0] if settings.peer_ports else 0,
+            settings.availability_zone,
+            settings.max_update_delay,
+            self.generator,
         )
+        self.peer_reporter.sharing = topic_sharing
         self.peer_reporter.balancer = self.balancer
         self.peer_reporter.on_report = self.proxy.wake_waiting
         self.balancer.on_acquire = self.peer_reporter.report_requested.set
@@ -113,6 +123,11 @@
             AdminEndpoints(self).handle,
             lambda: self.routing_state.limits,
         )
+        self.peer_listener = HttpListener(
+            platform.codec,
+            topic_sharing.serve,
+            lambda: self.routing_state.limits,
+        )
         self.servers: list[asyncio.Server] = []
         self.stopping = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -175,6 +190,7 @@
             *self.tasks,
             *self.request_listener.tasks,
             *self.admin_listener.tasks,
+            *self.peer_listener.tasks,
         ]
         for task in tasks:
             task.cancel()
@@ -194,6 +210,9 @@
         ]
         if self.settings.metrics is not None:
             listeners.append((self.settings.metrics, self.admin_listener))
+        if self.settings.peer_ports:
+            peers = Address(self.settings.address, self.settings.peer_ports[0])
+            listeners.append((peers, self.peer_listener))
         return listeners
 
     def _background_tasks(self) -> list[TaskFactory]:
@@ -202,6 +221,9 @@
             self._on_upstreams_changed,
             self.generator,
         )
+        sharing = self.peer_reporter.sharing
+        if sharing is not None and self.settings.peer_ports:
+            sharing.add_all(topic_consumers)
         return [
             *(consumer.run for consumer in topic_consumers),
             self._register,
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import logging
@@ -19,6 +20,7 @@
 import msgspec
 
 from .balancer import Balancer
+from .topic_sharing import Announcement, TopicSharing
 
 __all__ = ('PeerReporter',)
 
@@ -50,13 +52,16 @@
 
     ``running`` has its requests in progress by upstream. A ``draining`` host
     finishes them and cannot be the leader; a host that is ``gone`` has none
-    left.
+    left. ``topics`` tells how far it has read the topics of the store; only
+    heartbeats have it.
     """
 
     host: str
     running: dict[str, int]
     draining: bool = False
     gone: bool = False
+    availability_zone: str = ''
+    topics: dict[str, Announcement] = {}
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +75,7 @@
     added_at: float
     reported_at: float = -math.inf
     draining: bool = False
+    availability_zone: str = ''
 
 
 class PeerReporter(asyncio.DatagramProtocol):
@@ -81,9 +87,17 @@
         report_requested: set to send a report without delay.
     """
 
-    def __init__(self, host: str, address: str, port: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        port: int,
+        availability_zone: str = '',
+    ) -> None:
         """Report as ``host`` from ``address``; peers listen on ``port``."""
         self.host = host
+        self.availability_zone = availability_zone
+        self.sharing: TopicSharing | None = None
         self.address = address
         self.port = port
         self.balancer: Balancer | None = None
@@ -150,6 +164,44 @@
             for address in present
         )
 
+    @property
+    def reader_rank(self) -> int:
+        """Return the position of this host in the order of readers.
+
+        The first hosts of all availability zones come first, so that the
+        readers are in different zones.
+        """
+        peers = [
+            (peer.availability_zone, address)
+            for address in self._reported_within(_LEADERSHIP_TIMEOUT_SECONDS)
+            if not (peer := self.peers[address]).draining
+        ]
+        places: collections.Counter[str] = collections.Counter()
+        order = []
+        for zone, address in sorted(
+            [*peers, (self.availability_zone, self.address)]
+        ):
+            order.append((places[zone], address))
+            places[zone] += 1
+        return sorted(order).index(
+            next(place for place in order if place[1] == self.address)
+        )
+
+    @property
+    def active_count(self) -> int:
+        """Return the number of hosts that are heard, with this one."""
+        return len(self._reported_within(_LEADERSHIP_TIMEOUT_SECONDS)) + 1
+
+    def zone_of(self, address: str) -> str:
+        """Return the availability zone of a host, '' if it is unknown."""
+        peer = self.peers.get(address)
+        return peer.availability_zone if peer else ''
+
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat, with announcements of topics, to all hosts."""
+        self.last_heartbeat_at = -math.inf
+        self.report_requested.set()
+
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
@@ -169,7 +221,7 @@
         now = time.monotonic()
         if now - self.last_heartbeat_at >= _HEARTBEAT_INTERVAL_SECONDS:
             self.last_heartbeat_at = now
-            self._send(tuple(self.peers), balancer)
+            self._send(tuple(self.peers), balancer, heartbeat=True)
         elif balancer.in_flight.running != self.last_sent:
             self._send(self._reported_within(_PEER_LIFETIME_SECONDS), balancer)
 
@@ -189,11 +241,22 @@
         addresses: Iterable[str],
         balancer: Balancer,
         gone: bool = False,
+        heartbeat: bool = False,
     ) -> None:
         if self.transport is None:
             return
         self.last_sent = dict(balancer.in_flight.running)
-        report = _Report(self.host, self.last_sent, self.draining, gone)
+        topics = (
+            self.sharing.announcements() if self.sharing and heartbeat else {}
+        )
+        report = _Report(
+            self.host,
+            self.last_sent,
+            self.draining,
+            gone,
+            self.availability_zone,
+            topics,
+        )
         content = cbor2.dumps(msgspec.to_builtins(report))
         for address in addresses:
             self.transport.sendto(content, (address, self.port))
@@ -211,7 +274,11 @@
                 'peer gateway discovered; reports are sent to it',
                 extra={'peer': report.host},
             )
-        self.peers[address] = _Peer(now, now, report.draining)
+        self.peers[address] = _Peer(
+            now, now, report.draining, report.availability_zone
+        )
+        if self.sharing is not None and report.topics:
+            self.sharing.receive(address, report.topics)
         balancer.in_flight.apply_report(report.host, report.running, now)
         self.on_report()
 
--- a/primroseyoke/gateway/platforms.py
+++ b/primroseyoke/gateway/platforms.py
@@ -8,7 +8,7 @@
 from .requests import Codec
 from .routing_state import RoutingState
 from .settings import GatewaySettings
-from .topics import TopicConsumer
+from .topic_consumers import TopicConsumer
 
 __all__ = ('Platform',)
 
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -25,7 +25,8 @@
     of a few other gateways, which may be out of date. ``region_of`` maps
     availability zones to regions. ``grace`` is the time between SIGTERM and
     SIGKILL. Retries of all hosts together are limited to ``repeat_ratio`` of
-    the requests plus ``repeat_slack`` within ``repeat_window``.
+    the requests plus ``repeat_slack`` within ``repeat_window``. What operators
+    and upstreams publish must be in force within ``max_update_delay``.
     """
 
     host: str
@@ -42,3 +43,4 @@
     repeat_ratio: float = 0.2
     repeat_slack: float = 0.0
     repeat_window: float = 10.0
+    max_update_delay: float = 2.0
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -8,9 +8,15 @@
 from ..gateway.requests import Codec
 from ..gateway.routing_state import RoutingState
 from ..gateway.settings import GatewaySettings
-from ..gateway.topics import TopicConsumer
+from ..gateway.topic_consumers import TopicConsumer
 from .engines import HttpEngines
-from .feeds import OPERATOR_TOPIC, UPSTREAM_TOPIC, OperatorFeed, UpstreamFeed
+from .feeds import (
+    OPERATOR_TOPIC,
+    UPSTREAM_TOPIC,
+    OperatorFeed,
+    UpstreamFeed,
+    upstream_effect,
+)
 from .headers import HeaderCodec
 from .settings import load_platform_settings
 from .store import HttpKeyedTopic
@@ -60,6 +66,7 @@
                 upstream_feed.receive,
                 _UPSTREAM_READ_INTERVAL_SECONDS,
                 generator,
+                upstream_effect,
             ),
         ]
 
--- a/primroseyoke/platform/feeds.py
+++ b/primroseyoke/platform/feeds.py
@@ -1,5 +1,6 @@
 """Applies records of the store to the gateway's state."""
 
+import dataclasses
 import functools
 import logging
 from collections.abc import Callable
@@ -16,7 +17,13 @@
 from ..gateway.upstreams import Upstream
 from .entries import decode_configuration, decode_upstream
 
-__all__ = ('OPERATOR_TOPIC', 'UPSTREAM_TOPIC', 'OperatorFeed', 'UpstreamFeed')
+__all__ = (
+    'OPERATOR_TOPIC',
+    'UPSTREAM_TOPIC',
+    'OperatorFeed',
+    'UpstreamFeed',
+    'upstream_effect',
+)
 
 log = logging.getLogger(__name__)
 
@@ -192,3 +199,18 @@
                     extra={'offset': record.offset, 'reason': str(error)},
                 )
             return None
+
+
+def upstream_effect(record: KeyedRecord) -> bytes:
+    """Return what an upstream's entry says, without what changes all the time.
+
+    Upstreams write their entries again every second or so, with a new sequence
+    number and, while they are cold, with the time that is left.
+    """
+    try:
+        upstream = decode_upstream(record.key, record.value, 0)
+    except ConfigurationInvalid:
+        return record.value
+    return repr(
+        dataclasses.replace(upstream, cold_until=bool(upstream.cold_until))
+    ).encode()
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -13,6 +13,7 @@
 __all__ = ('load_platform_settings', 'settings_path')
 
 _PATH_VARIABLE = 'PRIMROSEYOKE_CONFIG'
+_MS_PER_SECOND = 1000
 _DEFAULT_PATH = '/etc/primroseyoke/settings.yaml'
 
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
@@ -29,6 +30,10 @@
     budget_ratio: _NonNegativeFloat = 0.2
     budget_window_s: _NonNegativeFloat = 10
     budget_slack: _NonNegativeFloat = 0
+    # Bounds for using an upstream that announced that it is draining, and for
+    # applying a configuration.
+    drain_ms: _NonNegativeFloat = 2000
+    config_ms: _NonNegativeFloat = 2000
 
 
 class _Provider(msgspec.Struct):
@@ -97,6 +102,8 @@
         repeat_ratio=bounds.budget_ratio,
         repeat_slack=bounds.budget_slack,
         repeat_window=bounds.budget_window_s,
+        max_update_delay=min(bounds.drain_ms, bounds.config_ms)
+        / _MS_PER_SECOND,
     )
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,8 @@
 
 from primroseyoke.gateway.http_client import HttpClient
 from primroseyoke.gateway.routing_state import RoutingState
-from primroseyoke.gateway.topics import RecordsExpired, TopicConsumer
+from primroseyoke.gateway.topic_consumers import TopicConsumer
+from primroseyoke.gateway.topics import RecordsExpired
 from primroseyoke.platform.feeds import OperatorFeed, UpstreamFeed
 from primroseyoke.platform.store import HttpKeyedTopic, decode_records
 from tests.gateway.deployment import configuration, wait_until
