Bound what upstreams and callers can send, and finish what a stop finds half read

Change: ResponseLimits; progress is whole events against the caller's patience, from the route's objectives; drains wait for requests that are being read and check again after the listeners are closed; errors linger up to 1 s or 1 MB.

--- a/primroseyoke/caller_requests.py
+++ b/primroseyoke/caller_requests.py
@@ -31,6 +31,7 @@
 # prompts that share no cached block.
 _PROMPT_PREFIX_BYTES = 512
 
+_DECIMAL = re.compile('[0-9]+')
 _KEY_PATTERN = re.compile('[!-~]{1,128}')
 _NAME_PATTERN = re.compile('[a-zA-Z0-9._-]{1,64}')
 # Headers that this process reads or sets itself are not forwarded to upstreams.
@@ -176,17 +177,23 @@
 
 
 def _read_body(environ: Mapping[str, Any]) -> bytes:
-    declared_length = environ.get('CONTENT_LENGTH') or ''
-    if declared_length and int(declared_length) > MAX_BODY_BYTES:
+    declared_length = _declared_length(environ.get('CONTENT_LENGTH') or '0')
+    body: bytes = b''
+    if declared_length <= MAX_BODY_BYTES:
+        body = environ['wsgi.input'].read(MAX_BODY_BYTES + 1)
+    if max(declared_length, len(body)) > MAX_BODY_BYTES:
         raise RequestInvalid(f'body over {MAX_BODY_BYTES} bytes', 413)
-    body: bytes = environ['wsgi.input'].read(MAX_BODY_BYTES + 1)
-    if len(body) > MAX_BODY_BYTES:
-        raise RequestInvalid(f'body over {MAX_BODY_BYTES} bytes', 413)
-    if declared_length and len(body) < int(declared_length):
+    if len(body) < declared_length:
         raise RequestInvalid('the body is shorter than Content-Length')
     return body
 
 
+def _declared_length(text: str) -> int:
+    if not _DECIMAL.fullmatch(text):
+        raise RequestInvalid(f'invalid Content-Length {text!r}')
+    return int(text)
+
+
 def _parse_chat_body(method: str, body: bytes) -> dict[str, Any]:
     if method != 'POST':
         raise RequestInvalid('chat completions take POST', 405)
--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -12,6 +12,7 @@
     'RequestFailed',
     'RequestInvalid',
     'RequestRejected',
+    'ResponseInvalid',
     'ServiceRefused',
     'ServiceUnavailable',
     'SettingsInvalid',
@@ -55,6 +56,10 @@
         self.status = status
 
 
+class ResponseInvalid(PrimroseyokeError):
+    """An upstream's response exceeds a limit."""
+
+
 class RequestFailed(PrimroseyokeError):
     """A request got no response; the verdict tells whether it may have run."""
 
--- a/primroseyoke/gateway/connection_pool.py
+++ b/primroseyoke/gateway/connection_pool.py
@@ -14,6 +14,7 @@
 from .connections import Connection, connect
 from .parsing import next_event
 from .requests import CallerRequest, Codec, ForwardingInfo, ResponseHead
+from .settings import ResponseLimits
 from .upstreams import Upstream
 
 __all__ = ('ConnectionPool', 'UpstreamConnection')
@@ -44,17 +45,22 @@
         request_events: the events of the request that was sent last.
     """
 
-    def __init__(self, upstream: Upstream, connection: Connection) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        connection: Connection,
+        limits: ResponseLimits,
+    ) -> None:
         """Wrap a newly opened connection to ``upstream``."""
         self.upstream = upstream
         self.connection = connection
-        self.parser = h11.Connection(h11.CLIENT)
+        self.limits = limits
+        self.parser = self._new_parser()
         self.request_events: tuple[h11.Event, ...] = ()
         self.sent = False
         self.reused = False
         self.last_used_at = time.monotonic()
         self.keep_alive = math.inf
-        self.body_sent = True
 
     async def send(
         self,
@@ -89,25 +95,26 @@
         """Return the head of the response to ``request_id``.
 
         A response with the ID of an earlier request, which an upstream may
-        send twice, is read and discarded.
+        send twice, is read and discarded. On a connection that has served a
+        request before, a response without an ID may be such a copy, too.
 
         Raises:
-            RequestFailed: no response arrived, or it is not valid HTTP.
+            RequestFailed: no response arrived, it cannot be told to be for this
+                request, or it is not valid HTTP or exceeds the limits.
         """
-        while True:
-            head = await self._next_event()
-            if isinstance(head, h11.InformationalResponse):
-                continue
+        for _ in range(self.limits.discarded_count + 1):
+            head = await self._next_response()
             response_head = codec.decode_response(
                 head.status_code, head.headers
             )
-            if (
-                not response_head.request_id
-                or response_head.request_id == request_id
-            ):
+            found_id = response_head.request_id
+            if found_id == request_id or not (found_id or self.reused):
                 self.keep_alive = response_head.keep_alive
                 return response_head
+            if not found_id:
+                raise self._failure('response without a request ID', self.sent)
             await self._discard_response()
+        raise self._failure('too many responses to others', self.sent)
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
@@ -153,6 +160,19 @@
     def _encode(self, event: h11.Event) -> bytes:
         return self.parser.send(event) or b''
 
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self.limits.head_bytes
+        )
+
+    async def _next_response(self) -> Any:
+        """Return the next head that is not informational."""
+        for _ in range(self.limits.informational_count + 1):
+            head = await self._next_event()
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise self._failure('too many informational responses', self.sent)
+
     async def _next_event(self) -> Any:
         try:
             event = await next_event(self.parser, self.connection)
@@ -163,13 +183,17 @@
         return event
 
     async def _discard_response(self) -> None:
-        part_sizes = [len(part) async for part in self.body()]
+        size = 0
+        async for part in self.body():
+            size += len(part)
+            if size > self.limits.discarded_bytes:
+                raise self._failure('endless response to another', self.sent)
         log.info(
             'response to an earlier request discarded',
-            extra={'parts': len(part_sizes)},
+            extra={'bytes': size},
         )
         unparsed, _ = self.parser.trailing_data
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser = self._new_parser()
         for event in self.request_events:
             self._encode(event)
         if unparsed:
@@ -184,9 +208,12 @@
 class ConnectionPool:
     """Idle connections by name of the upstream."""
 
-    def __init__(self, codec: Codec) -> None:
+    def __init__(
+        self, codec: Codec, limits: ResponseLimits | None = None
+    ) -> None:
         """Encode and decode headers with ``codec``."""
         self.codec = codec
+        self.limits = limits or ResponseLimits()
         self.idle_connections: dict[str, list[UpstreamConnection]] = {}
 
     async def send_request(
@@ -261,4 +288,4 @@
                 f'{upstream.name}: no connection: {error!r}',
                 Verdict.NOT_RUN,
             ) from error
-        return UpstreamConnection(upstream, connection)
+        return UpstreamConnection(upstream, connection, self.limits)
--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -1,6 +1,7 @@
 """TCP connections on top of asyncio transports."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -140,6 +141,21 @@
         while not self.ended and self.transport.get_write_buffer_size():
             await asyncio.sleep(_FLUSH_POLL_SECONDS)
 
+    async def linger(self, seconds: float, max_bytes: int) -> None:
+        """Close the sending side; discard what the peer still sends.
+
+        Ends when the peer closes its side, after ``seconds`` or after
+        ``max_bytes``.
+        """
+        if self.closed:
+            return
+        self.transport.write_eof()
+        size = 0
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(seconds):
+                while not self.ended and size <= max_bytes:
+                    size += len(await self.read())
+
     def close(self) -> None:
         """Close the connection after the send buffer has been sent."""
         if self.transport is not None:
--- a/primroseyoke/gateway/events.py
+++ b/primroseyoke/gateway/events.py
@@ -1,10 +1,15 @@
 """Splits a stream of server-sent events without changing its bytes."""
 
 import dataclasses
+import re
+
+from ..exceptions import ResponseInvalid
 
 __all__ = ('Event', 'EventSplitter')
 
-_TERMINATORS = (b'\n\n', b'\r\n\r\n')
+_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
+# A terminator of four bytes may begin in the last three bytes received.
+_TERMINATOR_OVERLAP_BYTES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,33 +27,36 @@
         pending: bytes of the last event, which is incomplete.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int) -> None:
         """Start at the beginning of a stream."""
-        self.pending = b''
+        self.max_event_bytes = max_event_bytes
+        self.pending = bytearray()
+        self.searched_bytes = 0
 
     def feed(self, content: bytes) -> list[Event]:
-        """Add received bytes; return the events that they complete."""
+        """Add received bytes; return the events that they complete.
+
+        Raises:
+            ResponseInvalid: the next event exceeds ``max_event_bytes``.
+        """
         self.pending += content
         events = []
-        end = _event_end(self.pending)
-        while end:
-            event = self.pending[:end]
-            self.pending = self.pending[end:]
+        start = 0
+        end = _TERMINATOR.search(self.pending, self.searched_bytes)
+        while end is not None:
+            event = bytes(self.pending[start : end.end()])
             events.append(Event(event, _event_id(event)))
-            end = _event_end(self.pending)
+            start = end.end()
+            end = _TERMINATOR.search(self.pending, start)
+        del self.pending[:start]  # noqa: WPS420 - keeps the buffer
+        if len(self.pending) > self.max_event_bytes:
+            raise ResponseInvalid(f'event over {self.max_event_bytes} bytes')
+        self.searched_bytes = max(
+            len(self.pending) - _TERMINATOR_OVERLAP_BYTES, 0
+        )
         return events
 
 
-def _event_end(content: bytes) -> int:
-    """Return the length of the first event, or 0 if it is incomplete."""
-    ends = [
-        found + len(end)
-        for end in _TERMINATORS
-        if (found := content.find(end)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(event: bytes) -> str:
     for line in event.splitlines():
         name, _, text = line.partition(b':')
--- a/primroseyoke/gateway/expert_rebalancing.py
+++ b/primroseyoke/gateway/expert_rebalancing.py
@@ -122,10 +122,12 @@
             if leading:
                 await self._rebalance()
 
-    async def wait_for_changes(self) -> None:
-        """Wait for the placement changes in progress."""
+    async def wait_for_changes(self, timeout: float) -> None:
+        """Wait up to ``timeout`` seconds for the changes in progress."""
         if self.change_tasks:
-            await asyncio.wait(self.change_tasks.values())
+            await asyncio.wait(
+                self.change_tasks.values(), timeout=max(timeout, 0)
+            )
 
     async def _rebalance(self) -> None:
         configuration = self.routing_state.configuration
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -42,6 +42,8 @@
 _MAX_STREAM_SECONDS = 4.5
 # Interval at which idle connections and expired upstreams are removed.
 _SWEEP_INTERVAL_SECONDS = 1.0
+# Interval at which a draining gateway checks for unfinished requests.
+_DRAIN_POLL_SECONDS = 0.05
 _ACCEPT_BACKLOG_LIMIT = 1024
 # Keeps a task that fails immediately from filling the log.
 _RESTART_DELAY_SECONDS = 1.0
@@ -76,7 +78,7 @@
             self.generator,
             settings.region_of,
         )
-        self.pool = ConnectionPool(platform.codec)
+        self.pool = ConnectionPool(platform.codec, settings.response_limits)
         self.retry_budget = RetryBudget(
             settings.repeat_ratio,
             settings.repeat_slack,
@@ -322,9 +324,15 @@
         )
         self.request_listener.close_idle()
         deadline = started + self.settings.grace - _EXIT_MARGIN_SECONDS
-        while (
-            self.request_listener.requests_in_progress
-            and loop.time() < deadline
-        ):
-            await asyncio.sleep(0.05)
-        await self.expert_rebalancer.wait_for_changes()
+        await self.expert_rebalancer.wait_for_changes(deadline - loop.time())
+        await self._finish_requests(deadline)
+        # A request may have arrived since; none is accepted from now on.
+        for server in self.servers:
+            server.close()
+        await self._finish_requests(deadline)
+
+    async def _finish_requests(self, deadline: float) -> None:
+        """Wait until no request is being read or answered, or the deadline."""
+        loop = asyncio.get_running_loop()
+        while self.request_listener.busy_count and loop.time() < deadline:
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
--- a/primroseyoke/gateway/listeners.py
+++ b/primroseyoke/gateway/listeners.py
@@ -20,6 +20,12 @@
 
 log = logging.getLogger(__name__)
 
+# After an error response, the rest of the request is read for this long and up
+# to this size: closing with unread data could destroy the response.
+_LINGER_SECONDS = 1.0
+_LINGER_BYTES = 2**20
+_BAD_REQUEST = 400
+
 Handler = Callable[[CallerRequest, 'ResponseWriter'], Awaitable[None]]
 
 
@@ -142,6 +148,14 @@
         self.idle_connections: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def busy_count(self) -> int:
+        """Return the number of connections that are not idle.
+
+        A request is being read, handled or answered on them.
+        """
+        return len(self.connections) - len(self.idle_connections)
+
     def create_protocol(self) -> Connection:
         """Return the asyncio protocol of a new connection."""
         return Connection(self._on_connected)
@@ -179,15 +193,16 @@
         connection: Connection,
         parser: h11.Connection,
     ) -> bool:
-        response = ResponseWriter(connection, parser, lambda: self.draining)
         try:
             request = await self._read(connection, parser)
         except RequestInvalid as error:
-            if not response.started:
-                response.send_error(error.status, str(error), 'not_run')
+            response = ResponseWriter(connection, parser, lambda: True)
+            response.send_error(error.status, str(error), 'not_run')
+            await connection.linger(_LINGER_SECONDS, _LINGER_BYTES)
             return False
         if request is None:
             return False
+        response = ResponseWriter(connection, parser, lambda: self.draining)
         self.requests_in_progress += 1
         try:
             await self._handle(connection, request, response)
@@ -242,6 +257,7 @@
             raise RequestInvalid('the head took too long', 408) from None
         if not isinstance(head, h11.Request):
             return None
+        _check_framing(head)
         request = self.codec.decode_request(
             head.method.decode(),
             head.target.decode('latin-1'),
@@ -306,3 +322,15 @@
         return await next_event(parser, connection)
     except h11.RemoteProtocolError as error:
         raise RequestInvalid(str(error), error.error_status_hint) from error
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Reject a request whose end a proxy and a server may see differently.
+
+    RFC 9112, section 6.1.
+    """
+    names = {name for name, _ in head.headers}
+    if {b'content-length', b'transfer-encoding'} <= names:
+        raise RequestInvalid(
+            'both Content-Length and Transfer-Encoding', _BAD_REQUEST
+        )
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 from typing import TYPE_CHECKING
 
-from ..exceptions import ConnectionBroken, RequestFailed, RequestRejected
+from ..exceptions import (
+    ConnectionBroken,
+    RequestFailed,
+    RequestRejected,
+    ResponseInvalid,
+)
 from ..verdicts import Verdict
 from .balancer import Reservation
-from .configuration import Execution
+from .configuration import Execution, Route
 from .connection_pool import UpstreamConnection
 from .events import Event, EventSplitter
 from .listeners import ResponseWriter
@@ -27,10 +33,14 @@
 # Responses up to this size are buffered completely before any byte is sent to
 # the caller, so that a truncated response can be retried.
 _BUFFERED_BODY_LIMIT_BYTES = 262144
-# A resumable stream that is silent for this long continues at another upstream.
-# An upstream whose group lost a rank fails after 1.5 s of silence, and callers
-# abandon a stream after 2 s.
-_STREAM_SILENCE_SECONDS = 1.3
+# A resumable stream without a complete event for this share of the time after
+# which its caller abandons it continues at another upstream.
+_SILENCE_SHARE = 0.65
+# Callers abandon a stream after a gap of this time, or of these multiples of
+# the objectives for the first event and for gaps, whichever is longest.
+_MIN_PATIENCE_SECONDS = 2.0
+_OBJECTIVE_PATIENCE_FACTOR = 4
+_GAP_PATIENCE_FACTOR = 8
 # No attempt is made with less time left: an upstream could not respond.
 MIN_REMAINING_SECONDS = 0.05
 _SUCCESS_STATUSES = range(200, 300)
@@ -135,7 +145,7 @@
         name = connection.upstream.name
         stream = self.authorized.route.execution is Execution.STREAM
         silence_timeout = (
-            _STREAM_SILENCE_SECONDS
+            _silence_timeout(self.authorized.route)
             if self.authorized.route.retryable and stream
             else None
         )
@@ -166,11 +176,13 @@
         groups = self.proxy.balancer.groups
         upstream = connection.upstream
         groups.record_stream_start(upstream.name, time.monotonic())
-        splitter = EventSplitter()
+        splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
         try:
             async for content in connection.body():
                 events = splitter.feed(content)
                 await self._forward_events(upstream, head, events, timer)
+        except ResponseInvalid as error:
+            raise _broken_response(connection, str(error)) from error
         finally:
             groups.record_stream_end(upstream.name)
         if splitter.pending or not self.response.started:
@@ -184,6 +196,9 @@
         events: list[Event],
         timer: asyncio.Timeout,
     ) -> None:
+        if not events:
+            # Only complete events are progress.
+            return
         self._record_content(upstream, time.monotonic())
         deadline = timer.when()
         # Time spent writing to a slow caller does not count as silence of the
@@ -200,7 +215,9 @@
                 self.progress.last_event_id = event.event_id
         if deadline is not None:
             loop = asyncio.get_running_loop()
-            timer.reschedule(loop.time() + _STREAM_SILENCE_SECONDS)
+            timer.reschedule(
+                loop.time() + _silence_timeout(self.authorized.route)
+            )
 
     def _record_first_event(self) -> None:
         now = time.monotonic()
@@ -286,6 +303,20 @@
         )
 
 
+def _silence_timeout(route: Route) -> float:
+    """Return the time after which a stream continues elsewhere, in seconds."""
+    patience = max(
+        _MIN_PATIENCE_SECONDS,
+        _OBJECTIVE_PATIENCE_FACTOR * route.objective,
+        _GAP_PATIENCE_FACTOR * _finite(route.gap_objective),
+    )
+    return _SILENCE_SHARE * patience
+
+
+def _finite(seconds: float) -> float:
+    return seconds if math.isfinite(seconds) else 0
+
+
 def _broken_response(
     connection: UpstreamConnection, detail: str
 ) -> RequestFailed:
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -5,7 +5,7 @@
 
 from ..settings import Address
 
-__all__ = ('GatewaySettings', 'StoreSettings')
+__all__ = ('GatewaySettings', 'ResponseLimits', 'StoreSettings')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,6 +15,24 @@
     address: Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseLimits:
+    """Limits on the responses of upstreams; sizes in bytes.
+
+    ``head_bytes`` limits a head, a chunk header or the trailers,
+    ``event_bytes`` an event of a stream, ``informational_count`` the
+    informational responses before a response. ``discarded_bytes`` limits the
+    body of a response to an earlier request, ``discarded_count`` the number of
+    such responses.
+    """
+
+    head_bytes: int = 16384
+    event_bytes: int = 2**20
+    informational_count: int = 16
+    discarded_bytes: int = 2**20
+    discarded_count: int = 4
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one gateway process; times in seconds.
@@ -44,3 +62,4 @@
     repeat_slack: float = 0.0
     repeat_window: float = 10.0
     max_update_delay: float = 2.0
+    response_limits: ResponseLimits = ResponseLimits()
--- a/primroseyoke/platform/entries.py
+++ b/primroseyoke/platform/entries.py
@@ -149,7 +149,7 @@
         entry = _upstream_entry_decoder.decode(content)
         host, _, port = entry.address.rpartition(':')
         address = (host, int(port))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigurationInvalid(
             f'invalid upstream entry {name!r}: {error}',
         ) from error
@@ -189,7 +189,7 @@
             clients=tuple(_to_clients(configuration.tenants)),
             limits=_to_limits(configuration.limits),
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigurationInvalid(f'invalid configuration: {error}') from error
 
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -160,6 +160,7 @@
     app: tuple[RequestHandler, ...] = (),
     model: tuple[RequestHandler, ...] = (),
     configured: bool = True,
+    grace: float = 2.0,
 ) -> AsyncIterator[Deployment]:
     """Run a gateway with one upstream per request handler."""
     store = StandInStore()
@@ -181,7 +182,7 @@
         readiness=Address('127.0.0.1', free_port()),
         store=StoreSettings(Address('127.0.0.1', store.port)),
         repeat_slack=92,
-        grace=2.0,
+        grace=grace,
     )
     gateway = Gateway(settings, PlatformAdapter(settings, 'missing.yaml'))
     running = asyncio.ensure_future(gateway.run())
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -27,6 +27,7 @@
 from primroseyoke.gateway.peers import PeerReporter
 from primroseyoke.gateway.proxy import Proxy
 from primroseyoke.gateway.requests import CallerRequest, ResponseHead
+from primroseyoke.gateway.settings import ResponseLimits
 from primroseyoke.gateway.upstreams import Upstream
 from tests.event_loop import VirtualTimeLoop
 from tests.standins.simulated_engines import (
@@ -103,6 +104,7 @@
 
 class Pool:
     codec = None
+    limits = ResponseLimits()
 
     def __init__(self, groups, generator):
         self.groups = groups
