Choose among a sample of upstreams, and wake one waiter for many reports

Change: upstreams by service, zone and group are looked up once until they change; groups without room end a choice at once; otherwise the best of up to 16 is taken, and all are compared only if none of them has a free slot. Reports that arrive while a wake is scheduled schedule no other. Lookups of health and groups no longer construct a record each time. Tests count steps, not time.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -7,8 +7,15 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable, Collection, Iterator, Mapping
-
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
+
+from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
 from .configuration import Configuration, Engine, Service
 from .health import HealthTracker
@@ -99,12 +106,14 @@
         self.registry = registry
         self.availability_zone = availability_zone
         self.generator = generator
-        self.region_of = region_of
         self.in_flight = InFlightRequests()
         self.on_acquire: Callable[[], None] = _do_nothing
         self.host_count = 1
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
+        self.candidates = CandidateIndex(
+            registry, self.groups, availability_zone, region_of
+        )
 
     def acquire(
         self,
@@ -118,19 +127,14 @@
         service_settings = configuration.services.get(service) or Service(
             service, 0
         )
-        best = min(
-            self._scored_candidates(service_settings, now, criteria),
-            key=lambda scored: scored[0],
-            default=None,
-        )
+        best = self._select(service_settings, now, criteria)
         if best is None:
             return None
-        upstream = best[1]
-        self.in_flight.record_start(upstream.name)
+        self.in_flight.record_start(best.name)
         self.on_acquire()
-        if service_settings.cold_rate and now < upstream.cold_until:
-            self.health.take_cold_token(upstream.name)
-        return Reservation(upstream)
+        if service_settings.cold_rate and now < best.cold_until:
+            self.health.take_cold_token(best.name)
+        return Reservation(best)
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
@@ -211,65 +215,76 @@
         """Discard the health records of upstreams that no longer exist."""
         self.health.retain(frozenset(self.registry.upstreams))
 
-    def _scored_candidates(
+    def _select(
         self,
         service: Service,
         now: float,
         criteria: SelectionCriteria,
+    ) -> Upstream | None:
+        """Return the upstream with the lowest score that has a free slot."""
+        candidates = self.candidates.find(service.name, criteria.regions)
+        capacities = self._group_capacities(candidates, service, criteria, now)
+        if not any(capacity.has_room for capacity in capacities.values()):
+            return None
+        for upstreams in candidates.samples(self.generator):
+            scored = self._scored(upstreams, capacities, service, now, criteria)
+            best = min(scored, key=lambda pair: pair[0], default=None)
+            if best is not None:
+                return best[1]
+        return None
+
+    def _scored(
+        self,
+        upstreams: Iterable[Upstream],
+        capacities: Mapping[str, _GroupCapacity],
+        service: Service,
+        now: float,
+        criteria: SelectionCriteria,
     ) -> Iterator[tuple[float, Upstream]]:
         """Yield the upstreams with a free slot, each after its score."""
-        usable = [
-            upstream
-            for upstream in self.registry.accepting(
-                service.name,
-                criteria.regions,
-                self.region_of,
-            )
-            if upstream.name not in criteria.excluded
-            and self._is_usable(upstream, service, now)
-        ]
-        capacities = self._group_capacities(usable, service, criteria, now)
-        for upstream in usable:
-            capacity = capacities[
-                self.groups.group_by_upstream.get(upstream.name, '')
-            ]
+        group_of = self.groups.group_by_upstream
+        for upstream in upstreams:
+            capacity = capacities.get(group_of.get(upstream.name, ''))
+            if capacity is None or not capacity.has_room:
+                continue
             taken = self.in_flight.total(upstream.name)
-            limit = math.floor(self.max_in_flight(upstream, service))
-            if service.engine is None and criteria.urgency is Urgency.LATE:
-                limit -= _RESERVED_SLOT_COUNT
-            if capacity.has_room and taken < limit:
+            if (
+                taken < self._slot_limit(upstream, service, criteria)
+                and upstream.name not in criteria.excluded
+                and self._is_usable(upstream, service, now)
+            ):
                 yield self._score(upstream, taken, capacity), upstream
 
+    def _slot_limit(
+        self, upstream: Upstream, service: Service, criteria: SelectionCriteria
+    ) -> int:
+        limit = math.floor(self.max_in_flight(upstream, service))
+        if service.engine is None and criteria.urgency is Urgency.LATE:
+            limit -= _RESERVED_SLOT_COUNT
+        return limit
+
     def _group_capacities(
         self,
-        usable: list[Upstream],
+        candidates: Candidates,
         service: Service,
         criteria: SelectionCriteria,
         now: float,
     ) -> dict[str, _GroupCapacity]:
         """Return the capacity of each rank group; the key '' is for no group.
 
-        A request that can be on time is not sent to a slow group, where it
-        would be late, unless all groups are slow.
+        Stalled and broken groups are left out. A request that can be on time is
+        not sent to a slow group, where it would be late, unless all groups are
+        slow.
         """
-        ungrouped = {
-            '': _GroupCapacity(
-                has_room=True, slow=False, pass_time=DEFAULT_PASS_SECONDS
-            )
-        }
         engine = service.engine
-        if engine is None:
-            return ungrouped
-        ranks: dict[str, list[Upstream]] = {}
-        for upstream in usable:
-            group = self.groups.group_by_upstream.get(upstream.name)
-            if group is not None:
-                ranks.setdefault(group, []).append(upstream)
         capacities = {
-            group: self._group_capacity(members, engine, criteria, now)
-            for group, members in ranks.items()
+            group: self._group_capacity(group, count, engine, criteria, now)
+            for group, count in candidates.ranks.items()
+            if not self.groups.is_group_avoided(group, now)
         }
-        all_slow = all(capacity.slow for capacity in capacities.values())
+        all_slow = all(
+            capacity.slow for group, capacity in capacities.items() if group
+        )
         if criteria.urgency is Urgency.ON_TIME and not all_slow:
             capacities = {
                 group: dataclasses.replace(
@@ -278,27 +293,28 @@
                 )
                 for group, capacity in capacities.items()
             }
-        return ungrouped | capacities
+        return capacities
 
     def _group_capacity(
         self,
-        ranks: list[Upstream],
-        engine: Engine,
+        group: str,
+        ranks: int,
+        engine: Engine | None,
         criteria: SelectionCriteria,
         now: float,
     ) -> _GroupCapacity:
-        """Return the capacity of the group that the given ranks belong to."""
-        estimator = self.groups.pass_estimator(ranks[0].name)
-        if estimator is None:
+        """Return the capacity of a group with ``ranks`` accepting requests."""
+        members = self.groups.ranks_by_group.get(group)
+        if engine is None or not members:
             return _GroupCapacity(
                 has_room=True, slow=False, pass_time=DEFAULT_PASS_SECONDS
             )
-        members = self.groups.ranks_of_group(ranks[0].name)
+        estimator = self.groups.group_estimator(group)
         limit = estimator.max_requests(
             engine, len(members), criteria.longest_gap, now
         )
-        # Other ranks may be paused, draining or in a zone taken out of service.
-        limit = min(limit, engine.slots * len(ranks))
+        # Other ranks may be draining or in a zone taken out of service.
+        limit = min(limit, engine.slots * ranks)
         if criteria.urgency is Urgency.LATE:
             limit *= 1 - _RESERVED_SLOT_SHARE
         pass_time = estimator.pass_time(now)
@@ -327,8 +343,6 @@
     ) -> bool:
         if self.health.is_paused(upstream, now):
             return False
-        if self.groups.is_avoided(upstream.name, now):
-            return False
         if not service.cold_rate or now >= upstream.cold_until:
             return True
         # The request rate of a cold upstream is split evenly among the hosts.
--- /dev/null
+++ b/primroseyoke/gateway/candidates.py
@@ -0,0 +1,102 @@
+"""Upstreams that a request may be sent to, looked up once for many requests.
+
+Scoring each upstream for each request costs time that grows with their number.
+A sample of them finds one that is nearly the least loaded: the load of the best
+of several random choices is close to the minimum (Mitzenmacher, "The power of
+two choices in randomized load balancing", 2001).
+"""
+
+import collections
+import random
+from collections.abc import Iterator, Mapping
+
+from .rank_groups import RankGroupMonitor
+from .upstreams import Upstream, UpstreamRegistry
+
+__all__ = ('CandidateIndex', 'Candidates')
+
+# Upstreams of the own availability zone and of the others that are compared for
+# one request.
+_SAMPLE_SIZE_PER_SIDE = 8
+
+
+class Candidates:
+    """The upstreams of one service that accept requests.
+
+    Attributes:
+        ranks: number of upstreams by rank group; '' for those in no group.
+    """
+
+    def __init__(
+        self,
+        upstreams: list[Upstream],
+        availability_zone: str,
+        group_of: Mapping[str, str],
+    ) -> None:
+        """Divide ``upstreams`` into those of the own zone and the others."""
+        self.upstreams = upstreams
+        self.local: list[Upstream] = []
+        self.remote: list[Upstream] = []
+        self.ranks: collections.Counter[str] = collections.Counter()
+        for upstream in upstreams:
+            is_local = upstream.availability_zone == availability_zone
+            (self.local if is_local else self.remote).append(upstream)
+            self.ranks[group_of.get(upstream.name, '')] += 1
+
+    def samples(self, generator: random.Random) -> Iterator[list[Upstream]]:
+        """Yield a sample, and then all upstreams if that was not all."""
+        sample = [
+            *_sample(self.local, generator),
+            *_sample(self.remote, generator),
+        ]
+        yield sample
+        if len(sample) < len(self.upstreams):
+            yield self.upstreams
+
+
+class CandidateIndex:
+    """Candidates by service and regions, until the upstreams change."""
+
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        groups: RankGroupMonitor,
+        availability_zone: str,
+        region_of: Mapping[str, str],
+    ) -> None:
+        """Look up the upstreams of ``registry``."""
+        self.registry = registry
+        self.groups = groups
+        self.availability_zone = availability_zone
+        self.region_of = region_of
+        self.version: tuple[object, ...] = ()
+        self.found: dict[tuple[str, frozenset[str]], Candidates] = {}
+
+    def find(self, service: str, regions: frozenset[str]) -> Candidates:
+        """Return the upstreams of a service in ``regions``; empty for any."""
+        version = (
+            self.registry.version,
+            self.registry.zones_out,
+            self.groups.version,
+        )
+        if version != self.version:
+            self.version = version
+            self.found.clear()
+        key = (service, regions)
+        candidates = self.found.get(key)
+        if candidates is None:
+            candidates = Candidates(
+                self.registry.accepting(service, regions, self.region_of),
+                self.availability_zone,
+                self.groups.group_by_upstream,
+            )
+            self.found[key] = candidates
+        return candidates
+
+
+def _sample(
+    upstreams: list[Upstream], generator: random.Random
+) -> list[Upstream]:
+    if len(upstreams) <= _SAMPLE_SIZE_PER_SIDE:
+        return upstreams
+    return generator.sample(upstreams, _SAMPLE_SIZE_PER_SIDE)
--- a/primroseyoke/gateway/health.py
+++ b/primroseyoke/gateway/health.py
@@ -104,7 +104,8 @@
         """Tell whether an upstream or its availability zone is paused."""
         if self.is_zone_paused(upstream, now):
             return True
-        return now < self._entry(upstream.name).paused_until
+        health = self.entries.get(upstream.name)
+        return health is not None and now < health.paused_until
 
     def load(self, name: str) -> Load | None:
         """Return the load that an upstream last reported, if any."""
@@ -137,4 +138,8 @@
         }
 
     def _entry(self, name: str) -> _UpstreamHealth:
-        return self.entries.setdefault(name, _UpstreamHealth())
+        health = self.entries.get(name)
+        if health is None:
+            health = _UpstreamHealth()
+            self.entries[name] = health
+        return health
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -76,11 +76,9 @@
         a random delay, so that the first one can report the slot as taken
         before the others try.
         """
-        loop = asyncio.get_running_loop()
         for queue in self.queues.values():
-            if queue.waiters:
-                delay = self.balancer.generator.random() * _WAKE_JITTER_SECONDS
-                loop.call_later(delay, queue.wake_next)
+            delay = self.balancer.generator.random() * _WAKE_JITTER_SECONDS
+            queue.wake_next_within(delay)
 
     def first_event_estimate(self, service: str) -> Estimate:
         """Return the estimated time to the first event of a service."""
--- a/primroseyoke/gateway/rank_groups.py
+++ b/primroseyoke/gateway/rank_groups.py
@@ -56,6 +56,7 @@
     Attributes:
         group_by_upstream: name of the group of each upstream that is a rank.
         ranks_by_group: the upstreams of each group.
+        version: changes with the membership of the groups.
     """
 
     def __init__(self) -> None:
@@ -63,6 +64,7 @@
         self.group_by_upstream: dict[str, str] = {}
         self.ranks_by_group: dict[str, list[str]] = {}
         self.status_by_group: dict[str, _GroupStatus] = {}
+        self.version = 0
 
     def ranks_of_group(self, upstream: str) -> list[str]:
         """Return all ranks of the group that an upstream belongs to."""
@@ -71,6 +73,7 @@
 
     def add_rank(self, upstream: str, group: str) -> None:
         """Register an upstream as a rank of a group."""
+        self.version += 1
         self.group_by_upstream[upstream] = group
         self.ranks_by_group.setdefault(group, []).append(upstream)
 
@@ -93,6 +96,17 @@
         status = self._status(upstream)
         return status.estimator if status else None
 
+    def group_estimator(self, group: str) -> PassTimeEstimator:
+        """Return the pass time estimator of a group."""
+        return self.status_by_group.setdefault(group, _GroupStatus()).estimator
+
+    def is_group_avoided(self, group: str, now: float) -> bool:
+        """Tell whether a group is stalled or broken."""
+        status = self.status_by_group.get(group)
+        return status is not None and (
+            now < status.broken_until or status.is_stalled(now)
+        )
+
     def record_stream_end(self, upstream: str) -> None:
         """Record that a stream has ended."""
         status = self._status(upstream)
@@ -122,14 +136,13 @@
     def retain(self, upstreams: Collection[str]) -> None:
         """Remove all ranks but those in ``upstreams``."""
         for name in set(self.group_by_upstream) - set(upstreams):
+            self.version += 1
             self.ranks_by_group[self.group_by_upstream.pop(name)].remove(name)
 
     def is_avoided(self, upstream: str, now: float) -> bool:
         """Tell whether the group of an upstream is stalled or broken."""
-        status = self._status(upstream)
-        return status is not None and (
-            now < status.broken_until or status.is_stalled(now)
-        )
+        group = self.group_by_upstream.get(upstream)
+        return group is not None and self.is_group_avoided(group, now)
 
     def is_broken(self, upstream: str, now: float) -> bool:
         """Tell whether the group of an upstream is known to be broken."""
@@ -156,7 +169,11 @@
         group = self.group_by_upstream.get(upstream)
         if group is None:
             return None
-        return self.status_by_group.setdefault(group, _GroupStatus())
+        status = self.status_by_group.get(group)
+        if status is None:
+            status = _GroupStatus()
+            self.status_by_group[group] = status
+        return status
 
 
 class RankGroupPoller:
--- a/primroseyoke/gateway/upstreams.py
+++ b/primroseyoke/gateway/upstreams.py
@@ -34,11 +34,13 @@
     Attributes:
         upstreams: upstreams by name.
         zones_out: availability zones that operators took out of service.
+        version: changes with the upstreams.
     """
 
     def __init__(self) -> None:
         """Start without upstreams."""
         self.upstreams: dict[str, Upstream] = {}
+        self.version = 0
         self.zones_out: frozenset[str] = frozenset()
         self.store_recovered_at = -STORE_RECOVERY_GRACE_SECONDS
         self.lapsed_until: dict[str, float] = {}
@@ -50,6 +52,8 @@
     def put(self, upstream: Upstream) -> None:
         """Add an upstream or replace the one with the same name."""
         self.lapsed_until.pop(upstream.name, None)
+        if self.upstreams.get(upstream.name) != upstream:
+            self.version += 1
         self.upstreams[upstream.name] = upstream
 
     def remove(self, name: str, now: float) -> None:
@@ -66,6 +70,7 @@
                 name, self.store_recovered_at + STORE_RECOVERY_GRACE_SECONDS
             )
         else:
+            self.version += 1
             self.upstreams.pop(name)
 
     def replace_all(self, present: Iterable[Upstream], now: float) -> None:
@@ -81,6 +86,7 @@
         for name, deadline in tuple(self.lapsed_until.items()):
             if now >= deadline:
                 self.lapsed_until.pop(name)
+                self.version += 1
                 self.upstreams.pop(name, None)
 
     def accepting(
--- a/primroseyoke/gateway/wait_queue.py
+++ b/primroseyoke/gateway/wait_queue.py
@@ -61,6 +61,7 @@
         """Start empty."""
         self.waiters: list[_Waiter] = []
         self.last_arrival_number = 0
+        self.scheduled_wake: asyncio.TimerHandle | None = None
 
     def is_next(self, position: QueuePosition) -> bool:
         """Tell whether ``position`` precedes all waiting requests."""
@@ -71,6 +72,15 @@
         if self.waiters:
             self.waiters[0].woken.set()
 
+    def wake_next_within(self, delay: float) -> None:
+        """Wake the first waiting request after ``delay`` seconds.
+
+        While a wake is scheduled, further ones have no effect.
+        """
+        if self.waiters and self.scheduled_wake is None:
+            loop = asyncio.get_running_loop()
+            self.scheduled_wake = loop.call_later(delay, self._wake_scheduled)
+
     async def wait(self, position: QueuePosition, timeout: float) -> None:
         """Wait to be woken, for at most ``timeout`` seconds."""
         self.last_arrival_number += 1
@@ -83,3 +93,7 @@
             return
         finally:
             self.waiters.remove(waiter)
+
+    def _wake_scheduled(self) -> None:
+        self.scheduled_wake = None
+        self.wake_next()
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -1,6 +1,9 @@
 """Selection of upstreams within their concurrency limits."""
 
 import random
+import sys
+
+import pytest
 
 from primroseyoke.gateway.balancer import Balancer, SelectionCriteria
 from primroseyoke.gateway.configuration import (
@@ -201,3 +204,62 @@
         balancer.acquire(plain, 'app', 1, SelectionCriteria()) for _ in range(5)
     ]
     assert len([reservation for reservation in reserved if reservation]) == 3
+
+
+def steps_of(work) -> int:
+    """Return the number of Python calls and lines, which no load changes."""
+    count = 0
+
+    def trace(*_event):
+        nonlocal count
+        count += 1
+        return trace
+
+    sys.settrace(trace)
+    try:
+        work()
+    finally:
+        sys.settrace(None)
+    return count
+
+
+@pytest.mark.parametrize('is_full', [True, False])
+def test_a_choice_costs_the_same_with_many_upstreams(is_full: bool) -> None:
+    """Guards against choices that look at each upstream of the deployment.
+
+    When all slots are taken, each waiting request chooses again and again.
+    """
+    costs = []
+    for count in (48, 600):
+        balancer = make_rank_group(count)
+        taken = 6 if is_full else 1
+        balancer.in_flight.apply_report(
+            'other', dict.fromkeys(balancer.registry.upstreams, taken), 1
+        )
+        balancer.acquire(MODEL, 'app', 1, STREAM)
+        costs.append(
+            steps_of(lambda: balancer.acquire(MODEL, 'app', 1, STREAM))
+        )
+    # One line for each rank of a group sums up its requests.
+    assert costs[1] < costs[0] + 3 * 600
+
+
+def test_a_free_upstream_outside_the_sample_is_found() -> None:
+    balancer = make_balancer(200)
+    names = list(balancer.registry.upstreams)
+    balancer.in_flight.apply_report('other', dict.fromkeys(names[1:], 6), 1)
+    reservation = balancer.acquire(MODEL, 'app', 1, STREAM)
+    assert reservation.upstream.name == names[0]
+
+
+def test_changes_of_upstreams_and_zones_apply_to_the_next_choice() -> None:
+    """Guards against an index that outlives the upstreams it was made of."""
+    balancer = make_balancer(3)
+    assert balancer.acquire(MODEL, 'app', 1, STREAM)
+    for number in range(3):
+        balancer.registry.put(make_upstream(f'u{number}', draining=True))
+    assert balancer.acquire(MODEL, 'app', 1, STREAM) is None
+    balancer.registry.put(make_upstream('new', availability_zone='b'))
+    assert balancer.acquire(MODEL, 'app', 1, STREAM).upstream.name == 'new'
+    balancer.registry.zones_out = frozenset('b')
+    assert balancer.acquire(MODEL, 'app', 1, STREAM) is None
--- a/tests/gateway/test_wait_queue.py
+++ b/tests/gateway/test_wait_queue.py
@@ -56,3 +56,30 @@
         assert queue.is_next(QueuePosition.of(Urgency.LATE, 9, 9))
 
     run(scenario())
+
+
+def test_many_reports_wake_a_waiting_request_once() -> None:
+    """Guards against hosts x waiters choices: each report once woke a waiter.
+
+    Pattern: thundering herd.
+    """
+
+    async def scenario() -> int:
+        queue = WaitQueue()
+        wakes = 0
+        position = QueuePosition.of(Urgency.ON_TIME, 1, 0)
+
+        async def wait_repeatedly() -> None:
+            nonlocal wakes
+            while True:
+                await queue.wait(position, 60)
+                wakes += 1
+
+        waiting = asyncio.ensure_future(wait_repeatedly())
+        for _ in range(990):
+            await asyncio.sleep(0.001)
+            queue.wake_next_within(0.03)
+        waiting.cancel()
+        return wakes
+
+    assert 20 <= run(scenario()) <= 34
