--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -14,7 +14,7 @@
 import math
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Annotated, Any
 
 import cbor2
 import msgspec
@@ -57,7 +57,7 @@
     """
 
     host: str
-    running: dict[str, int]
+    running: dict[str, Annotated[int, msgspec.Meta(ge=0)]]
     draining: bool = False
     gone: bool = False
     availability_zone: str = ''
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -26,7 +26,7 @@
 from .topic_consumers import TopicConsumer
 from .topic_replica import TopicPage, TopicReplica
 
-__all__ = ('Announcement', 'TopicSharing')
+__all__ = ('Announcement', 'TopicSharing', 'decode_page')
 
 # Hosts that read the store, besides one more for each ``_HOSTS_PER_READER``.
 # The second one keeps the others up to date while the first is silent.
@@ -271,7 +271,7 @@
                 f'{target}: expected status 200, got {answer.status}'
             )
         self.fetches += 1
-        return _decode_page(target, answer.body)
+        return decode_page(target, answer.body)
 
     async def serve(
         self, request: CallerRequest, response: ResponseWriter
@@ -321,7 +321,12 @@
         )
 
 
-def _decode_page(target: str, content: bytes) -> TopicPage:
+def decode_page(target: str, content: bytes) -> TopicPage:
+    """Decode the response to ``target``.
+
+    Raises:
+        ServiceUnavailable: it is not a valid page.
+    """
     try:
         complete, compressed, *rest = cbor2.loads(content)
         records = _decompress(compressed)
