--- a/primroseyoke/http_server.py
+++ b/primroseyoke/http_server.py
@@ -18,6 +18,10 @@
 # By default the kernel would buffer megabytes for a slow caller. Linux doubles
 # the value to account for its own overhead.
 _SEND_BUFFER_BYTES = 4096
+_MAX_REQUEST_HEAD_BYTES = 65536
+# Above the limit of requests that are accepted, which get an error with a
+# verdict; this bounds what a caller can send without end.
+_MAX_REQUEST_BODY_BYTES = 2**21
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
 
@@ -77,6 +81,8 @@
         timeout=reader_timeout,
         server_name='primroseyoke',
     )
+    server.max_request_header_size = _MAX_REQUEST_HEAD_BYTES
+    server.max_request_body_size = _MAX_REQUEST_BODY_BYTES
     server.gateway = _WsgiGateway
     server.ConnectionClass = _CallerConnection
     server.error_log = _log_server_error  # type: ignore[method-assign]
--- a/primroseyoke/upstream_client.py
+++ b/primroseyoke/upstream_client.py
@@ -25,6 +25,7 @@
     ServiceUnavailable,
 )
 from .hop_by_hop_headers import HOP_BY_HOP_HEADERS
+from .limited_responses import LimitedConnectionPool
 from .verdicts import Verdict
 
 __all__ = ('UpstreamAnswer', 'UpstreamClient', 'UpstreamRequest')
@@ -182,7 +183,7 @@
 
     def _new_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
         host, _, port = self.address.rpartition(':')
-        return urllib3.HTTPConnectionPool(
+        return LimitedConnectionPool(
             host,
             int(port),
             maxsize=connections,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -80,3 +80,25 @@
         caller.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
         assert body.closed.wait(5)
     assert sum(sent) < 100_000
+
+
+@pytest.mark.parametrize(
+    ('beginning', 'repeated'),
+    [
+        (b'GET / HTTP/1.1\r\nHost: h\r\n', b'x-a: b\r\n'),
+        (b'GET / HTTP/1.1\r\nHost: h\r\nx-a: ', b'aaaaaaaa'),
+        (b'GET /', b'aaaaaaaa'),
+    ],
+)
+def test_a_head_without_end_is_refused(beginning, repeated):
+    """Guards against memory taken by a caller whose head does not end."""
+    with run_server([b'answer']) as address:
+        caller = socket.create_connection((address.host, address.port))
+        caller.sendall(beginning)
+        sent = 0
+        with contextlib.suppress(ConnectionError):
+            while sent < 2**24:
+                caller.sendall(repeated * 8192)
+                sent += 8192 * len(repeated)
+        assert sent < 2**24
+        caller.close()
