Limit the bodies that the gateway reads from the store, engines and peers

Cause: HttpClient collected a body of any size within its timeout (test failed first). Change: a call ends with an error above 32 MB; the store sends 1 MB at most.

--- a/primroseyoke/gateway/http_client.py
+++ b/primroseyoke/gateway/http_client.py
@@ -14,6 +14,8 @@
 
 # A round trip between zones takes 3 ms.
 _CONNECT_TIMEOUT_SECONDS = 0.5
+# The store answers with 1 MB at most, other gateways with a whole topic.
+_MAX_BODY_BYTES = 2**25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +135,7 @@
 
     async def _receive(self, connection: Connection) -> HttpResponse:
         status = 0
+        size = 0
         chunks: list[bytes] = []
         event = await next_event(self.parser, connection)
         while isinstance(event, h11.Response | h11.Data):
@@ -140,6 +143,9 @@
                 status = event.status_code
             else:
                 chunks.append(bytes(event.data))
+                size += len(event.data)
+            if size > _MAX_BODY_BYTES:
+                raise ConnectionResetError(f'body over {_MAX_BODY_BYTES} bytes')
             event = await next_event(self.parser, connection)
         if not isinstance(event, h11.EndOfMessage):
             raise ConnectionResetError(
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -141,13 +141,10 @@
     def host_count(self) -> int:
         """Return the number of hosts that share the limits, with this one."""
         now = time.monotonic()
-        counted = [
-            peer
+        return 1 + sum(
+            now - max(peer.added_at, peer.reported_at) < _PEER_LIFETIME_SECONDS
             for peer in self.peers.values()
-            if now - max(peer.added_at, peer.reported_at)
-            < _PEER_LIFETIME_SECONDS
-        ]
-        return len(counted) + 1
+        )
 
     @property
     def is_leader(self) -> bool:
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -64,3 +64,30 @@
             await HttpClient('127.0.0.1', free_port()).call('GET', '/')
 
     asyncio.run(scenario())
+
+
+def test_an_endless_body_ends_the_call() -> None:
+    """Guards against memory taken by a service that sends without end."""
+    sent = 0
+
+    async def send_endlessly(
+        upstream: StandInUpstream,
+        request: CallerRequest,
+        response: ResponseWriter,
+    ) -> None:
+        nonlocal sent
+        response.start(200, ())
+        while not response.connection.ended:
+            await response.send(b'x' * 65536)
+            sent += 65536
+
+    async def scenario() -> None:
+        upstream = StandInUpstream('u', send_endlessly)
+        await upstream.start()
+        client = HttpClient('127.0.0.1', upstream.port)
+        with pytest.raises(ServiceUnavailable, match='body over'):
+            await client.call('GET', '/', timeout=20)
+        assert sent < 2**26
+        upstream.stop()
+
+    asyncio.run(scenario())
