Log and check what gateways tell each other about groups and ages

Cause, found on reading the diff: a failed fetch of rank groups left no log line, a negative age was dropped in silence, and the fetch of groups had no test.

--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -146,12 +146,15 @@
 
         Ends when the peer closes its side, after ``seconds`` or after
         ``max_bytes``.
+
+        Raises:
+            ConnectionError: the connection was lost with an error.
         """
         if self.closed:
             return
         self.transport.write_eof()
         size = 0
-        with contextlib.suppress(TimeoutError, ConnectionError):
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 while not self.ended and size <= max_bytes:
                     size += len(await self.read())
--- a/primroseyoke/gateway/group_sharing.py
+++ b/primroseyoke/gateway/group_sharing.py
@@ -4,6 +4,7 @@
 the store for others ask the ranks, and the others ask these hosts.
 """
 
+import logging
 import time
 from collections.abc import Mapping
 
@@ -19,6 +20,8 @@
 
 __all__ = ('GROUPS_PATH', 'GroupSharing')
 
+log = logging.getLogger(__name__)
+
 GROUPS_PATH = '/groups'
 _FETCH_TIMEOUT_SECONDS = 0.5
 # A host that has just started waits this long for reports of other hosts before
@@ -59,7 +62,11 @@
                 'GET', GROUPS_PATH, timeout=_FETCH_TIMEOUT_SECONDS
             )
             return _decode_groups(answer.body)
-        except ServiceUnavailable:
+        except ServiceUnavailable as error:
+            log.info(
+                'gateway did not tell the rank groups; asking the ranks',
+                extra={'peer': address, 'reason': str(error)},
+            )
             return None
         finally:
             client.close()
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -26,8 +26,8 @@
     ``running`` has its requests in progress by upstream. A ``draining`` host
     finishes them and cannot be the leader; a host that is ``gone`` has none
     left. ``topics`` tells how far it has read the topics of the store; only
-    heartbeats have it. ``sequence`` grows with each report. The receiver passes
-    the report on if ``pass_on`` is set.
+    heartbeats have it. ``sequence`` is the boot time of the host in milliseconds
+    when it was sent. The receiver passes the report on if ``pass_on`` is set.
     """
 
     host: str
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -48,10 +48,10 @@
 _MAX_DIRECT_HOST_COUNT = 48
 # A report that was held for longer on its way is out of date.
 _MAX_HELD_SECONDS = 1.0
-_SEQUENCES_PER_SECOND = 1000
-# A report whose sequence number is lower by less than this was overtaken. A
+_MS_PER_SECOND = 1000
+# A report that was sent before the last one by less than this was overtaken. A
 # greater difference shows that the host was restarted.
-_MAX_REORDERED = 2000
+_MAX_OVERTAKEN_MS = 2000
 # The address of a silent host is kept for this time, so that hosts reconnect
 # after a long partition.
 _ADDRESS_LIFETIME_SECONDS = 600.0
@@ -305,7 +305,7 @@
             self.last_sent,
             self.draining,
             availability_zone=self.availability_zone,
-            sequence=int(boot_time() * _SEQUENCES_PER_SECOND),
+            sequence=int(boot_time() * _MS_PER_SECOND),
         )
 
     def _send_message(
@@ -359,7 +359,7 @@
                 'peer gateway discovered; reports are sent to it',
                 extra={'peer': report.host},
             )
-        elif 0 < known.sequence - report.sequence < _MAX_REORDERED:
+        elif 0 < known.sequence - report.sequence < _MAX_OVERTAKEN_MS:
             # A report that was passed on arrives after a later direct one.
             return
         self.peers[address] = _Peer(
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -12,7 +12,7 @@
 import random
 import zlib
 from collections.abc import Iterable, Mapping
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol
 from urllib.parse import parse_qs, urlsplit
 
 import cbor2
@@ -72,7 +72,7 @@
 
     next_offset: int
     digest: int
-    age: float
+    age: Annotated[float, msgspec.Meta(ge=0)]
 
 
 class Hosts(Protocol):
@@ -253,7 +253,7 @@
         """Follow the announcements of another gateway."""
         for name, announcement in announcements.items():
             topic = self.topics.get(name)
-            if topic is not None and announcement.age >= 0:
+            if topic is not None:
                 topic.receive(address, announcement, boot_time())
 
     async def fetch(
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import math
 import time
+from unittest import mock
 
 import cbor2
 import pytest
@@ -204,3 +206,20 @@
         assert first.balancer.in_flight.total('u0') == 1
 
     run_network(scenario, 2)
+
+
+@pytest.mark.parametrize('age', [-1.0, float('nan')])
+def test_an_age_that_is_no_time_confirms_nothing(age: float) -> None:
+    """Guards against a forged report that keeps a host from the store."""
+    peers = PeerReporter('me', '10.0.0.1', 1)
+    peers.balancer = mock.Mock()
+    peers.sharing = mock.Mock()
+    report = ['h', {}, False, False, 'a', {'keyed.op': [5, 7, age]}]
+    peers.datagram_received(cbor2.dumps(report), ('10.0.0.2', 1))
+    confirmed = [
+        announcement
+        for call in peers.sharing.receive.call_args_list
+        for announcement in call.args[1].values()
+        if announcement.age < math.inf
+    ]
+    assert not confirmed
