Report at once that an agent accepts requests, and reserve the ports of tests

Cause: an entry learns from the welcome of an agent whether it accepts requests, then from load reports. A report was lost if the load changed between reading the load for the welcome and registering the link, and the next one was due 5 s later; and the start of acceptance waited for the next load poll, 0.5 s and up to the 2 s of its timeout. Now the link is registered first, a new link gets a load report, and entries are told at once when an agent starts or stops refusing. The fixture waits for agents that accept, as test_attempts already did. A link that was lost with messages queued also kept LinkServer.stop in a loop.

--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -38,6 +38,7 @@
     Credit,
     Hello,
     Load,
+    LoadReport,
     Message,
     Refused,
     Start,
@@ -154,6 +155,7 @@
         self.jobs = JobTable()
         self.draining = False
         self.unreachable = False
+        self.reported_refusal = self.refusal_reason()
         self.shared_buffers = SharedBuffers(limits)
         self.upstream_client = UpstreamClient(address, threads)
         self.executor = ThreadPoolExecutor(
@@ -215,6 +217,7 @@
                 self.send_gate.confirm(message.requested_at)
             if self.admission.suspended_at is None:
                 self.unreachable = False
+                self._report_acceptance()
         elif (
             message.refused
             or self.crash_detector.unresolved
@@ -236,6 +239,8 @@
             return
         if isinstance(message.message, Hello):
             self.crash_detector.add_peer(message.peer)
+            # It may have changed since the welcome was sent.
+            message.peer.send(LoadReport(self.load()))
         if isinstance(message.message, Suspects):
             self._reclassify(self.crash_detector.merge(message.message.rows))
             self._admit_waiting()
@@ -574,7 +579,20 @@
             ),
         )
 
+    def _report_acceptance(self) -> None:
+        """Tell the entries at once when requests start or stop being refused.
+
+        With the next periodic report, entries would refuse requests or send
+        them in vain until then.
+        """
+        refusal = self.refusal_reason()
+        if bool(refusal) != bool(self.reported_refusal):
+            for peer in self.crash_detector.peers:
+                peer.send(LoadReport(self.load()))
+        self.reported_refusal = refusal
+
     def _admit_or_refuse_waiting(self) -> None:
+        self._report_acceptance()
         refusal = self.refusal_reason()
         if not refusal:
             self._admit_waiting()
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -422,7 +422,10 @@
 
     async def _close(self) -> None:
         for connection in tuple(self.connections):
-            while not connection.outgoing.empty():
+            while (
+                connection in self.connections
+                and not connection.outgoing.empty()
+            ):
                 await asyncio.sleep(0)
         self.server.close()
         await self.server.wait_closed()
@@ -430,22 +433,29 @@
     async def _handle_connection(self, websocket: ServerConnection) -> None:
         connection = EntryConnection(self, websocket)
         try:
-            hello = decode(await websocket.recv())
-            if not isinstance(hello, Hello):
-                raise MessageInvalid(
-                    'expected Hello as the first message of the entry'
-                )
-            connection.host = hello.host
-            await websocket.send(encode(self.welcome()))
-            await self._exchange_messages(connection, hello)
+            await self._serve_entry(connection)
         except (WebSocketException, MessageInvalid) as error:
             log.debug('link from entry %s closed: %s', connection.host, error)
+        finally:
+            self.connections.discard(connection)
+
+    async def _serve_entry(self, connection: EntryConnection) -> None:
+        hello = decode(await connection.websocket.recv())
+        if not isinstance(hello, Hello):
+            raise MessageInvalid(
+                'expected Hello as the first message of the entry'
+            )
+        connection.host = hello.host
+        # Before the load in the welcome is read, so that no later report of it
+        # is missed.
+        self.connections.add(connection)
+        await connection.websocket.send(encode(self.welcome()))
+        await self._exchange_messages(connection, hello)
 
     async def _exchange_messages(
         self, connection: EntryConnection, hello: Hello
     ) -> None:
         writer = asyncio.create_task(connection.send_queued())
-        self.connections.add(connection)
         self.on_message(connection, hello)
         try:
             async for frame in connection.websocket:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,7 +27,7 @@
 
 @pytest.fixture(scope='module')
 def small_fleet():
-    """Two zones with a model service and a plain service, all links up."""
+    """Two zones with a model service and a plain service, all agents ready."""
     with Fleet() as started:
         started.add_service('draft', 'model', ZONES, tokens=20)
         started.add_service('app', 'plain', ZONES, ['POST /invoices'])
@@ -36,10 +36,17 @@
         ]
         assert started.publish().returncode == 0
         for entry in started.entries:
-            wait_for(lambda entry=entry: is_linked(entry), 10, 'links')
+            wait_for(lambda entry=entry: accepts_all(entry), 10, 'agents')
         yield started
 
 
+def accepts_all(entry):
+    """Return whether all agents are linked and accept requests."""
+    known = entry.state()['routing'].values()
+    accepting = [each['load']['accepting'] for each in known]
+    return bool(accepting) and all(accepting) and is_linked(entry)
+
+
 def is_linked(entry):
     links = entry.state()['links']
     return links and all(link['up'] for link in links.values())
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -215,14 +216,37 @@
             )
         process = Process(name, popen, address, admin)
         self.processes[name] = process
-        wait_for(lambda: is_listening(address), 15, f'{name} to listen')
+        wait_for(
+            lambda: popen.poll() is not None or is_listening(address),
+            15,
+            f'{name} to listen',
+        )
+        assert popen.poll() is None, f'{name} ended with {popen.returncode}'
         return process
 
 
+# Below the range from which the system takes the ports of outgoing connections.
+PORTS = range(10000, 30000)
+# Holds a reserved port, so that parallel test runs do not get the same one.
+RESERVATION_ADDRESS = '127.254.254.254'
+reservations = []
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port of 127.0.0.1 that no other test run gets."""
+    for _ in range(200):
+        port = random.SystemRandom().choice(PORTS)
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_ADDRESS, port))
+            with socket.socket() as probe:
+                probe.bind(('127.0.0.1', port))
+        except OSError:
+            reservation.close()
+            continue
+        reservations.append(reservation)
+        return port
+    raise OSError('no free port found')
 
 
 def is_listening(address):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,13 +6,18 @@
 import pytest
 from result import Err
 
+from primroseyoke.attempts import AttemptsActor, Drain, MessageReceived
+from primroseyoke.configuration_distribution import ConfigurationChanged
 from primroseyoke.dispatch import combine_verdicts
 from primroseyoke.exceptions import RequestFailed
 from primroseyoke.executions import ExecutionEnded
 from primroseyoke.idempotency_keys import StoredResponse
 from primroseyoke.jobs import outcome_of
+from primroseyoke.messages import Hello, LoadReport
+from primroseyoke.response_buffering import BufferLimits
 from primroseyoke.verdicts import Verdict
-from tests.conftest import is_linked
+from tests.configurations import build_configuration
+from tests.conftest import accepts_all
 from tests.fleet import HTTP, Fleet, call, chat, chat_text, wait_for
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -28,13 +33,6 @@
         wait_for(lambda entry=entry: accepts_all(entry), 10, 'links')
 
 
-def accepts_all(entry):
-    """Return whether all agents are linked and accept requests."""
-    known = entry.state()['routing'].values()
-    accepting = [each['load']['accepting'] for each in known]
-    return bool(accepting) and all(accepting) and is_linked(entry)
-
-
 def engine_counts(fleet, upstream):
     return fleet.processes[f'{upstream}-upstream'].get('/counts')
 
@@ -278,3 +276,47 @@
 
 def verdict(response):
     return json.loads(response.data)['verdict']
+
+
+class FakePeer:
+    """Link of an entry that records what an agent sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def accepting(self):
+        return [
+            message.load.accepting
+            for message in self.sent
+            if isinstance(message, LoadReport)
+        ]
+
+
+@pytest.mark.parametrize('connects_first', [True, False])
+def test_start_of_acceptance_is_reported_at_once(connects_first):
+    """Guards against a 503 from entries that do not know a ready agent yet."""
+    actor = AttemptsActor('draft-1', '127.0.0.1:9', 1, BufferLimits(1, 1, 1))
+    peer = FakePeer()
+    changed = ConfigurationChanged(
+        build_configuration(
+            {
+                'defaults': {},
+                'service/draft': {'kind': 'model'},
+                'upstream/draft-1': {
+                    'service': 'draft',
+                    'availability_zone': 'zone-a',
+                    'agent': '127.0.0.1:9',
+                },
+            }
+        ),
+        0,
+    )
+    hello = MessageReceived(peer, Hello('entry', 'zone-a', '1'))
+    for message in (hello, changed) if connects_first else (changed, hello):
+        actor.on_receive(message)
+    assert peer.accepting() == ([False, True] if connects_first else [True])
+    actor.on_receive(Drain())
+    assert not peer.accepting()[-1]
