--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -282,6 +282,8 @@
                 'reason': str(failure),
                 'verdict': failure.verdict.value,
                 'sent_again': retry,
+                'events': self.progress.attempt_events,
+                'prompt_parts': self.authorized.request.prompt_parts,
             },
         )
         if retry:
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -24,7 +24,8 @@
     ``timeout`` is how long the caller waits, counted from ``arrived_at``
     (monotonic). ``headers`` holds the headers that are forwarded.
     ``last_event_id`` identifies the last event that the caller received of an
-    earlier response.
+    earlier response. ``prompt_parts`` identifies the parts of the prompt that
+    other requests may share, in order.
     """
 
     method: str
@@ -38,6 +39,7 @@
     last_event_id: str = ''
     arrived_at: float = 0
     body: bytes = b''
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -56,7 +56,8 @@
 
     ``last_event_id`` is the ID of the last event that was sent to the caller.
     ``sent_at`` is the start of the current attempt. ``longest_gap`` is the
-    longest time between two parts of a stream, in seconds.
+    longest time between two parts of a stream, in seconds. ``attempt_events``
+    is the number of events that the current attempt has delivered.
     """
 
     last_event_id: str
@@ -64,6 +65,7 @@
     first_event_at: float = 0
     last_event_at: float = 0
     longest_gap: float = 0
+    attempt_events: int = 0
 
 
 class ResponseForwarder:
@@ -104,6 +106,7 @@
         """
         upstream = reservation.upstream
         self.progress.sent_at = time.monotonic()
+        self.progress.attempt_events = 0
         try:
             connection = await self.proxy.pool.send_request(
                 upstream,
@@ -211,6 +214,7 @@
                     head.status, _without_content_length(head.headers)
                 )
             await self.response.send(event.content)
+            self.progress.attempt_events += 1
             if event.event_id:
                 self.progress.last_event_id = event.event_id
         if deadline is not None:
--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -33,6 +33,11 @@
 # Name of the upstream that caused a failure.
 _FAULTY_UPSTREAM_HEADER = b'at-server'
 _LAST_EVENT_ID_HEADER = b'last-event-id'
+# Parts of the prompt in order, as comma-separated ``ID:TOKENS``. The last one
+# belongs to this request or to its session.
+_PROMPT_PARTS_HEADER = b'x-primroseyoke-prompt-prefix'
+# Further parts are ignored, to bound what a request costs.
+_MAX_PROMPT_PARTS = 32
 
 _HOP_BY_HOP_HEADERS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
 # Request headers that are not forwarded: the gateway sets them itself, or the
@@ -77,6 +82,9 @@
             ),
             last_event_id=_decode_text(fields.get(_LAST_EVENT_ID_HEADER, b'')),
             arrived_at=now,
+            prompt_parts=_parse_shared_parts(
+                _decode_text(fields.get(_PROMPT_PARTS_HEADER, b''))
+            ),
         )
 
     def encode_request(
@@ -150,6 +158,13 @@
     return int(content) / 1000
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the IDs of all parts of a prompt but the last."""
+    parts = text.split(',', _MAX_PROMPT_PARTS + 1)[:-1]
+    names = [part.partition(':')[0].strip() for part in parts]
+    return tuple(name for name in names[:_MAX_PROMPT_PARTS] if name)
+
+
 def _parse_integers(content: bytes, count: int) -> tuple[int, ...]:
     parts = [part.strip() for part in content.split(b',')]
     if len(parts) != count or not all(part.isdigit() for part in parts):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,8 @@
 
 import math
 
+import pytest
+
 from primroseyoke.gateway.requests import ForwardingInfo, Load
 from primroseyoke.platform.headers import HeaderCodec
 
@@ -90,3 +92,22 @@
     request = CODEC.decode_request('GET', '/', malformed, 50)
     assert request.timeout == math.inf
     assert not request.api_key
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        (b'', ()),
+        (b'5c:800', ()),
+        (b'5c:800,91:410', ('5c',)),
+        (b'5c:800, 91 ,,e4:1,last', ('5c', '91', 'e4')),
+        (b','.join(b'%x:1' % part for part in range(99)), None),
+    ],
+)
+def test_shared_parts_of_the_prompt_are_decoded(text, parts) -> None:
+    headers = [*HEADERS, (b'x-primroseyoke-prompt-prefix', text)]
+    request = CODEC.decode_request('POST', '/', headers, 50)
+    if parts is None:
+        parts = tuple(f'{part:x}' for part in range(32))
+    assert request.prompt_parts == parts
+    assert (b'x-primroseyoke-prompt-prefix', text) in request.headers
