Add failing tests of requests that crash upstreams through a shared part

Callers of sound requests are refused because requests of one kind crash back ends one after the other.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -249,6 +249,34 @@
         assert status_set(submit_chats(fleet, pool, 12, 'innocent')) == {200}
 
 
+def test_part_of_prompts_that_crashes_upstreams_is_not_sent_on():
+    """Guards against different requests that crash one upstream after another.
+
+    They have one message in common, and share another one and their caller with
+    sound requests. Five crashes show the cause; three more requests may be on
+    their way.
+    """
+    with Fleet(HIGH_LIMITS) as fleet:
+        fleet.add_service('draft', 'model', ZONES, poison='boom')
+        start_entries(fleet)
+        sound = []
+        for number in range(12):
+            entry = fleet.entries[number % 2]
+            chat_parts(entry, 'style', 'boom', f'own {number}')
+            sound.append(chat_parts(entry, 'style', f'own {number}').status)
+        assert total_count(fleet, 'crashes') <= 8
+        assert set(sound) == {200}
+
+
+def chat_parts(entry, *texts):
+    """Send a chat request with several messages."""
+    document = {
+        'model': 'draft',
+        'messages': [{'role': 'user', 'content': text} for text in texts],
+    }
+    return call(entry, 'POST', '/v1/chat/completions', json=document)
+
+
 def test_crashing_keyed_call_is_refused_for_its_key():
     """Guards against a refused request that can run under its key later."""
     with Fleet(HIGH_LIMITS) as fleet:
