--- a/bench/suspects.py
+++ b/bench/suspects.py
@@ -22,7 +22,11 @@
     Ticket,
     UpstreamLoad,
 )
-from primroseyoke.suspects import Classification, SuspectTable
+from primroseyoke.suspects import (
+    UNKNOWN_REQUEST,
+    Classification,
+    SuspectTable,
+)
 
 SEED = 20260104
 UPSTREAM_COUNT = 16
@@ -51,10 +55,11 @@
     It counts crashes while other requests ran, too.
     """
 
-    def classify(self, fingerprint, now):
-        classification = super().classify(fingerprint, now)
-        row = self.evidence.get(fingerprint)
-        if classification is Classification.SUSPECT and len(row.crashes) > 1:
+    def classify(self, traits, now):
+        classification = super().classify(traits, now)
+        if classification is Classification.SUSPECT and any(
+            self.blame[each].count > 1 for each in traits if each in self.blame
+        ):
             return Classification.REFUSED
         return classification
 
@@ -67,6 +72,10 @@
     attempt_count: int = 0
     ran_concurrently: bool = False
 
+    @property
+    def traits(self):
+        return frozenset({self.fingerprint})
+
 
 class SimulatedUpstream:
     """Upstream with the admission and the suspect table of its agent."""
@@ -149,7 +158,7 @@
         upstream = min(sampled, key=lambda each: len(each.admission.waiting))
         classification = Classification.CLEAR
         if self.keeps_evidence:
-            classification = upstream.table.classify(request.fingerprint, now)
+            classification = upstream.table.classify(request.traits, now)
         if classification is Classification.REFUSED:
             self.count('refused', request)
             return
@@ -196,7 +205,7 @@
         upstream.admission.finish(attempt_number, RequestOutcome.COMPLETED)
         self.count('served', request)
         if self.keeps_evidence:
-            rows = upstream.table.clear(request.fingerprint, now)
+            rows = upstream.table.clear(request.traits, now)
             self.schedule(now + LINK_DELAY_SECONDS, self.share_evidence, rows)
         self.admit_waiting(now, upstream)
 
@@ -206,19 +215,19 @@
         upstream.is_down = True
         interrupted = list(upstream.admission.running)
         upstream.admission.suspend(now)
-        for attempt_number in interrupted:
+        requests = [self.requests.pop(number) for number in interrupted]
+        if self.keeps_evidence:
+            candidates = [request.traits for request in requests]
+            if any(request.ran_concurrently for request in requests):
+                candidates.append(UNKNOWN_REQUEST)
+            evidence = upstream.table.record_crash(
+                upstream.name, candidates, now
+            )
+            self.schedule(
+                now + LINK_DELAY_SECONDS, self.share_evidence, evidence
+            )
+        for attempt_number, request in zip(interrupted, requests):
             upstream.admission.finish(attempt_number, RequestOutcome.FAILED)
-            request = self.requests.pop(attempt_number)
-            if self.keeps_evidence:
-                rows = upstream.table.record_crash(
-                    request.fingerprint,
-                    upstream.name,
-                    not request.ran_concurrently,
-                    now,
-                )
-                self.schedule(
-                    now + LINK_DELAY_SECONDS, self.share_evidence, rows
-                )
             self.schedule(
                 now + 2 * LINK_DELAY_SECONDS, self.attempt, request, upstream
             )
@@ -230,15 +239,14 @@
         upstream.admission.observe_load(load, now)
         self.admit_waiting(now, upstream)
 
-    def share_evidence(self, now, rows):
+    def share_evidence(self, now, evidence):
         for upstream in self.upstreams:
-            for suspect in upstream.table.merge(rows, now):
+            changed = upstream.table.merge(evidence, now)
+            for fingerprint in changed.traits():
                 classification = upstream.table.classify(
-                    suspect.fingerprint, now
-                )
-                self.classify_again(
-                    upstream, suspect.fingerprint, classification
+                    frozenset({fingerprint}), now
                 )
+                self.classify_again(upstream, fingerprint, classification)
 
     def classify_again(self, upstream, fingerprint, classification):
         for attempt_number in (
--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -9,7 +9,7 @@
 
 import pykka
 
-from .admission import Admission, Limits, Ticket
+from .admission import Admission, Limits, RequestOutcome, Ticket
 from .configuration import Configuration, Defaults
 from .configuration_distribution import ConfigurationChanged
 from .crash_detection import BrokenAttempt, CrashDetector, LoadPolled, poll_load
@@ -242,7 +242,9 @@
             # It may have changed since the welcome was sent.
             message.peer.send(LoadReport(self.load()))
         if isinstance(message.message, Suspects):
-            self._reclassify(self.crash_detector.merge(message.message.rows))
+            self._reclassify(
+                self.crash_detector.merge(message.message.evidence)
+            )
             self._admit_waiting()
         if not isinstance(message.message, Credit | Cancel):
             return
@@ -411,7 +413,7 @@
         if refusal:
             self._refuse(job, refusal, 503)
             return
-        classification = self.crash_detector.classify(job.start.fingerprint)
+        classification = self.crash_detector.classify(job.start.traits)
         if classification is Classification.REFUSED:
             self._refuse_suspect(job)
             return
@@ -476,7 +478,7 @@
         self.send_gate.withhold()
         self.crash_detector.defer(
             BrokenAttempt(
-                job.start.fingerprint,
+                job.start.traits,
                 not job.ran_concurrently,
                 job.restarts_at_start,
                 functools.partial(self._fail, job, failure),
@@ -492,14 +494,14 @@
         self.send_gate.withhold()
         self._admit_or_refuse_waiting()
 
-    def _reclassify(self, fingerprints: Collection[int]) -> None:
-        """Apply new crash evidence to the jobs with these fingerprints."""
-        if not fingerprints:
+    def _reclassify(self, traits: Collection[int]) -> None:
+        """Apply new crash evidence to the jobs with one of these traits."""
+        if not traits:
             return
         for job in self.jobs:
-            if job.start.fingerprint not in fingerprints:
+            if job.start.traits.isdisjoint(traits):
                 continue
-            classification = self.crash_detector.classify(job.start.fingerprint)
+            classification = self.crash_detector.classify(job.start.traits)
             exclusive = classification is not Classification.CLEAR
             self.admission.set_exclusive(job.number, exclusive)
             if (
@@ -516,9 +518,8 @@
     def _complete(self, job: Job, ended: ExecutionEnded) -> None:
         if job.keyed_call is not None:
             self.keys.finish(job.keyed_call, ended.stored_response)
-        fingerprint = job.start.fingerprint
-        if self.crash_detector.clear(fingerprint):
-            self._reclassify({fingerprint})
+        if outcome_of(ended) is RequestOutcome.COMPLETED:
+            self._reclassify(self.crash_detector.clear(job.start.traits))
         job.upstream_finished = True
         self._finish_if_sent(job)
 
--- a/primroseyoke/caller_requests.py
+++ b/primroseyoke/caller_requests.py
@@ -13,6 +13,7 @@
 from .exceptions import RequestFailed, RequestInvalid
 from .hop_by_hop_headers import HOP_BY_HOP_HEADERS
 from .idempotency_keys import key_creation_time
+from .suspects import Traits, trait
 from .verdicts import Verdict
 
 __all__ = (
@@ -30,6 +31,9 @@
 # Engines cache prompts in blocks. A shorter prefix would give the same hash to
 # prompts that share no cached block.
 _PROMPT_PREFIX_BYTES = 512
+# Further messages of a prompt are ignored as a cause of crashes, to bound what
+# a request costs.
+_MAX_PROMPT_PARTS = 32
 
 _DECIMAL = re.compile('[0-9]+')
 _KEY_PATTERN = re.compile('[!-~]{1,128}')
@@ -53,6 +57,7 @@
     is the idempotency key, empty if there is none. ``prompt_prefix_hash`` is
     the hash of the first bytes of a prompt, 0 for other requests.
     ``received_at`` is when the request headers were complete (Unix seconds).
+    ``prompt_parts`` has a trait for each message but the last.
     """
 
     service: str
@@ -68,6 +73,12 @@
     chat: bool
     prompt_prefix_hash: int
     received_at: float
+    prompt_parts: tuple[int, ...] = ()
+
+    @property
+    def traits(self) -> Traits:
+        """Return the traits that crash evidence is kept by."""
+        return frozenset((self.fingerprint, *self.prompt_parts))
 
 
 def issue_key_response(
@@ -117,10 +128,12 @@
     body = _read_body(environ)
     chat = path == CHAT_PATH
     prompt_prefix_hash = 0
+    prompt_parts: tuple[int, ...] = ()
     if chat:
         document = _parse_chat_body(method, body)
         service, upstream_path = document['model'], path
         prompt_prefix_hash = _prompt_prefix_hash(document)
+        prompt_parts = _prompt_parts(service, document)
     else:
         service, upstream_path = _split_service_path(path)
     if environ.get('QUERY_STRING'):
@@ -141,6 +154,7 @@
         chat=chat,
         prompt_prefix_hash=prompt_prefix_hash,
         received_at=received_at,
+        prompt_parts=prompt_parts,
     )
 
 
@@ -218,6 +232,17 @@
     return xxhash.xxh3_64_intdigest(start)
 
 
+def _prompt_parts(service: str, document: Mapping[str, Any]) -> tuple[int, ...]:
+    """Return a trait for each message that other prompts may share."""
+    messages = document.get('messages')
+    if not isinstance(messages, list):
+        return ()
+    return tuple(
+        trait(service.encode(), msgspec.json.encode(message))
+        for message in messages[: min(len(messages) - 1, _MAX_PROMPT_PARTS)]
+    )
+
+
 def _split_service_path(path: str) -> tuple[str, str]:
     if not path.startswith(SERVICES_PREFIX):
         raise RequestInvalid(f'no such path: {path}', 404)
--- a/primroseyoke/crash_detection.py
+++ b/primroseyoke/crash_detection.py
@@ -2,13 +2,19 @@
 
 import dataclasses
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from .admission import UpstreamLoad
 from .exceptions import ServiceRefused, ServiceUnavailable
 from .links import EntryConnection
-from .messages import Suspect, Suspects
-from .suspects import Classification, SuspectTable
+from .messages import Suspects
+from .suspects import (
+    UNKNOWN_REQUEST,
+    Classification,
+    Evidence,
+    SuspectTable,
+    Traits,
+)
 from .upstream_client import UpstreamClient
 
 __all__ = ('BrokenAttempt', 'CrashDetector', 'LoadPolled', 'poll_load')
@@ -36,7 +42,7 @@
     of the attempt. ``on_resolved`` is called with whether the upstream crashed.
     """
 
-    fingerprint: int
+    traits: Traits
     alone: bool
     restart_count: int
     on_resolved: Callable[[bool], None]
@@ -57,25 +63,21 @@
     def add_peer(self, peer: EntryConnection) -> None:
         """Register an entry that has connected and send it the evidence."""
         self.peers.add(peer)
-        rows = self.suspects.snapshot(time.monotonic())
-        if rows:
-            peer.send(Suspects(rows))
-
-    def classify(self, fingerprint: int) -> Classification:
-        """Classify a request by its evidence."""
-        return self.suspects.classify(fingerprint, time.monotonic())
-
-    def merge(self, rows: Iterable[Suspect]) -> set[int]:
-        """Merge evidence, broadcast what is new and return its fingerprints."""
-        changed = self.suspects.merge(rows, time.monotonic())
-        self._broadcast(changed)
-        return {suspect.fingerprint for suspect in changed}
-
-    def clear(self, fingerprint: int) -> bool:
-        """Drop the evidence of a completed request; return False if none."""
-        cleared = self.suspects.clear(fingerprint, time.monotonic())
-        self._broadcast(cleared)
-        return bool(cleared)
+        evidence = self.suspects.snapshot(time.monotonic())
+        if evidence:
+            peer.send(Suspects(evidence))
+
+    def classify(self, traits: Traits) -> Classification:
+        """Classify a request by the evidence against its traits."""
+        return self.suspects.classify(traits, time.monotonic())
+
+    def merge(self, evidence: Evidence) -> set[int]:
+        """Merge evidence, broadcast what is new and return its traits."""
+        return self._broadcast(self.suspects.merge(evidence, time.monotonic()))
+
+    def clear(self, traits: Traits) -> set[int]:
+        """Drop the evidence against a completed request; return its traits."""
+        return self._broadcast(self.suspects.clear(traits, time.monotonic()))
 
     def defer(self, attempt: BrokenAttempt) -> None:
         """Defer the reply to a broken attempt until its cause is known.
@@ -96,7 +98,7 @@
             restart_count: number of upstream restarts observed so far.
 
         Returns:
-            The fingerprints with new evidence.
+            The traits with new evidence.
         """
         resolved = [
             broken
@@ -117,22 +119,27 @@
             for broken in resolved
             if polled.report is None or broken.restart_count != restart_count
         ]
-        for attempt in crashed:
-            rows = self.suspects.record_crash(
-                attempt.fingerprint,
-                self.upstream,
-                attempt.alone,
-                time.monotonic(),
-            )
-            self._broadcast(rows)
+        changed = self._record_crash(crashed) if crashed else set()
         for attempt in resolved:
             attempt.on_resolved(attempt in crashed)
-        return {broken.fingerprint for broken in crashed}
+        return changed
+
+    def _record_crash(self, crashed: list[BrokenAttempt]) -> set[int]:
+        requests = [attempt.traits for attempt in crashed]
+        if not all(attempt.alone for attempt in crashed):
+            # The cause may be a request that was given up before.
+            requests.append(UNKNOWN_REQUEST)
+        return self._broadcast(
+            self.suspects.record_crash(
+                self.upstream, requests, time.monotonic()
+            )
+        )
 
-    def _broadcast(self, rows: tuple[Suspect, ...]) -> None:
-        if rows:
+    def _broadcast(self, evidence: Evidence) -> set[int]:
+        if evidence:
             for peer in self.peers:
-                peer.send(Suspects(rows))
+                peer.send(Suspects(evidence))
+        return evidence.traits()
 
 
 def poll_load(
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -343,7 +343,7 @@
         deadline: float,
     ) -> str | None:
         now = time.monotonic()
-        classification = self.suspects.classify(request.fingerprint, now)
+        classification = self.suspects.classify(request.traits, now)
         if classification is Classification.REFUSED:
             return None
         time.sleep(_RETRY_DELAY_SECONDS)
@@ -497,6 +497,7 @@
         idempotent=idempotent,
         window=CHAT_WINDOW_BYTES if request.chat else PLAIN_WINDOW_BYTES,
         fingerprint=request.fingerprint,
+        prompt_parts=request.prompt_parts,
         sent_at=request.received_at,
     )
 
--- a/primroseyoke/entry.py
+++ b/primroseyoke/entry.py
@@ -208,9 +208,9 @@
             return
         if isinstance(message, Welcome):
             # The agent needs the crash evidence before the first request.
-            rows = self.dispatcher.suspects.snapshot(time.monotonic())
-            if rows:
-                link.send(Suspects(rows))
+            evidence = self.dispatcher.suspects.snapshot(time.monotonic())
+            if evidence:
+                link.send(Suspects(evidence))
             self.routing.tell(AgentLinked(link.upstream, message.load))
             self.configuration.tell(PeerMessage(message, link.send))
             return
@@ -224,7 +224,9 @@
         Runs on the event loop thread of the links, the only one that changes
         the table.
         """
-        changed = self.dispatcher.suspects.merge(message.rows, time.monotonic())
+        changed = self.dispatcher.suspects.merge(
+            message.evidence, time.monotonic()
+        )
         if changed:
             self.link_pool.broadcast(Suspects(changed))
 
--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -87,6 +87,9 @@
         metrics.requests_in_progress.set(
             gateway.request_listener.requests_in_progress
         )
+        metrics.suspect_traits.set(
+            len(gateway.proxy.crash_detector.suspects.blame)
+        )
         metrics.upstreams.set(len(gateway.routing_state.registry.upstreams))
         metrics.configuration_version.set(
             configuration.version if configuration else 0
--- a/primroseyoke/gateway/connection_pool.py
+++ b/primroseyoke/gateway/connection_pool.py
@@ -62,6 +62,11 @@
         self.last_used_at = time.monotonic()
         self.keep_alive = math.inf
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the upstream has closed the connection."""
+        return self.connection.ended
+
     async def send(
         self,
         request: CallerRequest,
--- /dev/null
+++ b/primroseyoke/gateway/crash_detection.py
@@ -0,0 +1,334 @@
+"""Finds out which upstreams crashed, and which requests may be the cause.
+
+A broken connection alone does not show a crash. Nor does a refused one, since a
+host that is cut off may be refused by all upstreams. An upstream has crashed if
+it refuses connections while another one of its availability zone accepts them.
+The cause is one of the requests whose answers had barely begun.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from ..suspects import (
+    Classification,
+    Evidence,
+    SuspectTable,
+    Traits,
+    trait,
+)
+from .clocks import boot_time
+from .connections import connect
+from .requests import CallerRequest
+from .upstreams import Upstream, UpstreamRegistry
+
+__all__ = ('CrashDetector', 'Trial', 'can_connect')
+
+log = logging.getLogger(__name__)
+
+# Events after which an answer shows that its request does not crash upstreams.
+_SOUND_EVENT_COUNT = 2
+# A retry waits for the result, so this is shorter than the timeout of other
+# connections.
+_CONNECT_TIMEOUT_SECONDS = 0.15
+# What an upstream had sent before it crashed may still arrive this late.
+_TRANSIT_SECONDS = 0.5
+# Time after which a refused request that is tried again without a result, for
+# example because its caller disconnected, is given up.
+_RETRIAL_TIMEOUT_SECONDS = 10.0
+
+CanConnect = Callable[[Upstream], Awaitable[bool | None]]
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Trial:
+    """A request at an upstream, until it is known not to crash it.
+
+    ``started_at`` is in seconds since boot.
+    """
+
+    upstream: Upstream
+    request: CallerRequest
+    service: str
+    client: str
+    started_at: float
+    is_sound: bool = False
+
+    @property
+    def traits(self) -> Traits:
+        """Return the traits that crash evidence is kept by."""
+        return request_traits(self.request, self.service, self.client)
+
+
+@functools.lru_cache(maxsize=256)
+def _part_trait(service: str, part: str) -> int:
+    return trait(service.encode(), part.encode())
+
+
+def request_traits(request: CallerRequest, service: str, client: str) -> Traits:
+    """Return a fingerprint of a request and a trait for each shared part."""
+    fingerprint = trait(
+        client.encode(),
+        request.method.encode(),
+        request.host.encode(),
+        request.target.encode(),
+        request.body,
+    )
+    parts = [_part_trait(service, part) for part in request.prompt_parts]
+    return frozenset((fingerprint, *parts))
+
+
+async def can_connect(upstream: Upstream) -> bool | None:
+    """Return whether an upstream accepts a connection, None if unknown."""
+    try:
+        connection = await connect(
+            upstream.host, upstream.port, _CONNECT_TIMEOUT_SECONDS
+        )
+    except ConnectionRefusedError:
+        return False
+    except (OSError, TimeoutError) as error:
+        log.debug(
+            'unknown whether an upstream crashed',
+            extra={'upstream': upstream.name, 'reason': repr(error)},
+        )
+        return None
+    connection.abort()
+    return True
+
+
+class CrashDetector:
+    """Crash evidence of a gateway, from its own requests and from its peers.
+
+    Attributes:
+        suspects: the evidence; its times are in seconds since boot.
+        on_evidence: called with new evidence of this host, to be broadcast.
+        may_try_again: tells whether this host may send a refused request again
+            when a trial is due.
+    """
+
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        generator: random.Random,
+        check_connection: CanConnect = can_connect,
+    ) -> None:
+        """Check upstreams of ``registry`` with ``check_connection``."""
+        self.registry = registry
+        self.generator = generator
+        self.check_connection = check_connection
+        self.suspects = SuspectTable()
+        self.on_evidence: Callable[[Evidence], None] = _ignore
+        self.may_try_again: Callable[[], bool] = _never
+        self.trials: dict[str, set[Trial]] = {}
+        self.checks: dict[str, asyncio.Task[None]] = {}
+        self.retried_id = ''
+        self.retrial_until = 0.0
+
+    def start(
+        self,
+        upstream: Upstream,
+        request: CallerRequest,
+        service: str,
+        client: str,
+    ) -> Trial:
+        """Record that a request is sent to an upstream."""
+        trial = Trial(upstream, request, service, client, boot_time())
+        self.trials.setdefault(_key(upstream), set()).add(trial)
+        return trial
+
+    def record_event(self, trial: Trial, count: int) -> None:
+        """Record that ``count`` events of an answer have arrived."""
+        if count >= _SOUND_EVENT_COUNT and not trial.is_sound:
+            self.record_sound(trial)
+
+    def record_sound(self, trial: Trial) -> None:
+        """Record that an upstream has answered a request and not crashed."""
+        is_first = not trial.is_sound
+        trial.is_sound = True
+        self.end(trial)
+        if not self.suspects.blame:
+            return
+        now = boot_time()
+        self._refute(trial, now)
+        if is_first:
+            self._publish(self.suspects.clear(trial.traits, now))
+
+    def end(self, trial: Trial) -> None:
+        """Record that a request has ended, whatever its result."""
+        trials = self.trials.get(_key(trial.upstream), set())
+        trials.discard(trial)
+        if not trials:
+            self.trials.pop(_key(trial.upstream), None)
+
+    async def record_break(self, trial: Trial) -> None:
+        """Find out whether the upstream crashed when a connection broke.
+
+        It returns when the evidence has been recorded, so that the request is
+        not sent to another upstream before. The check goes on if the caller
+        disconnects.
+        """
+        key = _key(trial.upstream)
+        if trial.is_sound or not self._is_in_service(trial.upstream):
+            return
+        check = self.checks.get(key)
+        if check is None:
+            candidates = frozenset(self.trials.get(key, ()))
+            check = asyncio.get_running_loop().create_task(
+                self._check(trial.upstream, candidates | {trial}, boot_time())
+            )
+            self.checks[key] = check
+            check.add_done_callback(lambda _: self.checks.pop(key))
+        await asyncio.shield(check)
+
+    def refusal_delay(
+        self, request: CallerRequest, service: str, client: str
+    ) -> float | None:
+        """Return after which time a refused request may be tried again.
+
+        Returns:
+            Seconds, None if the request is not refused.
+        """
+        if not self.suspects.blame or self._is_retried(request):
+            return None
+        traits = request_traits(request, service, client)
+        now = boot_time()
+        classification = self.suspects.classify(traits, now)
+        if classification is not Classification.REFUSED:
+            return None
+        delay = self.suspects.next_trial_at(traits) - now
+        if delay <= 0 and now >= self.retrial_until and self.may_try_again():
+            self.retried_id = request.request_id
+            self.retrial_until = now + _RETRIAL_TIMEOUT_SECONDS
+            log.warning(
+                'request that is blamed for crashes is tried again',
+                extra={'request': request.request_id},
+            )
+            return None
+        return max(delay, _RETRIAL_TIMEOUT_SECONDS)
+
+    def merge(self, evidence: Evidence, sender: str) -> None:
+        """Merge the evidence of another host."""
+        new = self.suspects.merge(evidence, boot_time())
+        if new:
+            log.info(
+                'crash evidence of another host',
+                extra={
+                    'peer': sender,
+                    'crashed': sorted({each.upstream for each in new.crashes}),
+                    'cleared': len(new.clearances),
+                },
+            )
+
+    def refute_false_crashes(self, expiry: float) -> None:
+        """Drop crashes of upstreams that are still registered.
+
+        Args:
+            expiry: time in seconds for which the store has been reachable and
+                after which a crashed upstream is no longer registered.
+        """
+        now = boot_time()
+        for upstream in self.registry.upstreams.values():
+            requests = self.suspects.crashes.get(_key(upstream))
+            if requests and now - max(requests.values()) > expiry:
+                self._drop(_key(upstream), 'it is still registered', now)
+
+    async def _check(
+        self,
+        upstream: Upstream,
+        candidates: frozenset[Trial],
+        broken_at: float,
+    ) -> None:
+        """Record a crash if the upstream is down and this host is not cut."""
+        if await self.check_connection(upstream) is not False:
+            return
+        if not await self._is_zone_reachable(upstream):
+            log.info(
+                'upstream not reachable, nor others of its zone',
+                extra={'upstream': upstream.name},
+            )
+            return
+        log.warning(
+            'upstream crashed while answers began',
+            extra={
+                'upstream': upstream.name,
+                'requests': sorted(
+                    trial.request.request_id for trial in candidates
+                ),
+            },
+        )
+        self._publish(
+            self.suspects.record_crash(
+                _key(upstream),
+                [trial.traits for trial in candidates],
+                broken_at,
+            )
+        )
+
+    async def _is_zone_reachable(self, upstream: Upstream) -> bool:
+        """Return whether another upstream of the zone accepts connections.
+
+        Without any other upstream in the zone, it is unknown and taken as true.
+        """
+        others = [
+            other
+            for other in self.registry.upstreams.values()
+            if other.availability_zone == upstream.availability_zone
+            and other.name != upstream.name
+        ]
+        if not others:
+            return True
+        chosen = self.generator.sample(others, min(len(others), 2))
+        reached = await asyncio.gather(*map(self.check_connection, chosen))
+        return any(reached)
+
+    def _is_retried(self, request: CallerRequest) -> bool:
+        """Return whether this is the refused request that is tried again."""
+        return (
+            bool(self.retried_id)
+            and request.request_id == self.retried_id
+            and boot_time() < self.retrial_until
+        )
+
+    def _is_in_service(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has not announced that it leaves."""
+        known = self.registry.upstreams.get(upstream.name)
+        return known is not None and not known.draining
+
+    def _refute(self, trial: Trial, now: float) -> None:
+        """Drop crashes of an upstream that an older connection contradicts."""
+        requests = self.suspects.crashes.get(_key(trial.upstream))
+        if requests is None:
+            return
+        crashed_at = max(requests.values())
+        if trial.started_at < crashed_at < now - _TRANSIT_SECONDS:
+            self._drop(_key(trial.upstream), 'it answers', now)
+
+    def _drop(self, key: str, reason: str, now: float) -> None:
+        log.info(
+            'upstream has not crashed; evidence dropped',
+            extra={'upstream': key, 'reason': reason},
+        )
+        self.suspects.refute(key, now)
+
+    def _publish(self, evidence: Evidence) -> None:
+        if evidence:
+            self.on_evidence(evidence)
+
+
+def _key(upstream: Upstream) -> str:
+    """Return a key that differs for each start of an upstream."""
+    if not upstream.started_at:
+        return upstream.name
+    return f'{upstream.name}@{upstream.started_at}'
+
+
+def _ignore(evidence: Evidence) -> None:
+    """Allow evidence before a callback is set."""
+
+
+def _never() -> bool:
+    """Try no refused request again before a callback is set."""
+    return False
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -16,6 +16,7 @@
 from .authorization import Authorizer
 from .balancer import Balancer
 from .connection_pool import ConnectionPool
+from .evidence_sharing import EvidenceSharing
 from .expert_rebalancing import ExpertRebalancer
 from .group_sharing import GroupSharing
 from .listeners import HttpListener
@@ -105,6 +106,9 @@
             self.generator,
         )
         self.peer_reporter.sharing = topic_sharing
+        self.evidence_sharing = EvidenceSharing(
+            self.proxy.crash_detector, self.peer_reporter, self.generator
+        )
         self.peer_reporter.balancer = self.balancer
         self.peer_reporter.on_report = self.proxy.wake_waiting
         self.balancer.on_acquire = self.peer_reporter.report_requested.set
@@ -240,6 +244,7 @@
                 self.generator,
             ).run,
             self.expert_rebalancer.run,
+            self.evidence_sharing.run,
             RankGroupPoller(
                 self.platform.engines,
                 self.routing_state,
@@ -302,9 +307,21 @@
             self.pool.close_idle(
                 frozenset(self.routing_state.registry.upstreams)
             )
+            self._refute_false_crashes()
             self.balancer.host_count = self.peer_reporter.host_count
             self.retry_budget.host_count = self.peer_reporter.host_count
 
+    def _refute_false_crashes(self) -> None:
+        """Drop evidence that the store contradicts, if it is up to date."""
+        now = time.monotonic()
+        expiry = self.settings.upstream_expiry
+        reachable_since = self.routing_state.registry.store_recovered_at
+        if (
+            not self.routing_state.is_stale(now)
+            and now - reachable_since > expiry
+        ):
+            self.proxy.crash_detector.refute_false_crashes(expiry)
+
     async def _drain(self) -> None:
         """Unregister this gateway and finish the requests in progress.
 
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -28,6 +28,8 @@
     8,
 )
 
+_BY_SERVICE = ('service',)
+
 
 class Metrics:
     """Counters, gauges and latency histograms of one gateway."""
@@ -47,24 +49,35 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
+        self.refused_suspects = Counter(
+            'gateway_refused_suspects',
+            'Refusals of requests that are blamed for crashes of upstreams',
+            _BY_SERVICE,
+            registry=self.registry,
+        )
+        self.suspect_traits = Gauge(
+            'gateway_suspect_traits',
+            'Traits of requests with evidence that they crash upstreams',
+            registry=self.registry,
+        )
         self.first_event = Histogram(
             'gateway_first_event_seconds',
             'Time from the request to the first byte of its answer',
-            ('service',),
+            _BY_SERVICE,
             buckets=_BUCKETS_SECONDS,
             registry=self.registry,
         )
         self.waiting = Histogram(
             'gateway_waiting_seconds',
             'Time that a request waited for a place at an upstream',
-            ('service',),
+            _BY_SERVICE,
             buckets=_BUCKETS_SECONDS,
             registry=self.registry,
         )
         self.longest_gap = Histogram(
             'gateway_longest_gap_seconds',
             'Longest pause between events of an answer',
-            ('service',),
+            _BY_SERVICE,
             buckets=_BUCKETS_SECONDS,
             registry=self.registry,
         )
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from ..exceptions import MessageInvalid
+from ..suspects import Evidence
 from .topic_sharing import Announcement
 
 __all__ = (
     'Batch',
+    'PeerMessage',
     'RelayedReport',
     'Report',
     'decode_message',
@@ -55,12 +57,17 @@
     pass_on: bool = False
 
 
-def encode_message(message: Report | Batch) -> bytes:
+PeerMessage = Report | Batch | Evidence
+# Field that only evidence has.
+_EVIDENCE_FIELD = 'crashes'
+
+
+def encode_message(message: PeerMessage) -> bytes:
     """Encode a message as CBOR."""
     return cbor2.dumps(msgspec.to_builtins(message))
 
 
-def decode_message(content: bytes) -> Report | Batch:
+def decode_message(content: bytes) -> PeerMessage:
     """Decode a datagram.
 
     Raises:
@@ -68,6 +75,8 @@
     """
     try:
         decoded = cbor2.loads(content)
+        if isinstance(decoded, dict) and _EVIDENCE_FIELD in decoded:
+            return msgspec.convert(decoded, Evidence)
         if isinstance(decoded, dict):
             return msgspec.convert(decoded, Batch)
         return msgspec.convert(decoded, Report)
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -18,9 +18,16 @@
 import msgspec
 
 from ..exceptions import MessageInvalid
+from ..suspects import Evidence
 from .balancer import Balancer
 from .clocks import boot_time
-from .peer_reports import Batch, Report, decode_message, encode_message
+from .peer_reports import (
+    Batch,
+    PeerMessage,
+    Report,
+    decode_message,
+    encode_message,
+)
 from .report_relay import ReportRelay
 from .topic_sharing import TopicSharing
 
@@ -96,6 +103,8 @@
         self.port = port
         self.balancer: Balancer | None = None
         self.on_report: Callable[[], None] = _do_nothing
+        self.on_evidence: Callable[[Evidence, str], None] = _ignore_evidence
+        self.on_peer: Callable[[str], None] = _ignore_peer
         self.transport: Any = None
         self.peers: dict[str, _Peer] = {}
         self.last_sent: dict[str, int] = {}
@@ -120,6 +129,9 @@
                 extra={'sender': sender[0], 'reason': str(error)},
             )
             return
+        if isinstance(message, Evidence):
+            self.on_evidence(message, sender[0])
+            return
         if isinstance(message, Batch):
             self._receive_batch(message)
         elif message.host != self.host:
@@ -238,6 +250,12 @@
             )
             self._send_message(report, tuple(self.peers))
 
+    def send_evidence(
+        self, evidence: Evidence, addresses: Iterable[str]
+    ) -> None:
+        """Send crash evidence to some of the peers."""
+        self._send_message(evidence, addresses)
+
     def _send_heartbeat(
         self, relay_address: str | None, balancer: Balancer
     ) -> None:
@@ -309,7 +327,7 @@
         )
 
     def _send_message(
-        self, message: Report | Batch, addresses: Iterable[str]
+        self, message: PeerMessage, addresses: Iterable[str]
     ) -> None:
         if self.transport is None:
             return
@@ -359,6 +377,7 @@
                 'peer gateway discovered; reports are sent to it',
                 extra={'peer': report.host},
             )
+            self.on_peer(address)
         elif 0 < known.sequence - report.sequence < _MAX_OVERTAKEN_MS:
             # A report that was passed on arrives after a later direct one.
             return
@@ -396,3 +415,11 @@
 
 def _do_nothing() -> None:
     """Allow calls of ``on_report`` before a callback is set."""
+
+
+def _ignore_evidence(evidence: Evidence, sender: str) -> None:
+    """Allow evidence before a callback is set."""
+
+
+def _ignore_peer(address: str) -> None:
+    """Allow new peers before a callback is set."""
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -8,6 +8,7 @@
 from .authorization import Authorizer
 from .balancer import Balancer
 from .connection_pool import ConnectionPool
+from .crash_detection import CrashDetector
 from .estimates import Estimate
 from .listeners import ResponseWriter
 from .metrics import Metrics
@@ -38,6 +39,9 @@
         retry_budget: RetryBudget,
     ) -> None:
         """Forward requests through ``pool`` to the choices of ``balancer``."""
+        self.crash_detector = CrashDetector(
+            balancer.registry, balancer.generator
+        )
         self.authorizer = authorizer
         self.balancer = balancer
         self.pool = pool
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -193,6 +193,26 @@
             queue.wake_next()
         return reservation
 
+    def _refuse_suspect(self) -> None:
+        """Refuse a request that is blamed for crashes of upstreams.
+
+        Raises:
+            RequestFailed: it is not sent to an upstream, or to no other one.
+        """
+        authorized = self.authorized
+        delay = self.proxy.crash_detector.refusal_delay(
+            authorized.request,
+            authorized.service,
+            authorized.client.name if authorized.client else '',
+        )
+        if delay is None:
+            return
+        self.proxy.metrics.refused_suspects.labels(authorized.service).inc()
+        reason = 'requests like this one have crashed upstreams'
+        if self.may_have_run:
+            raise RequestFailed(reason, Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
+        raise RequestFailed(reason, Verdict.NOT_RUN, UNAVAILABLE, delay)
+
     def _should_not_wait(self, now: float) -> bool:
         """Return whether no upstream works, so that waiting is useless.
 
@@ -219,6 +239,7 @@
         )
 
     def _try_acquire(self, now: float) -> Reservation | None:
+        self._refuse_suspect()
         authorized = self.authorized
         position = self._queue_position(now)
         if not self.proxy.queue(authorized.service).is_next(position):
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -16,6 +16,7 @@
 from .balancer import Reservation
 from .configuration import Execution, Route
 from .connection_pool import UpstreamConnection
+from .crash_detection import Trial
 from .events import Event, EventSplitter
 from .listeners import ResponseWriter
 from .requests import ForwardingInfo, Headers, ResponseHead
@@ -76,8 +77,11 @@
     Attributes:
         unbuffered: whether a response without events exceeded the buffer and
             is forwarded as it arrives.
+        trial: the current attempt, until it is known not to crash the upstream.
     """
 
+    trial: Trial
+
     def __init__(
         self,
         proxy: 'Proxy',
@@ -119,20 +123,36 @@
                 upstream, time.monotonic()
             )
             raise
+        self.trial = self.proxy.crash_detector.start(
+            upstream,
+            self.authorized.request,
+            self.authorized.service,
+            self.authorized.client.name if self.authorized.client else '',
+        )
         try:
             await self._receive(connection, last_attempt)
         except RequestRejected:
             self.proxy.pool.release(connection)
             raise
         except BaseException as error:
-            connection.close()
-            if isinstance(error, ConnectionBroken) and not connection.reused:
-                self.proxy.balancer.health.record_failure(
-                    upstream.name, time.monotonic()
-                )
+            await self._close_broken(connection, error)
             raise
+        finally:
+            self.proxy.crash_detector.end(self.trial)
         self.proxy.pool.release(connection)
 
+    async def _close_broken(
+        self, connection: UpstreamConnection, error: BaseException
+    ) -> None:
+        """Close a connection and record what its end says of the upstream."""
+        ended_by_upstream = connection.ended
+        connection.close()
+        name = connection.upstream.name
+        if isinstance(error, ConnectionBroken) and not connection.reused:
+            self.proxy.balancer.health.record_failure(name, time.monotonic())
+        if ended_by_upstream and isinstance(error, RequestFailed):
+            await self.proxy.crash_detector.record_break(self.trial)
+
     def _forwarding_info(self, name: str) -> ForwardingInfo:
         client = self.authorized.client
         return ForwardingInfo(
@@ -169,6 +189,7 @@
                 GATEWAY_TIMEOUT,
             ) from error
         self.proxy.balancer.health.record_success(name, head.load)
+        self.proxy.crash_detector.record_sound(self.trial)
 
     async def _forward_stream(
         self,
@@ -215,6 +236,9 @@
                 )
             await self.response.send(event.content)
             self.progress.attempt_events += 1
+            self.proxy.crash_detector.record_event(
+                self.trial, self.progress.attempt_events
+            )
             if event.event_id:
                 self.progress.last_event_id = event.event_id
         if deadline is not None:
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -44,7 +44,8 @@
     availability zones to regions. ``grace`` is the time between SIGTERM and
     SIGKILL. Retries of all hosts together are limited to ``repeat_ratio`` of
     the requests plus ``repeat_slack`` within ``repeat_window``. What operators
-    and upstreams publish must be in force within ``max_update_delay``.
+    and upstreams publish must be in force within ``max_update_delay``. Hosts
+    know that an upstream has gone at most ``upstream_expiry`` after its crash.
     """
 
     host: str
@@ -62,4 +63,5 @@
     repeat_slack: float = 0.0
     repeat_window: float = 10.0
     max_update_delay: float = 2.0
+    upstream_expiry: float = 6.6
     response_limits: ResponseLimits = ResponseLimits()
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .exceptions import MessageInvalid
+from .suspects import Evidence, Traits
 from .verdicts import Verdict
 
 __all__ = (
@@ -30,7 +31,6 @@
     'Refused',
     'Snapshot',
     'Start',
-    'Suspect',
     'Suspects',
     'Welcome',
     'decode',
@@ -55,22 +55,6 @@
     accepting: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Suspect:
-    """Crash evidence against requests with one fingerprint.
-
-    ``upstreams`` names the upstreams that crashed while running such a request;
-    if it is empty, one has completed since and the fingerprint is cleared.
-    ``expires_in`` is the remaining lifetime in seconds. ``alone`` is true if no
-    other request ran at the same time.
-    """
-
-    fingerprint: int
-    upstreams: tuple[str, ...]
-    expires_in: float
-    alone: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
     """First message of an entry, with its host and software version."""
@@ -99,7 +83,8 @@
     ``sent_at`` is when the entry sent the message, or, if ``key`` contains no
     time, when the caller's request arrived (Unix seconds). ``run`` is false to
     invalidate a key without running the request. ``refused_by`` names the home
-    agents of the key that have refused it permanently.
+    agents of the key that have refused it permanently. ``prompt_parts`` has a
+    trait for each part of a prompt that other requests may share.
     """
 
     attempt: int
@@ -118,6 +103,12 @@
     sent_at: float
     run: bool = True
     refused_by: tuple[str, ...] = ()
+    prompt_parts: tuple[int, ...] = ()
+
+    @property
+    def traits(self) -> Traits:
+        """Return the traits that crash evidence is kept by."""
+        return frozenset((self.fingerprint, *self.prompt_parts))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,7 +219,7 @@
 class Suspects:
     """Crash evidence for the receiver to use and forward."""
 
-    rows: tuple[Suspect, ...]
+    evidence: Evidence
 
 
 Message: TypeAlias = (
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -40,6 +40,14 @@
     address: str
 
 
+# Interval in milliseconds at which upstreams write their entries, and number of
+# missed ones after which the store removes an entry.
+_DEFAULT_HEARTBEAT_MS = 1200
+_MISSED_HEARTBEATS_COUNT = 3
+# Covers the time in which a removal becomes known to all hosts.
+_REMOVAL_MARGIN_SECONDS = 3
+
+
 class _PlatformSettings(msgspec.Struct, rename='camel'):
     node: Annotated[str, msgspec.Meta(min_length=1)]
     ip: str
@@ -50,6 +58,7 @@
     internal_ports: tuple[_Port, ...] = ()
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    heartbeat_ms: _NonNegativeFloat = _DEFAULT_HEARTBEAT_MS
 
 
 def settings_path() -> str:
@@ -104,6 +113,10 @@
         repeat_window=bounds.budget_window_s,
         max_update_delay=min(bounds.drain_ms, bounds.config_ms)
         / _MS_PER_SECOND,
+        upstream_expiry=_MISSED_HEARTBEATS_COUNT
+        * settings.heartbeat_ms
+        / _MS_PER_SECOND
+        + _REMOVAL_MARGIN_SECONDS,
     )
 
 
--- a/primroseyoke/state_dumps.py
+++ b/primroseyoke/state_dumps.py
@@ -59,7 +59,7 @@
         'foreign_running': admission.untracked_running,
         'restarts_seen': admission.restart_count,
         'unreachable': actor.unreachable,
-        'suspects': len(actor.crash_detector.suspects.evidence),
+        'suspects': len(actor.crash_detector.suspects.blame),
         'keys': len(actor.keys.rows),
         'keys_floor': repr(actor.keys.floor),
         'answers': _agent_responses(actor),
--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -1,227 +1,432 @@
-"""Crash evidence by request fingerprint, shared by entries and agents.
+"""Crash evidence by the traits of requests, for all processes that forward them.
 
-A request that crashes its upstream is retried by an entry or its caller and
-would crash one upstream after another. A suspected request runs exclusively, so
-that the next crash shows whether it is the cause.
+A request that crashes its upstream is sent again and would crash one upstream
+after another, and so would others that have the same cause in common. Evidence
+is therefore kept by trait: the fingerprint of a whole request, and each part of
+its prompt that other requests may share. Every process keeps a table of its own
+and tells the others what is new.
 """
 
+import collections
 import dataclasses
 import enum
-import types
+import hashlib
 from collections.abc import Iterable, Mapping
-
-from .messages import Suspect
-
-__all__ = ('Classification', 'SuspectTable')
+from typing import Annotated
+
+import msgspec
+
+__all__ = (
+    'NO_EVIDENCE',
+    'Clearance',
+    'Classification',
+    'Crash',
+    'Evidence',
+    'SuspectTable',
+    'Traits',
+    'UNKNOWN_REQUEST',
+    'trait',
+)
 
 EVIDENCE_LIFETIME_SECONDS = 600.0
-#: A request is refused after crashes of this many distinct upstreams, if it ran
-#: alone on at least one of them.
-REFUSAL_CRASH_COUNT = 2
-# Copies of one crash report arrive over several links with different delays,
-# so their times differ. After this interval a report counts as another crash.
+#: A trait is blamed after crashes of this many distinct upstreams if all
+#: requests that may have caused one of them have it.
+CERTAIN_CRASH_COUNT = 2
+#: A trait is blamed after crashes of this many distinct upstreams in any case.
+POSSIBLE_CRASH_COUNT = 3
+# Copies of one crash report arrive with different delays, so their times
+# differ. After this interval a report counts as another crash.
 _DUPLICATE_REPORT_SECONDS = 10.0
+# Reports of several hosts about one crash differ by less than this. An upstream
+# takes longer to start again.
+_SAME_CRASH_SECONDS = 1.0
+# A refused request may be tried again this long after the second crash. The
+# time doubles with each further crash.
+_FIRST_TRIAL_DELAY_SECONDS = 30.0
+_TRAIT_BYTES = 8
+_NEVER = float('-inf')
+
+#: The traits of one request.
+Traits = frozenset[int]
+#: Stands for a request at a crashed upstream whose traits are not known.
+UNKNOWN_REQUEST: Traits = frozenset()
+
+_Age = Annotated[float, msgspec.Meta(ge=0)]
+_Trait = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class Classification(enum.Enum):
     """Classification of a request by its crash evidence."""
 
     CLEAR = 'clear'
-    #: It may have caused a crash, so it runs exclusively.
+    #: It may have caused a crash.
     SUSPECT = 'suspect'
     #: It has caused crashes, so it is not run again.
     REFUSED = 'refused'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Crash:
-    crashed_at: float
-    alone: bool
+class Crash:
+    """A crash of an upstream ``age`` seconds ago.
+
+    ``requests`` has the traits of each request that may have caused it; one
+    without traits is unknown.
+    """
+
+    upstream: str
+    requests: tuple[tuple[_Trait, ...], ...]
+    age: _Age
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clearance:
+    """A request with a trait was answered ``age`` seconds ago."""
+
+    trait: _Trait
+    age: _Age
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """Crashes and clearances that one process tells another."""
+
+    crashes: tuple[Crash, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
+
+    def __bool__(self) -> bool:
+        """Return whether there is anything to tell."""
+        return bool(self.crashes or self.clearances)
+
+    def traits(self) -> set[int]:
+        """Return the traits that it is about."""
+        found = {clearance.trait for clearance in self.clearances}
+        for crash in self.crashes:
+            found.update(*crash.requests)
+        return found
+
+
+NO_EVIDENCE = Evidence()
+
+
+def trait(*texts: bytes) -> int:
+    """Return a trait that identifies ``texts``; 64 bits."""
+    digest = hashlib.blake2b(digest_size=_TRAIT_BYTES)
+    for text in texts:
+        digest.update(b'%d:' % len(text))
+        digest.update(text)
+    return int.from_bytes(digest.digest(), 'big')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Evidence:
-    """Crash evidence of one fingerprint; times are in monotonic seconds."""
+class _Blame:
+    """Crashes that one trait may have caused."""
+
+    crashed_at: Mapping[str, float]
+    is_certain: bool
 
-    crashes: Mapping[str, _Crash]
-    cleared_at: float
+    @property
+    def count(self) -> int:
+        return len(self.crashed_at)
 
-    def changed_at(self) -> float:
-        times = [crash.crashed_at for crash in self.crashes.values()]
-        return max([self.cleared_at, *times])
+    @property
+    def is_sufficient(self) -> bool:
+        if self.is_certain and self.count >= CERTAIN_CRASH_COUNT:
+            return True
+        return self.count >= POSSIBLE_CRASH_COUNT
 
 
-_NO_EVIDENCE = _Evidence(types.MappingProxyType({}), float('-inf'))
+_NO_BLAME = _Blame({}, is_certain=False)
+# Number of crashes of the most suspicious trait, time of the crash, upstream, and
+# traits of a request.
+_Row = tuple[int, float, str, Traits]
 
 
 class SuspectTable:
     """Crash evidence known to one process.
 
     Methods that modify the table must be called from a single thread;
-    ``classify`` and ``snapshot`` are thread-safe. ``now`` is the monotonic time
-    of this process.
+    ``classify`` and ``snapshot`` are thread-safe. ``now`` is in seconds, on a
+    clock that does not jump; if the process can be suspended, on one that
+    counts that time.
+
+    Attributes:
+        crashes: time of the crash by upstream and by the traits of a request
+            that may have caused it.
+        cleared_at: time of the last answer by trait.
+        refuted_at: time at which an upstream was known not to have crashed.
     """
 
-    def __init__(self, max_fingerprints: int = 4096) -> None:
-        """Start empty; beyond ``max_fingerprints`` the oldest are evicted."""
-        self.max_fingerprints = max_fingerprints
-        self.evidence: dict[int, _Evidence] = {}
+    def __init__(self, max_requests: int = 512) -> None:
+        """Start empty; keep the traits of at most ``max_requests``."""
+        self.max_requests = max_requests
+        self.crashes: dict[str, dict[Traits, float]] = {}
+        self.cleared_at: dict[int, float] = {}
+        self.refuted_at: dict[str, float] = {}
+        self.blame: dict[int, _Blame] = {}
 
     def record_crash(
         self,
-        fingerprint: int,
         upstream: str,
-        alone: bool,
+        requests: Iterable[Traits],
         now: float,
-    ) -> tuple[Suspect, ...]:
+    ) -> Evidence:
         """Record a crash; return the evidence to broadcast.
 
         Args:
-            fingerprint: fingerprint of a request that ran on ``upstream``.
             upstream: the upstream that crashed.
-            alone: whether no other request ran concurrently at any time.
-            now: monotonic seconds.
+            requests: traits of each request that may have caused the crash.
+            now: time of the crash in seconds.
         """
-        suspect = Suspect(
-            fingerprint, (upstream,), EVIDENCE_LIFETIME_SECONDS, alone
-        )
-        return self.merge((suspect,), now)
+        rows = tuple(tuple(sorted(traits)) for traits in requests)
+        return self.merge(Evidence((Crash(upstream, rows, 0),)), now)
 
-    def clear(self, fingerprint: int, now: float) -> tuple[Suspect, ...]:
-        """Drop the evidence of a request that completed.
+    def clear(self, traits: Traits, now: float) -> Evidence:
+        """Drop the evidence against the traits of a request that was answered.
 
         Returns:
             The evidence to broadcast, empty if there was none to drop.
         """
-        if self.classify(fingerprint, now) is Classification.CLEAR:
-            return ()
+        known = sorted(traits & self.blame.keys())
         return self.merge(
-            (Suspect(fingerprint, (), EVIDENCE_LIFETIME_SECONDS),), now
+            Evidence((), tuple(Clearance(each, 0) for each in known)), now
         )
 
-    def merge(
-        self,
-        suspects: Iterable[Suspect],
-        now: float,
-    ) -> tuple[Suspect, ...]:
-        """Merge evidence from a peer; return what is new, to be broadcast."""
-        changed = []
-        for suspect in suspects:
-            evidence = self.evidence.get(suspect.fingerprint, _NO_EVIDENCE)
-            merged = _merge_evidence(evidence, suspect, now)
-            if merged is not evidence:
-                self.evidence.pop(suspect.fingerprint, None)
-                self.evidence[suspect.fingerprint] = merged
-                changed.append(suspect)
-        if changed:
-            self._evict(now)
-        return tuple(changed)
-
-    def classify(self, fingerprint: int, now: float) -> Classification:
-        """Classify a request by its evidence.
-
-        Crashes that happened while other requests were running are not enough
-        to refuse one: a popular request runs on several upstreams at once and
-        may run beside copies of the actual cause on two of them.
+    def refute(self, upstream: str, now: float) -> None:
+        """Drop all crashes of an upstream until now: it has not crashed."""
+        if upstream in self.crashes:
+            self.refuted_at[upstream] = now
+            self._update(now)
+
+    def merge(self, evidence: Evidence, now: float) -> Evidence:
+        """Merge evidence of a peer; return what is new, to be broadcast."""
+        crashes = tuple(
+            crash
+            for crash in evidence.crashes
+            if self._merge_crash(crash, now - crash.age, now)
+        )
+        clearances = tuple(
+            clearance
+            for clearance in evidence.clearances
+            if self._merge_clearance(clearance.trait, now - clearance.age, now)
+        )
+        if crashes or clearances:
+            self._update(now)
+        return Evidence(crashes, clearances)
+
+    def classify(self, traits: Traits, now: float) -> Classification:
+        """Classify a request by the evidence against its traits.
+
+        A trait with sufficient evidence is no reason to refuse a request if
+        another trait, which the request does not have, was there at each of
+        these crashes: sound requests share parts with crashing ones.
         """
-        evidence = self.evidence.get(fingerprint)
-        crashes = _unexpired_crashes(evidence, now) if evidence else {}
-        if not crashes:
+        blame = self.blame
+        suspected = [each for each in traits if each in blame]
+        if not any(_is_current(blame[each], now) for each in suspected):
             return Classification.CLEAR
-        crashed_alone = any(crash.alone for crash in crashes.values())
-        if crashed_alone and len(crashes) >= REFUSAL_CRASH_COUNT:
-            return Classification.REFUSED
+        for each in suspected:
+            if blame[each].is_sufficient and not self._is_explained_by_others(
+                each, traits, blame
+            ):
+                return Classification.REFUSED
         return Classification.SUSPECT
 
-    def snapshot(self, now: float) -> tuple[Suspect, ...]:
-        """Return all evidence for a new peer, clearances included."""
-        suspects = []
-        for fingerprint, evidence in tuple(self.evidence.items()):
-            expires_in = _remaining_lifetime(evidence.cleared_at, now)
-            if expires_in > 0:
-                suspects.append(Suspect(fingerprint, (), expires_in))
-            suspects.extend(
-                Suspect(
-                    fingerprint,
-                    (name,),
-                    _remaining_lifetime(crash.crashed_at, now),
-                    crash.alone,
+    def next_trial_at(self, traits: Traits) -> float:
+        """Return when a refused request may be tried again, in seconds.
+
+        The cause may have been removed, or the evidence be a coincidence.
+        """
+        return max(
+            (
+                max(blame.crashed_at.values())
+                + _FIRST_TRIAL_DELAY_SECONDS
+                * 2 ** (blame.count - CERTAIN_CRASH_COUNT)
+                for each in traits
+                if (blame := self.blame.get(each, _NO_BLAME)).is_sufficient
+            ),
+            default=0,
+        )
+
+    def snapshot(self, now: float, max_requests: int | None = None) -> Evidence:
+        """Return the evidence for a peer, clearances included.
+
+        Args:
+            now: time in seconds.
+            max_requests: maximum number of requests at crashed upstreams;
+                those that suffice to blame a trait come first.
+        """
+        rows = sorted(
+            (
+                (self._weight(requests), crashed_at, upstream, requests)
+                for upstream, requests, crashed_at in self._rows()
+            ),
+            key=lambda row: row[:2],
+            reverse=True,
+        )
+        if max_requests is not None:
+            rows = self._sufficient_first(rows)
+        chosen = rows[:max_requests]
+        traits = {each for row in chosen for each in row[3]}
+        return Evidence(
+            tuple(
+                Crash(
+                    upstream,
+                    (tuple(sorted(requests)),),
+                    max(now - crashed_at, 0),
                 )
-                for name, crash in _unexpired_crashes(evidence, now).items()
+                for _, crashed_at, upstream, requests in chosen
+            ),
+            tuple(
+                Clearance(each, max(now - cleared_at, 0))
+                for each, cleared_at in tuple(self.cleared_at.items())
+                if max_requests is None or each in traits
+            ),
+        )
+
+    def _sufficient_first(self, rows: list[_Row]) -> list[_Row]:
+        """Move what goes beyond sufficient evidence for a trait to the end."""
+        counts: collections.Counter[int] = collections.Counter()
+        ordered = []
+        for place, row in enumerate(rows):
+            leading = max(row[3], key=self._count_of, default=0)
+            counts[leading] += 1
+            is_surplus = counts[leading] > POSSIBLE_CRASH_COUNT
+            ordered.append((is_surplus, place, row))
+        return [item[2] for item in sorted(ordered, key=lambda item: item[:2])]
+
+    def _count_of(self, each: int) -> int:
+        return self.blame.get(each, _NO_BLAME).count
+
+    def _merge_crash(self, crash: Crash, crashed_at: float, now: float) -> bool:
+        """Add a crash; return whether it is new."""
+        if now - crashed_at >= EVIDENCE_LIFETIME_SECONDS:
+            return False
+        if crashed_at <= self.refuted_at.get(crash.upstream, _NEVER):
+            return False
+        known = self.crashes.setdefault(crash.upstream, {})
+        is_new = False
+        for traits in map(frozenset, crash.requests):
+            # Once all is cleared, the report would be kept for nothing.
+            cleared = traits and all(
+                crashed_at <= self.cleared_at.get(each, _NEVER)
+                for each in traits
             )
-        return tuple(suspects)
+            previous = known.get(traits, _NEVER)
+            if not cleared and crashed_at > (
+                previous + _DUPLICATE_REPORT_SECONDS
+            ):
+                known[traits] = crashed_at
+                is_new = True
+        return is_new
+
+    def _merge_clearance(self, each: int, at: float, now: float) -> bool:
+        """Add a clearance; return whether it is new."""
+        if now - at >= EVIDENCE_LIFETIME_SECONDS:
+            return False
+        previous = self.cleared_at.get(each, _NEVER)
+        drops_evidence = any(
+            crashed_at <= at
+            for crashed_at in self.blame.get(
+                each, _NO_BLAME
+            ).crashed_at.values()
+        )
+        # A repeated clearance that drops no evidence is not broadcast again.
+        is_new = drops_evidence or at > previous + _DUPLICATE_REPORT_SECONDS
+        if is_new:
+            self.cleared_at[each] = max(at, previous)
+        return is_new
+
+    def _update(self, now: float) -> None:
+        """Remove what has expired and count the crashes of each trait."""
+        self._expire(now)
+        self.blame = self._count_crashes()
+        excess = sum(map(len, self.crashes.values())) - self.max_requests
+        if excess > 0:
+            self._evict(excess)
+            self.blame = self._count_crashes()
+
+    def _expire(self, now: float) -> None:
+        oldest = now - EVIDENCE_LIFETIME_SECONDS
+        self.cleared_at = {
+            each: at for each, at in self.cleared_at.items() if at > oldest
+        }
+        self.refuted_at = {
+            name: at for name, at in self.refuted_at.items() if at > oldest
+        }
+        crashes = {
+            upstream: {
+                traits: crashed_at
+                for traits, crashed_at in requests.items()
+                if crashed_at
+                > max(oldest, self.refuted_at.get(upstream, oldest))
+            }
+            for upstream, requests in self.crashes.items()
+        }
+        self.crashes = {
+            upstream: requests
+            for upstream, requests in crashes.items()
+            if requests
+        }
 
-    def _evict(self, now: float) -> None:
-        self.evidence = {
-            fingerprint: evidence
-            for fingerprint, evidence in self.evidence.items()
-            if _remaining_lifetime(evidence.changed_at(), now) > 0
+    def _evict(self, excess: int) -> None:
+        """Remove the oldest of the requests with the weakest evidence."""
+        rows = sorted(
+            self._rows(),
+            key=lambda row: (self._weight(row[1]), row[2]),
+        )
+        for upstream, traits, _ in rows[:excess]:
+            self.crashes[upstream].pop(traits)
+
+    def _rows(self) -> list[tuple[str, Traits, float]]:
+        return [
+            (upstream, traits, crashed_at)
+            for upstream, requests in tuple(self.crashes.items())
+            for traits, crashed_at in tuple(requests.items())
+        ]
+
+    def _weight(self, traits: Traits) -> int:
+        """Return the number of crashes of the most suspicious trait."""
+        return max(map(self._count_of, traits), default=0)
+
+    def _count_crashes(self) -> dict[int, _Blame]:
+        times: dict[int, dict[str, float]] = {}
+        for upstream, traits, crashed_at in self._rows():
+            for each in traits:
+                if crashed_at > self.cleared_at.get(each, _NEVER):
+                    by_upstream = times.setdefault(each, {})
+                    by_upstream[upstream] = max(
+                        crashed_at, by_upstream.get(upstream, crashed_at)
+                    )
+        return {
+            suspected: _Blame(found, self._is_certain(suspected, found))
+            for suspected, found in times.items()
         }
-        for fingerprint in tuple(self.evidence)[: -self.max_fingerprints]:
-            self.evidence.pop(fingerprint)
-
-
-def _remaining_lifetime(occurred_at: float, now: float) -> float:
-    return EVIDENCE_LIFETIME_SECONDS - (now - occurred_at)
-
-
-def _unexpired_crashes(evidence: _Evidence, now: float) -> dict[str, _Crash]:
-    return {
-        upstream: crash
-        for upstream, crash in evidence.crashes.items()
-        if _remaining_lifetime(crash.crashed_at, now) > 0
-    }
-
-
-def _merge_evidence(
-    evidence: _Evidence, suspect: Suspect, now: float
-) -> _Evidence:
-    """Return the merged evidence, the same object if nothing is new."""
-    occurred_at = (
-        now
-        - EVIDENCE_LIFETIME_SECONDS
-        + min(suspect.expires_in, EVIDENCE_LIFETIME_SECONDS)
-    )
-    if not suspect.upstreams:
-        return _apply_clearance(evidence, occurred_at)
-    if (
-        occurred_at <= evidence.cleared_at
-        or _remaining_lifetime(occurred_at, now) <= 0
-    ):
-        return evidence
-    crashes = {
-        upstream: _merge_crash(
-            evidence.crashes.get(upstream), occurred_at, suspect.alone
+
+    def _is_certain(self, each: int, crashed_at: Mapping[str, float]) -> bool:
+        """Return whether all requests at one of the crashes have the trait."""
+        return any(
+            all(
+                each in traits
+                for traits, at in self.crashes[upstream].items()
+                if abs(at - crash_time) < _SAME_CRASH_SECONDS
+            )
+            for upstream, crash_time in crashed_at.items()
+        )
+
+    def _is_explained_by_others(
+        self, each: int, traits: Traits, blame: Mapping[int, _Blame]
+    ) -> bool:
+        """Return whether another trait was there at all crashes of this one."""
+        crashed = blame[each].crashed_at.keys()
+        requests = tuple(self.crashes.get(next(iter(crashed)), ()))
+        others = {other for request in requests for other in request}
+        return any(
+            crashed <= blame[other].crashed_at.keys()
+            for other in others
+            if other in blame and other not in traits
         )
-        for upstream in suspect.upstreams
-    }
-    if crashes.items() <= evidence.crashes.items():
-        return evidence
-    merged = types.MappingProxyType({**evidence.crashes, **crashes})
-    return _Evidence(merged, evidence.cleared_at)
-
-
-def _apply_clearance(evidence: _Evidence, occurred_at: float) -> _Evidence:
-    remaining = {
-        upstream: crash
-        for upstream, crash in evidence.crashes.items()
-        if crash.crashed_at > occurred_at
-    }
-    # A repeated clearance that drops no evidence is not broadcast again.
-    is_new = occurred_at > evidence.cleared_at + _DUPLICATE_REPORT_SECONDS
-    if len(remaining) == len(evidence.crashes) and not is_new:
-        return evidence
-    return _Evidence(
-        types.MappingProxyType(remaining), max(occurred_at, evidence.cleared_at)
-    )
-
-
-def _merge_crash(
-    known: _Crash | None, occurred_at: float, alone: bool
-) -> _Crash:
-    """Merge a crash report with the known crash of the same upstream."""
-    if known is None:
-        return _Crash(occurred_at, alone)
-    if occurred_at > known.crashed_at + _DUPLICATE_REPORT_SECONDS:
-        return _Crash(occurred_at, alone or known.alone)
-    return dataclasses.replace(known, alone=alone or known.alone)
+
+
+def _is_current(blame: _Blame, now: float) -> bool:
+    newest = max(blame.crashed_at.values())
+    return now - newest < EVIDENCE_LIFETIME_SECONDS
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -73,6 +73,8 @@
 class UpstreamConnection:
     """Connection that carries one request to an emulated rank."""
 
+    ended = False
+
     def __init__(self, upstream, group, rank, generator):
         self.upstream = upstream
         self.reused = True
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -5,31 +5,41 @@
 
 from primroseyoke.suspects import (
     EVIDENCE_LIFETIME_SECONDS,
+    UNKNOWN_REQUEST,
     Classification,
+    Crash,
+    Evidence,
     SuspectTable,
 )
 
-CRASH_A_SHARED = ('crash', 'a', False)
-CRASH_A_ALONE = ('crash', 'a', True)
-CRASH_B_ALONE = ('crash', 'b', True)
-CRASH_B_SHARED = ('crash', 'b', False)
-CLEAR = ('clear', '', False)
-
+# Candidates for the cause of a crash: the request with the trait 7 alone, or
+# beside one without it.
+SHARED = (frozenset({7}), frozenset({8}))
+ALONE = (frozenset({7}),)
+CRASH_A_SHARED = ('a', SHARED)
+CRASH_A_ALONE = ('a', ALONE)
+CRASH_B_ALONE = ('b', ALONE)
+CRASH_B_SHARED = ('b', SHARED)
+CRASH_C_SHARED = ('c', SHARED)
+CRASH_A_UNKNOWN = ('a', (frozenset({7}), UNKNOWN_REQUEST))
+CLEAR = ('', (frozenset({7, 8}),))
+
+REQUESTS = st.frozensets(st.integers(1, 3), max_size=3)
 EVENTS = st.tuples(
-    st.sampled_from(
-        [CRASH_A_SHARED, CRASH_A_ALONE, CRASH_B_ALONE, CRASH_B_SHARED, CLEAR]
+    st.tuples(
+        st.sampled_from(['a', 'b', 'c', '']),
+        st.lists(REQUESTS, min_size=1, max_size=3),
     ),
     st.integers(0, 3),
-    st.integers(1, 2),
     st.floats(0.1, 400),
 )
 
 
-def apply_event(table, event, fingerprint, now):
-    kind, upstream, alone = event
-    if kind == 'clear':
-        return table.clear(fingerprint, now)
-    return table.record_crash(fingerprint, upstream, alone, now)
+def apply_event(table, event, now):
+    upstream, requests = event
+    if upstream:
+        return table.record_crash(upstream, requests, now)
+    return table.clear(requests[0], now)
 
 
 @pytest.mark.parametrize(
@@ -39,6 +49,11 @@
         ([CRASH_A_ALONE], Classification.SUSPECT),
         ([CRASH_A_ALONE, CRASH_A_ALONE], Classification.SUSPECT),
         ([CRASH_A_SHARED, CRASH_B_SHARED], Classification.SUSPECT),
+        ([CRASH_A_UNKNOWN, CRASH_B_SHARED], Classification.SUSPECT),
+        (
+            [CRASH_A_SHARED, CRASH_B_SHARED, CRASH_C_SHARED],
+            Classification.REFUSED,
+        ),
         ([CRASH_A_SHARED, CRASH_B_ALONE], Classification.REFUSED),
         ([CRASH_A_ALONE, CRASH_B_SHARED], Classification.REFUSED),
         ([CRASH_A_SHARED, CLEAR, CRASH_B_ALONE], Classification.SUSPECT),
@@ -49,10 +64,12 @@
     """Guards against refusal without proof, and crashing requests that run."""
     table = SuspectTable()
     for now, event in enumerate(events):
-        apply_event(table, event, 7, now)
-    assert table.classify(7, 10) is classification
+        apply_event(table, event, now)
+    # The other request is not at hand as an explanation.
+    traits = frozenset({7, 8})
+    assert table.classify(traits, 10) is classification
     assert (
-        table.classify(7, 10 + EVIDENCE_LIFETIME_SECONDS)
+        table.classify(traits, 10 + EVIDENCE_LIFETIME_SECONDS)
         is Classification.CLEAR
     )
 
@@ -63,11 +80,11 @@
     It must not restore what a completed request has cleared.
     """
     table = SuspectTable()
-    apply_event(table, CRASH_A_SHARED, 7, 0)
+    apply_event(table, CRASH_A_ALONE, 0)
     stale = table.snapshot(0)
-    apply_event(table, CLEAR, 7, 5)
+    apply_event(table, CLEAR, 5)
     assert not table.merge(stale, 5 - 1)
-    assert table.classify(7, 6) is Classification.CLEAR
+    assert table.classify(frozenset({7}), 6) is Classification.CLEAR
 
 
 @given(st.lists(EVENTS, max_size=12))
@@ -78,10 +95,10 @@
     """
     tables = [SuspectTable() for _ in range(4)]
     clock = 0.0
-    for event, index, fingerprint, elapsed in events:
+    for event, index, elapsed in events:
         clock += elapsed
-        rows = apply_event(tables[index], event, fingerprint, clock + index)
-        messages = [(index, rows)]
+        evidence = apply_event(tables[index], event, clock + index)
+        messages = [(index, evidence)]
         for _ in range(9):
             messages = [
                 (neighbour, tables[neighbour].merge(changed, clock + neighbour))
@@ -93,9 +110,9 @@
     joined = SuspectTable()
     # The clock of the fifth process is four seconds ahead.
     joined.merge(tables[0].snapshot(clock), clock + 4)
-    for fingerprint in (1, 2):
+    for traits in ({1}, {2}, {1, 2}, {1, 2, 3}):
         classifications = {
-            table.classify(fingerprint, clock + index)
+            table.classify(frozenset(traits), clock + index)
             for index, table in enumerate([*tables, joined])
         }
         assert len(classifications) == 1
@@ -103,7 +120,114 @@
 
 def test_table_is_bounded():
     """Guards against memory that grows with the number of crashes."""
-    table = SuspectTable(max_fingerprints=10)
-    for fingerprint in range(30):
-        table.record_crash(fingerprint, 'a', alone=False, now=0)
-    assert sorted(table.evidence) == list(range(20, 30))
+    table = SuspectTable(max_requests=10)
+    for number in range(30):
+        table.record_crash(f'u-{number}', [frozenset({number})], now=number)
+    assert set(table.blame) == set(range(20, 30))
+
+
+def test_eviction_keeps_the_strongest_evidence():
+    """Guards against crashes that push out what shows the cause of others."""
+    table = SuspectTable(max_requests=10)
+    for name in ('a', 'b'):
+        table.record_crash(name, [frozenset({7})], now=0)
+    for number in range(30):
+        table.record_crash(f'u-{number}', [frozenset({100 + number})], now=1)
+    assert table.classify(frozenset({7}), 2) is Classification.REFUSED
+
+
+STYLE, BAD, SHEET, OTHER = 1, 2, 3, 4
+
+
+def crash_of_both_groups(table, *others):
+    """Record crashes by requests with the bad part, beside ``others``."""
+    for upstream in ('a', 'b'):
+        table.record_crash(upstream, [frozenset({STYLE, BAD}), *others], 0)
+
+
+def test_sound_requests_share_parts_with_crashing_ones():
+    """Guards against refusal of all requests that begin like crashing ones."""
+    table = SuspectTable()
+    crash_of_both_groups(table)
+    refused = frozenset({STYLE, BAD, SHEET})
+    assert table.classify(refused, 1) is Classification.REFUSED
+    sound = frozenset({STYLE, SHEET})
+    assert table.classify(sound, 1) is Classification.SUSPECT
+    table.clear(sound, 2)
+    assert table.classify(sound, 3) is Classification.CLEAR
+    assert table.classify(refused, 3) is Classification.REFUSED
+
+
+def test_cause_is_the_part_that_is_at_all_crashes():
+    """Guards against crashing requests that vary their other parts.
+
+    A popular part may be at each crash as well, until it is answered.
+    """
+    table = SuspectTable()
+    for upstream, part in (('a', SHEET), ('b', OTHER), ('c', STYLE)):
+        crashing = frozenset({part, BAD})
+        table.record_crash(upstream, [crashing, frozenset({STYLE})], 0)
+    table.clear(frozenset({STYLE}), 0.5)
+    assert table.classify(frozenset({BAD, 9}), 1) is Classification.REFUSED
+    for part in (SHEET, OTHER):
+        sound = table.classify(frozenset({part, 9}), 1)
+        assert sound is Classification.SUSPECT
+
+
+def test_sound_requests_at_many_crashes_are_served_again():
+    """Guards against a popular part that is blamed when many upstreams end.
+
+    A whole zone ends while each of its upstreams begins to answer requests
+    with this part. One answer elsewhere shows that it is not the cause.
+    """
+    table = SuspectTable()
+    for number in range(8):
+        requests = [frozenset({STYLE, 100 + number}), frozenset({STYLE})]
+        table.record_crash(f'u-{number}', requests, 0)
+    table.clear(frozenset({STYLE, 500}), 0.2)
+    assert table.classify(frozenset({STYLE, 9}), 1) is Classification.CLEAR
+
+
+def test_false_crash_is_refuted():
+    """Guards against evidence of a host that was cut off itself.
+
+    It saw all its connections break. The upstreams are known to live later on,
+    and the same report that comes once more counts for nothing.
+    """
+    table = SuspectTable()
+    crash_of_both_groups(table)
+    stale = table.snapshot(1)
+    for upstream in ('a', 'b'):
+        table.refute(upstream, 2)
+    traits = frozenset({STYLE, BAD})
+    assert table.classify(traits, 3) is Classification.CLEAR
+    assert not table.merge(stale, 2)
+    # A crash after that counts.
+    crash = Crash('a', ((STYLE, BAD),), 0)
+    assert table.merge(Evidence((crash,)), 20)
+    assert table.classify(traits, 20) is Classification.SUSPECT
+
+
+def test_refused_request_is_tried_again_ever_more_rarely():
+    """Guards against a trait that stays refused after its fault was mended."""
+    table = SuspectTable()
+    delays = []
+    for number in range(4):
+        table.record_crash(f'u-{number}', ALONE, 1000)
+        delays.append(table.next_trial_at(frozenset({7, 9})) - 1000)
+    assert delays == [-1000, 30, 60, 120]
+
+
+def test_part_of_a_snapshot_has_the_strongest_evidence():
+    """Guards against messages that grow with the crashes of a deployment."""
+    table = SuspectTable()
+    crash_of_both_groups(table)
+    for number in range(50):
+        table.record_crash(f'u-{number}', [frozenset({100 + number})], 1)
+    part = table.snapshot(2, max_requests=5)
+    assert len(part.crashes) == 5
+    assert {crash.upstream for crash in part.crashes} >= {'a', 'b'}
+    joined = SuspectTable()
+    joined.merge(part, 2)
+    traits = frozenset({STYLE, BAD})
+    assert joined.classify(traits, 2) is Classification.REFUSED
