Do not send a request again that alone may have crashed an upstream

Callers lost both rank groups to one request: the gateway sent a draft whose upstream had just crashed to the other group within 0.3 s, and its group crashed too. That one request also leaves open whether it or a part of its prompt is the cause, which costs a third crash.

Requests beside others are still sent again.

The first of the two new tests failed before.

--- a/primroseyoke/gateway/crash_detection.py
+++ b/primroseyoke/gateway/crash_detection.py
@@ -163,16 +163,20 @@
         if not trials:
             self.trials.pop(_key(trial.upstream), None)
 
-    async def record_break(self, trial: Trial) -> None:
+    async def record_break(self, trial: Trial) -> bool:
         """Find out whether the upstream crashed when a connection broke.
 
         It returns when the evidence has been recorded, so that the request is
         not sent to another upstream before. The check goes on if the caller
         disconnects.
+
+        Returns:
+            Whether the upstream crashed and no other request is known that may
+            be the cause.
         """
         key = _key(trial.upstream)
         if trial.is_sound or not self._is_in_service(trial.upstream):
-            return
+            return False
         check = self.checks.get(key)
         if check is None:
             candidates = frozenset(self.trials.get(key, ()))
@@ -182,6 +186,7 @@
             self.checks[key] = check
             check.add_done_callback(lambda _: self.checks.pop(key))
         await asyncio.shield(check)
+        return self.suspects.crashes.get(key, {}).keys() == {trial.traits}
 
     def refusal_delay(
         self, request: CallerRequest, service: str, client: str
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -78,6 +78,7 @@
         unbuffered: whether a response without events exceeded the buffer and
             is forwarded as it arrives.
         trial: the current attempt, until it is known not to crash the upstream.
+        blamed: whether the request alone may have crashed an upstream.
     """
 
     trial: Trial
@@ -95,6 +96,7 @@
         self.response = response
         self.progress = progress
         self.unbuffered = False
+        self.blamed = False
 
     async def run(self, reservation: Reservation, last_attempt: bool) -> None:
         """Send the request and forward the response.
@@ -151,7 +153,8 @@
         if isinstance(error, ConnectionBroken) and not connection.reused:
             self.proxy.balancer.health.record_failure(name, time.monotonic())
         if ended_by_upstream and isinstance(error, RequestFailed):
-            await self.proxy.crash_detector.record_break(self.trial)
+            detector = self.proxy.crash_detector
+            self.blamed = await detector.record_break(self.trial)
 
     def _forwarding_info(self, name: str) -> ForwardingInfo:
         client = self.authorized.client
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -92,3 +92,58 @@
             assert set(sound) == {200}
 
     asyncio.run(scenario())
+
+
+def test_only_possible_cause_of_a_crash_is_not_sent_again() -> None:
+    """Guards against two groups of upstreams lost to one request."""
+
+    async def scenario() -> None:
+        async with deployment(model=(crash_on_bad_part,) * 3) as system:
+            await send(system, 'style', 'bad')
+            assert crashing_sends(system) == 1
+
+    asyncio.run(scenario())
+
+
+def test_request_beside_another_at_a_crash_is_sent_again() -> None:
+    """Guards against sound requests that fail with the one that crashes."""
+
+    async def scenario() -> None:
+        crashes = asyncio.Event()
+
+        async def crash_when_told(
+            upstream: StandInUpstream,
+            request: CallerRequest,
+            response: ResponseWriter,
+        ) -> None:
+            response.start(200, upstream.signature_headers(request))
+            await crashes.wait()
+            upstream.stop()
+
+        async with deployment(model=(crash_when_told,)) as system:
+            requests = [
+                asyncio.ensure_future(
+                    system.call(
+                        '/draft/',
+                        'POST',
+                        b'draft %d' % number,
+                        request_id=f'r-{number}',
+                        X_Primroseyoke_Prompt_Prefix=f'p-{number}:1,own:1',
+                    )
+                )
+                for number in range(2)
+            ]
+            received = system.upstreams['model-0'].received_requests
+            await wait_until(lambda: len(received) == 2)
+            other = StandInUpstream('other', stream)
+            await other.start()
+            system.upstreams['other'] = other
+            system.store.put('keyed.servers', other.name, other.entry('model'))
+            known = system.gateway.routing_state.registry.upstreams
+            await wait_until(lambda: 'other' in known)
+            crashes.set()
+            responses = await asyncio.gather(*requests)
+            assert [each.status for each in responses] == [200, 200]
+            assert all(each.complete for each in responses)
+
+    asyncio.run(scenario())
