Never continue a response with that of another upstream

A body of over 256 KB of which part had been sent and whose upstream broke off was requested again from another upstream, whose answer or error was appended and framed as complete; and a stream that had begun was continued with any 200 that was signed, such as an error in JSON. Callers found the text of an error within their answer.

Such a body is not requested again, and a stream continues only with the same content type.

--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -321,6 +321,9 @@
         authorized = self.authorized
         if self.may_have_run and not authorized.route.retryable:
             return False
+        if self.response_forwarder.unbuffered:
+            # Part of a body was sent, which another response cannot continue.
+            return False
         if self.response_forwarder.blamed:
             # It would crash the next upstream if it is the cause. Its caller
             # may send it again, which shows whether it is.
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -79,6 +79,7 @@
             is forwarded as it arrives.
         trial: the current attempt, until it is known not to crash the upstream.
         blamed: whether the request alone may have crashed an upstream.
+        stream_type: content type of the stream that was started.
     """
 
     trial: Trial
@@ -97,6 +98,7 @@
         self.progress = progress
         self.unbuffered = False
         self.blamed = False
+        self.stream_type = b''
 
     async def run(self, reservation: Reservation, last_attempt: bool) -> None:
         """Send the request and forward the response.
@@ -202,6 +204,13 @@
     ) -> None:
         groups = self.proxy.balancer.groups
         upstream = connection.upstream
+        content_type = _content_type(head.headers)
+        if self.response.started and content_type != self.stream_type:
+            # For example an error with a success status.
+            raise _broken_response(
+                connection, f'continued with {content_type!r}'
+            )
+        self.stream_type = content_type
         groups.record_stream_start(upstream.name, time.monotonic())
         splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
         try:
@@ -355,6 +364,11 @@
     return RequestFailed(f'{name}: {detail}', Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
 
 
+def _content_type(headers: Headers) -> bytes:
+    fields = {name.lower(): text for name, text in headers}
+    return fields.get(b'content-type', b'').lower()
+
+
 def _without_content_length(headers: Headers) -> Headers:
     """Drop Content-Length: events are forwarded in chunked encoding."""
     return tuple(
