Accept answers without a length at agents, and tell heads that were cut

Answers may come with neither a length nor chunks and end with their connection; agents refused them with 502. The standard library also takes the end of a connection for the end of a head, so a 200 whose head was cut after "Content-Length: 0" or before any framing reached the caller as an empty success, and urllib3 takes it for the end of trailers.

--- a/primroseyoke/limited_responses.py
+++ b/primroseyoke/limited_responses.py
@@ -16,10 +16,11 @@
 
 
 class _LimitedReader(io.BufferedReader):
-    """Raises an error for bytes without end where lines are expected.
+    """Raises an error for lines without end and for lines that are cut.
 
     The standard library reads any number of informational responses, and
-    ``urllib3`` chunk headers and trailers of any size.
+    ``urllib3`` chunk headers and trailers of any size. Both take the end of the
+    connection for the end of a head or of trailers.
     """
 
     def __init__(self, raw: Any) -> None:
@@ -31,8 +32,8 @@
         """Read a line.
 
         Raises:
-            HTTPException: the line is too long, or there are too
-                many lines in a row.
+            HTTPException: the line is too long or cut, or there are too many
+                lines in a row.
         """
         self.line_count += 1
         if self.line_count > _MAX_LINE_COUNT:
@@ -41,6 +42,9 @@
         line = super().readline(limit)
         if len(line) > _MAX_LINE_BYTES:
             raise LineTooLong('line')
+        # The library itself reports a connection without any response.
+        if not line.endswith(b'\n') and (line or self.line_count > 1):
+            raise HTTPException('the connection ended within a head')
         return line
 
     def read(self, size: int | None = -1, /) -> bytes:
--- a/primroseyoke/upstream_client.py
+++ b/primroseyoke/upstream_client.py
@@ -31,6 +31,9 @@
 __all__ = ('UpstreamAnswer', 'UpstreamClient', 'UpstreamRequest')
 
 _CHUNK_BYTES = 16384
+# Ends of an event (WHATWG HTML, section 9.2).
+_EVENT_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
+_EVENT_END_BYTES = 4
 _LOAD_TIMEOUT_SECONDS = 2.0
 _CONNECT_TIMEOUT_SECONDS = 2.0
 
@@ -72,28 +75,35 @@
 
         Raises:
             RequestFailed: reading the body timed out.
-            ConnectionBroken: the connection ended before the body.
+            ConnectionBroken: the connection ended before the body, or an event
+                stream within an event.
         """
+        tail = b''
         try:
-            yield from self.response.stream(_CHUNK_BYTES, decode_content=False)
+            for chunk in self.response.stream(
+                _CHUNK_BYTES, decode_content=False
+            ):
+                tail = (tail + chunk)[-_EVENT_END_BYTES:]
+                yield chunk
         except (HTTPError, OSError) as error:
             raise _broken_answer_error(
                 f'the upstream broke off its answer: {error}',
                 error,
             ) from error
+        if tail and self._has_events() and not tail.endswith(_EVENT_ENDS):
+            raise ConnectionBroken(
+                'the upstream ended its answer within an event',
+                Verdict.MAY_HAVE_RUN,
+                502,
+            )
 
     def is_unsized_event_stream(self) -> bool:
         """Tell whether the body is server-sent events that may be rewritten.
 
         Rewriting would break an announced length or a content encoding.
         """
-        names = {name.lower(): text for name, text in self.headers}
-        content_type = names.get('content-type', '')
-        return (
-            content_type.startswith('text/event-stream')
-            and 'content-length' not in names
-            and 'content-encoding' not in names
-        )
+        names = {name.lower() for name, _ in self.headers}
+        return self._has_events() and 'content-length' not in names
 
     def release(self) -> None:
         """Close the connection unless the body was read completely."""
@@ -107,6 +117,15 @@
             # The response is complete or the connection is already closed.
             return
 
+    def _has_events(self) -> bool:
+        """Tell whether the body is a sequence of events that can be read."""
+        names = {name.lower(): text for name, text in self.headers}
+        content_type = names.get('content-type', '')
+        return (
+            content_type.startswith('text/event-stream')
+            and 'content-encoding' not in names
+        )
+
 
 class UpstreamClient:
     """Sends requests to one upstream."""
@@ -149,15 +168,6 @@
                 f'the upstream gave no answer: {error}',
                 error,
             ) from error
-        if not response.chunked and response.length_remaining is None:
-            # The end of such a response cannot be told from a broken
-            # connection.
-            response.close()
-            raise RequestFailed(
-                'the upstream does not tell where its answer ends',
-                Verdict.MAY_HAVE_RUN,
-                502,
-            )
         return UpstreamAnswer(response)
 
     def fetch_load(self) -> UpstreamLoad:
