Try refused requests again soon if their parts were answered before

Sound callers could be blocked by others: requests that crash upstreams for a reason of their own and have popular parts in their prompts leave these parts blamed if all upstreams crash before one answer clears them, and a refused part is never answered: for 30 s through a gateway, for 600 s through agents.

A process remembers which parts it has seen answered; such a part is tried again after 1 s, by the host that leads or by an agent alone, and one answer clears it everywhere. Delays double with trials that fail, no longer with crashes at the same time. Agents try refused requests again as well, spread by their names. Found by reading; the new tests failed before.

--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -413,7 +413,7 @@
         if refusal:
             self._refuse(job, refusal, 503)
             return
-        classification = self.crash_detector.classify(job.start.traits)
+        classification = self.crash_detector.admit(job.start.traits)
         if classification is Classification.REFUSED:
             self._refuse_suspect(job)
             return
--- a/primroseyoke/crash_detection.py
+++ b/primroseyoke/crash_detection.py
@@ -1,6 +1,7 @@
 """Crash detection by an agent, from broken connections and load reports."""
 
 import dataclasses
+import logging
 import time
 from collections.abc import Callable
 
@@ -14,11 +15,17 @@
     Evidence,
     SuspectTable,
     Traits,
+    trait,
 )
 from .upstream_client import UpstreamClient
 
 __all__ = ('BrokenAttempt', 'CrashDetector', 'LoadPolled', 'poll_load')
 
+log = logging.getLogger(__name__)
+
+# Minimum time between two refused requests that are tried again.
+_TRIAL_INTERVAL_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadPolled:
@@ -59,6 +66,9 @@
         self.suspects = SuspectTable()
         self.peers: set[EntryConnection] = set()
         self.unresolved: list[BrokenAttempt] = []
+        self.next_trial_at = 0.0
+        # Spreads the trials of agents, which do not know of each other.
+        self.trial_spread = trait(upstream.encode()) / 2**64
 
     def add_peer(self, peer: EntryConnection) -> None:
         """Register an entry that has connected and send it the evidence."""
@@ -71,12 +81,29 @@
         """Classify a request by the evidence against its traits."""
         return self.suspects.classify(traits, time.monotonic())
 
+    def admit(self, traits: Traits) -> Classification:
+        """Classify a new request; one that is refused may be tried again.
+
+        It is then a suspect and runs exclusively.
+        """
+        now = time.monotonic()
+        classification = self.suspects.classify(traits, now)
+        if classification is not Classification.REFUSED:
+            return classification
+        trial_at = self.suspects.next_trial_at(traits, self.trial_spread)
+        if now < max(trial_at, self.next_trial_at):
+            return classification
+        self.next_trial_at = now + _TRIAL_INTERVAL_SECONDS
+        log.warning('request that is blamed for crashes is tried again')
+        return Classification.SUSPECT
+
     def merge(self, evidence: Evidence) -> set[int]:
         """Merge evidence, broadcast what is new and return its traits."""
         return self._broadcast(self.suspects.merge(evidence, time.monotonic()))
 
     def clear(self, traits: Traits) -> set[int]:
         """Drop the evidence against a completed request; return its traits."""
+        self.suspects.record_answer(traits, time.monotonic())
         return self._broadcast(self.suspects.clear(traits, time.monotonic()))
 
     def defer(self, attempt: BrokenAttempt) -> None:
--- a/primroseyoke/gateway/crash_detection.py
+++ b/primroseyoke/gateway/crash_detection.py
@@ -77,8 +77,11 @@
         request.target.encode(),
         request.body,
     )
-    parts = [_part_trait(service, part) for part in request.prompt_parts]
-    return frozenset((fingerprint, *parts))
+    return frozenset((fingerprint, *_part_traits(request, service)))
+
+
+def _part_traits(request: CallerRequest, service: str) -> list[int]:
+    return [_part_trait(service, part) for part in request.prompt_parts]
 
 
 async def can_connect(upstream: Upstream) -> bool | None:
@@ -149,9 +152,12 @@
         is_first = not trial.is_sound
         trial.is_sound = True
         self.end(trial)
+        now = boot_time()
+        if is_first:
+            parts = _part_traits(trial.request, trial.service)
+            self.suspects.record_answer(parts, now)
         if not self.suspects.blame:
             return
-        now = boot_time()
         self._refute(trial, now)
         if is_first:
             self._publish(self.suspects.clear(trial.traits, now))
--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import hashlib
+import itertools
 from collections.abc import Iterable, Mapping
 from typing import Annotated
 
@@ -40,9 +41,14 @@
 # Reports of several hosts about one crash differ by less than this. An upstream
 # takes longer to start again.
 _SAME_CRASH_SECONDS = 1.0
-# A refused request may be tried again this long after the second crash. The
-# time doubles with each further crash.
-_FIRST_TRIAL_DELAY_SECONDS = 30.0
+# A refused request may be tried again this long after the last crash. The time
+# doubles with each trial that fails.
+_TRIAL_DELAY_SECONDS = 30.0
+# The same for a trait that this process has seen answered shortly before: many
+# sound callers may share it, and one answer clears it.
+_PROVEN_TRIAL_DELAY_SECONDS = 1.0
+_PROVEN_SECONDS = 60.0
+_MAX_PROVEN_TRAITS = 4096
 _TRAIT_BYTES = 8
 _NEVER = float('-inf')
 
@@ -128,6 +134,15 @@
     def count(self) -> int:
         return len(self.crashed_at)
 
+    @property
+    def round_count(self) -> int:
+        """Number of crashes, without those at about the same time."""
+        times = sorted(self.crashed_at.values())
+        return 1 + sum(
+            later - earlier > _SAME_CRASH_SECONDS
+            for earlier, later in itertools.pairwise(times)
+        )
+
     @property
     def is_sufficient(self) -> bool:
         if self.is_certain and self.count >= CERTAIN_CRASH_COUNT:
@@ -154,6 +169,8 @@
             that may have caused it.
         cleared_at: time of the last answer by trait.
         refuted_at: time at which an upstream was known not to have crashed.
+        answered_at: time at which a request with a trait was last answered, as
+            far as this process has seen.
     """
 
     def __init__(self, max_requests: int = 512) -> None:
@@ -163,6 +180,16 @@
         self.cleared_at: dict[int, float] = {}
         self.refuted_at: dict[str, float] = {}
         self.blame: dict[int, _Blame] = {}
+        self.answered_at: dict[int, float] = {}
+
+    def record_answer(self, traits: Iterable[int], now: float) -> None:
+        """Remember that requests with these traits are answered as a rule."""
+        answered_at = self.answered_at
+        for each in traits:
+            answered_at.pop(each, None)
+            answered_at[each] = now
+        while len(answered_at) > _MAX_PROVEN_TRAITS:
+            answered_at.pop(next(iter(answered_at)))
 
     def record_crash(
         self,
@@ -231,16 +258,19 @@
                 return Classification.REFUSED
         return Classification.SUSPECT
 
-    def next_trial_at(self, traits: Traits) -> float:
+    def next_trial_at(self, traits: Traits, spread: float = 0) -> float:
         """Return when a refused request may be tried again, in seconds.
 
         The cause may have been removed, or the evidence be a coincidence.
+
+        Args:
+            traits: the traits of the request.
+            spread: share of the delay that is added to it, between 0 and 1.
+                With different shares, processes do not try at the same time.
         """
         return max(
             (
-                max(blame.crashed_at.values())
-                + _FIRST_TRIAL_DELAY_SECONDS
-                * 2 ** (blame.count - CERTAIN_CRASH_COUNT)
+                self._next_trial_at(each, blame, 1 + spread)
                 for each in traits
                 if (blame := self.blame.get(each, _NO_BLAME)).is_sufficient
             ),
@@ -294,6 +324,16 @@
             ordered.append((is_surplus, place, row))
         return [item[2] for item in sorted(ordered, key=lambda item: item[:2])]
 
+    def _next_trial_at(self, each: int, blame: _Blame, factor: float) -> float:
+        last_crash_at = max(blame.crashed_at.values())
+        proven_at = self.answered_at.get(each, _NEVER)
+        is_proven = last_crash_at - proven_at < _PROVEN_SECONDS
+        delay = (
+            _PROVEN_TRIAL_DELAY_SECONDS if is_proven else _TRIAL_DELAY_SECONDS
+        )
+        doublings = blame.round_count - 1
+        return last_crash_at + delay * factor * float(2**doublings)
+
     def _count_of(self, each: int) -> int:
         return self.blame.get(each, _NO_BLAME).count
 
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -44,7 +44,14 @@
     def request(self, *parts):
         number = str(next(self.numbers))
         return CallerRequest(
-            'POST', '/x', '/x', 'h', (), number, prompt_parts=parts
+            'POST',
+            '/x',
+            '/x',
+            'h',
+            (),
+            number,
+            body=number.encode(),
+            prompt_parts=parts,
         )
 
     def start(self, name, *parts):
@@ -219,7 +226,11 @@
 def test_refused_request_is_tried_again_by_one_host(host, clock):
     """Guards against a part that stays refused, and against many trials."""
     run(host.crash('a', 'bad'), host.crash('b', 'bad'))
-    clock.now += 31
+    clock.now += 29
+    host.detector.may_try_again = lambda: True
+    assert host.is_refused('bad')
+    clock.now += 2
+    host.detector.may_try_again = lambda: False
     assert host.is_refused('bad')
     host.detector.may_try_again = lambda: True
     request = host.request('bad')
@@ -243,3 +254,17 @@
     assert host.detector.trials == {}
     assert host.detector.checks == {}
     assert host.detector.suspects.snapshot(0) == NO_EVIDENCE
+
+
+def test_sound_callers_are_served_soon_after_all_upstreams_crashed(host, clock):
+    """Guards against callers who block those whose parts they share.
+
+    Their requests crash upstreams for another reason, at both groups at once.
+    """
+    answered = host.start('c', 'style')
+    host.detector.record_sound(answered)
+    run(host.crash('a', 'style'), host.crash('b', 'style'))
+    assert host.is_refused('style', 'other')
+    clock.now += 1
+    host.detector.may_try_again = lambda: True
+    assert not host.is_refused('style', 'other')
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -213,9 +213,38 @@
     table = SuspectTable()
     delays = []
     for number in range(4):
-        table.record_crash(f'u-{number}', ALONE, 1000)
-        delays.append(table.next_trial_at(frozenset({7, 9})) - 1000)
-    assert delays == [-1000, 30, 60, 120]
+        crashed_at = 1000 + 10 * number
+        table.record_crash(f'u-{number}', ALONE, crashed_at)
+        delays.append(table.next_trial_at(frozenset({7, 9})) - crashed_at)
+    assert delays == [-1000, 60, 120, 240]
+
+
+def test_part_that_was_answered_before_is_soon_tried_again():
+    """Guards against callers who put the parts of others in crashing prompts.
+
+    All upstreams crash at once, so that no answer clears the popular part.
+    """
+    table = SuspectTable()
+    table.record_answer({STYLE}, 990)
+    for number in range(8):
+        table.record_crash(
+            f'u-{number}', [frozenset({STYLE, 50 + number})], 1000
+        )
+    sound = frozenset({STYLE, 9})
+    assert table.classify(sound, 1000) is Classification.REFUSED
+    assert table.next_trial_at(sound) == 1001
+    for number in range(3):
+        crashed_at = 1010 + 10 * number
+        table.record_crash(f'v-{number}', [frozenset({STYLE})], crashed_at)
+    assert table.next_trial_at(sound) == 1030 + 8
+
+
+def test_memory_of_answers_is_bounded():
+    """Guards against memory that grows with the parts of prompts."""
+    table = SuspectTable()
+    for number in range(10000):
+        table.record_answer({number}, number)
+    assert list(table.answered_at) == list(range(10000 - 4096, 10000))
 
 
 def test_part_of_a_snapshot_has_the_strongest_evidence():
