Split evidence from suspects, drop old evidence, and tell when a second try ends

A gateway kept comparing requests with evidence that was older than its lifetime until the next crash, and told callers to come back after 10 s while a refused part was being tried again, which takes about one. Evidence now expires each second, and Retry-After is 1 s then.

The types that processes exchange have a module of their own; a request that may be the cause of a crash is a Candidate, so that trials are only second tries.

--- a/bench/crash_evidence.py
+++ b/bench/crash_evidence.py
@@ -65,24 +65,24 @@
             self.record_crash(number)
 
     def record_crash(self, number):
-        trials = [
+        candidates = [
             self.detector.start(
                 self.upstream, new_request(self.generator), 's', 'c'
             )
             for _ in range(REQUESTS_PER_CRASH)
         ]
         self.detector.suspects.record_crash(
-            f'u-{number}', [trial.traits for trial in trials], 1000
+            f'u-{number}', [candidate.traits for candidate in candidates], 1000
         )
-        for trial in trials:
-            self.detector.end(trial)
+        for candidate in candidates:
+            self.detector.end(candidate)
 
     def serve_request(self):
         """Do what is done for each sound request."""
         request = new_request(self.generator)
         self.detector.refusal_delay(request, 's', 'c')
-        trial = self.detector.start(self.upstream, request, 's', 'c')
-        self.detector.record_sound(trial)
+        candidate = self.detector.start(self.upstream, request, 's', 'c')
+        self.detector.record_sound(candidate)
 
 
 def main():
--- a/bench/suspects.py
+++ b/bench/suspects.py
@@ -22,11 +22,8 @@
     Ticket,
     UpstreamLoad,
 )
-from primroseyoke.suspects import (
-    UNKNOWN_REQUEST,
-    Classification,
-    SuspectTable,
-)
+from primroseyoke.evidence import UNKNOWN_REQUEST
+from primroseyoke.suspects import Classification, SuspectTable
 
 SEED = 20260104
 UPSTREAM_COUNT = 16
--- a/primroseyoke/caller_requests.py
+++ b/primroseyoke/caller_requests.py
@@ -13,7 +13,7 @@
 from .exceptions import RequestFailed, RequestInvalid
 from .hop_by_hop_headers import HOP_BY_HOP_HEADERS
 from .idempotency_keys import key_creation_time
-from .suspects import Traits, trait
+from .evidence import Traits, trait
 from .verdicts import Verdict
 
 __all__ = (
--- a/primroseyoke/crash_detection.py
+++ b/primroseyoke/crash_detection.py
@@ -9,14 +9,13 @@
 from .exceptions import ServiceRefused, ServiceUnavailable
 from .links import EntryConnection
 from .messages import Suspects
-from .suspects import (
-    UNKNOWN_REQUEST,
-    Classification,
+from .evidence import (
     Evidence,
-    SuspectTable,
     Traits,
+    UNKNOWN_REQUEST,
     trait,
 )
+from .suspects import Classification, SuspectTable
 from .upstream_client import UpstreamClient
 
 __all__ = ('BrokenAttempt', 'CrashDetector', 'LoadPolled', 'poll_load')
--- a/primroseyoke/gateway/crash_detection.py
+++ b/primroseyoke/gateway/crash_detection.py
@@ -13,19 +13,14 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from ..suspects import (
-    Classification,
-    Evidence,
-    SuspectTable,
-    Traits,
-    trait,
-)
+from ..evidence import Evidence, Traits, trait
+from ..suspects import Classification, SuspectTable
 from .clocks import boot_time
 from .connections import connect
 from .requests import CallerRequest
 from .upstreams import Upstream, UpstreamRegistry
 
-__all__ = ('CrashDetector', 'Trial', 'can_connect')
+__all__ = ('CrashDetector', 'Candidate', 'can_connect')
 
 log = logging.getLogger(__name__)
 
@@ -38,13 +33,15 @@
 _TRANSIT_SECONDS = 0.5
 # Time after which a refused request that is tried again without a result, for
 # example because its caller disconnected, is given up.
-_RETRIAL_TIMEOUT_SECONDS = 10.0
+_SECOND_TRY_TIMEOUT_SECONDS = 10.0
+# Retry-After while a refused request is being tried again.
+_MIN_RETRY_AFTER_SECONDS = 1.0
 
 CanConnect = Callable[[Upstream], Awaitable[bool | None]]
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class Trial:
+class Candidate:
     """A request at an upstream, until it is known not to crash it.
 
     ``started_at`` is in seconds since boot.
@@ -125,10 +122,10 @@
         self.suspects = SuspectTable()
         self.on_evidence: Callable[[Evidence], None] = _ignore
         self.may_try_again: Callable[[], bool] = _never
-        self.trials: dict[str, set[Trial]] = {}
+        self.candidates: dict[str, set[Candidate]] = {}
         self.checks: dict[str, asyncio.Task[None]] = {}
-        self.retried_id = ''
-        self.retrial_until = 0.0
+        self.second_try_id = ''
+        self.second_try_until = 0.0
 
     def start(
         self,
@@ -136,40 +133,40 @@
         request: CallerRequest,
         service: str,
         client: str,
-    ) -> Trial:
+    ) -> Candidate:
         """Record that a request is sent to an upstream."""
-        trial = Trial(upstream, request, service, client, boot_time())
-        self.trials.setdefault(_key(upstream), set()).add(trial)
-        return trial
+        candidate = Candidate(upstream, request, service, client, boot_time())
+        self.candidates.setdefault(_key(upstream), set()).add(candidate)
+        return candidate
 
-    def record_event(self, trial: Trial, count: int) -> None:
+    def record_event(self, candidate: Candidate, count: int) -> None:
         """Record that ``count`` events of an answer have arrived."""
-        if count >= _SOUND_EVENT_COUNT and not trial.is_sound:
-            self.record_sound(trial)
+        if count >= _SOUND_EVENT_COUNT and not candidate.is_sound:
+            self.record_sound(candidate)
 
-    def record_sound(self, trial: Trial) -> None:
+    def record_sound(self, candidate: Candidate) -> None:
         """Record that an upstream has answered a request and not crashed."""
-        is_first = not trial.is_sound
-        trial.is_sound = True
-        self.end(trial)
+        is_first = not candidate.is_sound
+        candidate.is_sound = True
+        self.end(candidate)
         now = boot_time()
         if is_first:
-            parts = _part_traits(trial.request, trial.service)
+            parts = _part_traits(candidate.request, candidate.service)
             self.suspects.record_answer(parts, now)
         if not self.suspects.blame:
             return
-        self._refute(trial, now)
+        self._refute(candidate, now)
         if is_first:
-            self._publish(self.suspects.clear(trial.traits, now))
+            self._publish(self.suspects.clear(candidate.traits, now))
 
-    def end(self, trial: Trial) -> None:
+    def end(self, candidate: Candidate) -> None:
         """Record that a request has ended, whatever its result."""
-        trials = self.trials.get(_key(trial.upstream), set())
-        trials.discard(trial)
-        if not trials:
-            self.trials.pop(_key(trial.upstream), None)
+        candidates = self.candidates.get(_key(candidate.upstream), set())
+        candidates.discard(candidate)
+        if not candidates:
+            self.candidates.pop(_key(candidate.upstream), None)
 
-    async def record_break(self, trial: Trial) -> bool:
+    async def record_break(self, candidate: Candidate) -> bool:
         """Find out whether the upstream crashed when a connection broke.
 
         It returns when the evidence has been recorded, so that the request is
@@ -180,19 +177,21 @@
             Whether the upstream crashed and no other request is known that may
             be the cause.
         """
-        key = _key(trial.upstream)
-        if trial.is_sound or not self._is_in_service(trial.upstream):
+        key = _key(candidate.upstream)
+        if candidate.is_sound or not self._is_in_service(candidate.upstream):
             return False
         check = self.checks.get(key)
         if check is None:
-            candidates = frozenset(self.trials.get(key, ()))
+            candidates = frozenset(self.candidates.get(key, ()))
             check = asyncio.get_running_loop().create_task(
-                self._check(trial.upstream, candidates | {trial}, boot_time())
+                self._check(
+                    candidate.upstream, candidates | {candidate}, boot_time()
+                )
             )
             self.checks[key] = check
             check.add_done_callback(lambda _: self.checks.pop(key))
         await asyncio.shield(check)
-        return self.suspects.crashes.get(key, {}).keys() == {trial.traits}
+        return self.suspects.crashes.get(key, {}).keys() == {candidate.traits}
 
     def refusal_delay(
         self, request: CallerRequest, service: str, client: str
@@ -202,7 +201,7 @@
         Returns:
             Seconds, None if the request is not refused.
         """
-        if not self.suspects.blame or self._is_retried(request):
+        if not self.suspects.blame or self._is_second_try(request):
             return None
         traits = request_traits(request, service, client)
         now = boot_time()
@@ -210,15 +209,15 @@
         if classification is not Classification.REFUSED:
             return None
         delay = self.suspects.next_trial_at(traits) - now
-        if delay <= 0 and now >= self.retrial_until and self.may_try_again():
-            self.retried_id = request.request_id
-            self.retrial_until = now + _RETRIAL_TIMEOUT_SECONDS
+        if delay <= 0 and now >= self.second_try_until and self.may_try_again():
+            self.second_try_id = request.request_id
+            self.second_try_until = now + _SECOND_TRY_TIMEOUT_SECONDS
             log.warning(
                 'request that is blamed for crashes is tried again',
                 extra={'request': request.request_id},
             )
             return None
-        return max(delay, _RETRIAL_TIMEOUT_SECONDS)
+        return max(delay, _MIN_RETRY_AFTER_SECONDS)
 
     def merge(self, evidence: Evidence, sender: str) -> None:
         """Merge the evidence of another host."""
@@ -233,6 +232,10 @@
                 },
             )
 
+    def expire(self) -> None:
+        """Drop evidence that is too old."""
+        self.suspects.expire(boot_time())
+
     def refute_false_crashes(self, expiry: float) -> None:
         """Drop crashes of upstreams that are still registered.
 
@@ -249,7 +252,7 @@
     async def _check(
         self,
         upstream: Upstream,
-        candidates: frozenset[Trial],
+        candidates: frozenset[Candidate],
         broken_at: float,
     ) -> None:
         """Record a crash if the upstream is down and this host is not cut."""
@@ -266,14 +269,14 @@
             extra={
                 'upstream': upstream.name,
                 'requests': sorted(
-                    trial.request.request_id for trial in candidates
+                    candidate.request.request_id for candidate in candidates
                 ),
             },
         )
         self._publish(
             self.suspects.record_crash(
                 _key(upstream),
-                [trial.traits for trial in candidates],
+                [candidate.traits for candidate in candidates],
                 broken_at,
             )
         )
@@ -295,12 +298,12 @@
         reached = await asyncio.gather(*map(self.check_connection, chosen))
         return any(reached)
 
-    def _is_retried(self, request: CallerRequest) -> bool:
+    def _is_second_try(self, request: CallerRequest) -> bool:
         """Return whether this is the refused request that is tried again."""
         return (
-            bool(self.retried_id)
-            and request.request_id == self.retried_id
-            and boot_time() < self.retrial_until
+            bool(self.second_try_id)
+            and request.request_id == self.second_try_id
+            and boot_time() < self.second_try_until
         )
 
     def _is_in_service(self, upstream: Upstream) -> bool:
@@ -308,14 +311,14 @@
         known = self.registry.upstreams.get(upstream.name)
         return known is not None and not known.draining
 
-    def _refute(self, trial: Trial, now: float) -> None:
+    def _refute(self, candidate: Candidate, now: float) -> None:
         """Drop crashes of an upstream that an older connection contradicts."""
-        requests = self.suspects.crashes.get(_key(trial.upstream))
+        requests = self.suspects.crashes.get(_key(candidate.upstream))
         if requests is None:
             return
         crashed_at = max(requests.values())
-        if trial.started_at < crashed_at < now - _TRANSIT_SECONDS:
-            self._drop(_key(trial.upstream), 'it answers', now)
+        if candidate.started_at < crashed_at < now - _TRANSIT_SECONDS:
+            self._drop(_key(candidate.upstream), 'it answers', now)
 
     def _drop(self, key: str, reason: str, now: float) -> None:
         log.info(
--- a/primroseyoke/gateway/evidence_sharing.py
+++ b/primroseyoke/gateway/evidence_sharing.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Iterable
 
-from ..suspects import Evidence
+from ..evidence import Evidence
 from .clocks import boot_time
 from .crash_detection import CrashDetector
 from .peers import PeerReporter
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -313,6 +313,7 @@
 
     def _refute_false_crashes(self) -> None:
         """Drop evidence that the store contradicts, if it is up to date."""
+        self.proxy.crash_detector.expire()
         now = time.monotonic()
         expiry = self.settings.upstream_expiry
         reachable_since = self.routing_state.registry.store_recovered_at
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..exceptions import MessageInvalid
-from ..suspects import Evidence
+from ..evidence import Evidence
 from .topic_sharing import Announcement
 
 __all__ = (
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ..exceptions import MessageInvalid
-from ..suspects import Evidence
+from ..evidence import Evidence
 from .balancer import Balancer
 from .clocks import boot_time
 from .peer_reports import (
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -16,7 +16,7 @@
 from .balancer import Reservation
 from .configuration import Execution, Route
 from .connection_pool import UpstreamConnection
-from .crash_detection import Trial
+from .crash_detection import Candidate
 from .events import Event, EventSplitter
 from .listeners import ResponseWriter
 from .requests import ForwardingInfo, Headers, ResponseHead
@@ -77,12 +77,12 @@
     Attributes:
         unbuffered: whether a response without events exceeded the buffer and
             is forwarded as it arrives.
-        trial: the current attempt, until it is known not to crash the upstream.
+        candidate: the current attempt, until it is known not to crash the upstream.
         blamed: whether the request alone may have crashed an upstream.
         stream_type: content type of the stream that was started.
     """
 
-    trial: Trial
+    candidate: Candidate
 
     def __init__(
         self,
@@ -127,7 +127,7 @@
                 upstream, time.monotonic()
             )
             raise
-        self.trial = self.proxy.crash_detector.start(
+        self.candidate = self.proxy.crash_detector.start(
             upstream,
             self.authorized.request,
             self.authorized.service,
@@ -142,7 +142,7 @@
             await self._close_broken(connection, error)
             raise
         finally:
-            self.proxy.crash_detector.end(self.trial)
+            self.proxy.crash_detector.end(self.candidate)
         self.proxy.pool.release(connection)
 
     async def _close_broken(
@@ -156,7 +156,7 @@
             self.proxy.balancer.health.record_failure(name, time.monotonic())
         if ended_by_upstream and isinstance(error, RequestFailed):
             detector = self.proxy.crash_detector
-            self.blamed = await detector.record_break(self.trial)
+            self.blamed = await detector.record_break(self.candidate)
 
     def _forwarding_info(self, name: str) -> ForwardingInfo:
         client = self.authorized.client
@@ -194,7 +194,7 @@
                 GATEWAY_TIMEOUT,
             ) from error
         self.proxy.balancer.health.record_success(name, head.load)
-        self.proxy.crash_detector.record_sound(self.trial)
+        self.proxy.crash_detector.record_sound(self.candidate)
 
     async def _forward_stream(
         self,
@@ -249,7 +249,7 @@
             await self.response.send(event.content)
             self.progress.attempt_events += 1
             self.proxy.crash_detector.record_event(
-                self.trial, self.progress.attempt_events
+                self.candidate, self.progress.attempt_events
             )
             if event.event_id:
                 self.progress.last_event_id = event.event_id
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from .exceptions import MessageInvalid
-from .suspects import Evidence, Traits
+from .evidence import Evidence, Traits
 from .verdicts import Verdict
 
 __all__ = (
--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -10,24 +10,12 @@
 import collections
 import dataclasses
 import enum
-import hashlib
 import itertools
 from collections.abc import Iterable, Mapping
-from typing import Annotated
-
-import msgspec
-
-__all__ = (
-    'NO_EVIDENCE',
-    'Clearance',
-    'Classification',
-    'Crash',
-    'Evidence',
-    'SuspectTable',
-    'Traits',
-    'UNKNOWN_REQUEST',
-    'trait',
-)
+
+from .evidence import Clearance, Crash, Evidence, Traits
+
+__all__ = ('Classification', 'SuspectTable')
 
 EVIDENCE_LIFETIME_SECONDS = 600.0
 #: A trait is blamed after crashes of this many distinct upstreams if all
@@ -49,17 +37,8 @@
 _PROVEN_TRIAL_DELAY_SECONDS = 1.0
 _PROVEN_SECONDS = 60.0
 _MAX_PROVEN_TRAITS = 4096
-_TRAIT_BYTES = 8
 _NEVER = float('-inf')
 
-#: The traits of one request.
-Traits = frozenset[int]
-#: Stands for a request at a crashed upstream whose traits are not known.
-UNKNOWN_REQUEST: Traits = frozenset()
-
-_Age = Annotated[float, msgspec.Meta(ge=0)]
-_Trait = Annotated[int, msgspec.Meta(ge=0)]
-
 
 class Classification(enum.Enum):
     """Classification of a request by its crash evidence."""
@@ -71,58 +50,6 @@
     REFUSED = 'refused'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash of an upstream ``age`` seconds ago.
-
-    ``requests`` has the traits of each request that may have caused it; one
-    without traits is unknown.
-    """
-
-    upstream: str
-    requests: tuple[tuple[_Trait, ...], ...]
-    age: _Age
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Clearance:
-    """A request with a trait was answered ``age`` seconds ago."""
-
-    trait: _Trait
-    age: _Age
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
-    """Crashes and clearances that one process tells another."""
-
-    crashes: tuple[Crash, ...] = ()
-    clearances: tuple[Clearance, ...] = ()
-
-    def __bool__(self) -> bool:
-        """Return whether there is anything to tell."""
-        return bool(self.crashes or self.clearances)
-
-    def traits(self) -> set[int]:
-        """Return the traits that it is about."""
-        found = {clearance.trait for clearance in self.clearances}
-        for crash in self.crashes:
-            found.update(*crash.requests)
-        return found
-
-
-NO_EVIDENCE = Evidence()
-
-
-def trait(*texts: bytes) -> int:
-    """Return a trait that identifies ``texts``; 64 bits."""
-    digest = hashlib.blake2b(digest_size=_TRAIT_BYTES)
-    for text in texts:
-        digest.update(b'%d:' % len(text))
-        digest.update(text)
-    return int.from_bytes(digest.digest(), 'big')
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Blame:
     """Crashes that one trait may have caused."""
@@ -224,6 +151,12 @@
             self.refuted_at[upstream] = now
             self._update(now)
 
+    def expire(self, now: float) -> None:
+        """Drop the evidence that has reached the end of its lifetime."""
+        times = (at for _, _, at in self._rows())
+        if now - min(times, default=now) >= EVIDENCE_LIFETIME_SECONDS:
+            self._update(now)
+
     def merge(self, evidence: Evidence, now: float) -> Evidence:
         """Merge evidence of a peer; return what is new, to be broadcast."""
         crashes = tuple(
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -10,7 +10,7 @@
 from primroseyoke.gateway.crash_detection import CrashDetector
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
-from primroseyoke.suspects import NO_EVIDENCE
+from primroseyoke.evidence import NO_EVIDENCE
 
 UPSTREAMS = ('a', 'b', 'c', 'd')
 SERVICE = 'model'
@@ -61,10 +61,10 @@
 
     async def crash(self, name, *parts):
         """Start a request; the upstream crashes before it is answered."""
-        trial = self.start(name, *parts)
+        candidate = self.start(name, *parts)
         self.down.add(name)
-        await self.detector.record_break(trial)
-        self.detector.end(trial)
+        await self.detector.record_break(candidate)
+        self.detector.end(candidate)
 
     def is_refused(self, *parts):
         delay = self.detector.refusal_delay(
@@ -110,8 +110,8 @@
 
 def test_broken_connection_to_a_living_upstream_is_no_crash(host):
     """Guards against blame for connections that were merely reset."""
-    trials = [host.start(name, 'style') for name in ('a', 'b')]
-    run(*map(host.detector.record_break, trials))
+    candidates = [host.start(name, 'style') for name in ('a', 'b')]
+    run(*map(host.detector.record_break, candidates))
     assert host.detector.suspects.blame == {}
 
 
@@ -133,9 +133,9 @@
 def test_end_of_a_leaving_upstream_is_no_crash(host, leaves):
     """Guards against blame for the requests that a planned stop interrupts."""
     registry = host.detector.registry
-    trials = [host.start(name, 'style') for name in ('a', 'b')]
-    for trial in trials:
-        upstream = trial.upstream
+    candidates = [host.start(name, 'style') for name in ('a', 'b')]
+    for candidate in candidates:
+        upstream = candidate.upstream
         if leaves == 'removed':
             registry.remove(upstream.name, 10)
         else:
@@ -143,7 +143,7 @@
                 Upstream(upstream.name, SERVICE, 'h', 1, 'z', draining=True)
             )
         host.down.add(upstream.name)
-    run(*map(host.detector.record_break, trials))
+    run(*map(host.detector.record_break, candidates))
     assert host.detector.suspects.blame == {}
 
 
@@ -173,9 +173,9 @@
     """Guards against evidence that is lost with the request."""
 
     async def scenario():
-        trial = host.start('a', 'bad')
+        candidate = host.start('a', 'bad')
         host.down.add('a')
-        task = asyncio.ensure_future(host.detector.record_break(trial))
+        task = asyncio.ensure_future(host.detector.record_break(candidate))
         await asyncio.sleep(0)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
@@ -224,7 +224,7 @@
 
 
 def test_refused_request_is_tried_again_by_one_host(host, clock):
-    """Guards against a part that stays refused, and against many trials."""
+    """Guards against a part that stays refused, and against many candidates."""
     run(host.crash('a', 'bad'), host.crash('b', 'bad'))
     clock.now += 29
     host.detector.may_try_again = lambda: True
@@ -239,19 +239,19 @@
         assert delay is None
         assert host.is_refused('bad')
     upstream = host.detector.registry.upstreams['c']
-    trial = host.detector.start(upstream, request, SERVICE, 'workshop')
-    host.detector.record_sound(trial)
+    candidate = host.detector.start(upstream, request, SERVICE, 'workshop')
+    host.detector.record_sound(candidate)
     assert not host.is_refused('bad')
     assert host.sent[-1].clearances
 
 
 def test_requests_that_end_leave_nothing_behind(host):
     """Guards against memory that grows with the requests."""
-    trials = [host.start('a', 'style') for _ in range(3)]
-    host.detector.record_sound(trials[0])
-    for trial in trials:
-        host.detector.end(trial)
-    assert host.detector.trials == {}
+    candidates = [host.start('a', 'style') for _ in range(3)]
+    host.detector.record_sound(candidates[0])
+    for candidate in candidates:
+        host.detector.end(candidate)
+    assert host.detector.candidates == {}
     assert host.detector.checks == {}
     assert host.detector.suspects.snapshot(0) == NO_EVIDENCE
 
--- a/tests/gateway/test_evidence_sharing.py
+++ b/tests/gateway/test_evidence_sharing.py
@@ -93,15 +93,15 @@
     def crash(self, name, *parts):
         """Begin an answer during which an upstream crashes."""
         upstream = self.detector.registry.upstreams[name]
-        trial = self.detector.start(upstream, request(*parts), SERVICE, 'c')
+        candidate = self.detector.start(upstream, request(*parts), SERVICE, 'c')
         self.down.add(name)
-        asyncio.run(self.detector.record_break(trial))
-        self.detector.end(trial)
+        asyncio.run(self.detector.record_break(candidate))
+        self.detector.end(candidate)
 
     def answer(self, name, *parts):
         upstream = self.detector.registry.upstreams[name]
-        trial = self.detector.start(upstream, request(*parts), SERVICE, 'c')
-        self.detector.record_sound(trial)
+        candidate = self.detector.start(upstream, request(*parts), SERVICE, 'c')
+        self.detector.record_sound(candidate)
 
     def is_refused(self, *parts):
         delay = self.detector.refusal_delay(request(*parts), SERVICE, 'c')
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -3,12 +3,10 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from primroseyoke.evidence import Crash, Evidence, UNKNOWN_REQUEST
 from primroseyoke.suspects import (
-    EVIDENCE_LIFETIME_SECONDS,
-    UNKNOWN_REQUEST,
     Classification,
-    Crash,
-    Evidence,
+    EVIDENCE_LIFETIME_SECONDS,
     SuspectTable,
 )
 
@@ -260,3 +258,13 @@
     joined.merge(part, 2)
     traits = frozenset({STYLE, BAD})
     assert joined.classify(traits, 2) is Classification.REFUSED
+
+
+def test_expired_evidence_is_dropped():
+    """Guards against requests that are compared with old evidence forever."""
+    table = SuspectTable()
+    crash_of_both_groups(table)
+    table.expire(EVIDENCE_LIFETIME_SECONDS - 1)
+    assert table.blame
+    table.expire(EVIDENCE_LIFETIME_SECONDS)
+    assert (table.blame, table.crashes) == ({}, {})
