Keep no crashed upstream without a request that may be the cause

Stale evidence that was cleared already left an upstream with no request in the table, and the next answer of that upstream raised an error in the gateway that forwarded it, so its caller lost a complete answer. Found by reading the change; the new test failed before.

--- a/primroseyoke/gateway/crash_detection.py
+++ b/primroseyoke/gateway/crash_detection.py
@@ -314,7 +314,7 @@
     def _refute(self, candidate: Candidate, now: float) -> None:
         """Drop crashes of an upstream that an older connection contradicts."""
         requests = self.suspects.crashes.get(_key(candidate.upstream))
-        if requests is None:
+        if not requests:
             return
         crashed_at = max(requests.values())
         if candidate.started_at < crashed_at < now - _TRANSIT_SECONDS:
--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -276,7 +276,7 @@
             return False
         if crashed_at <= self.refuted_at.get(crash.upstream, _NEVER):
             return False
-        known = self.crashes.setdefault(crash.upstream, {})
+        known = self.crashes.get(crash.upstream, {})
         is_new = False
         for traits in map(frozenset, crash.requests):
             # Once all is cleared, the report would be kept for nothing.
@@ -290,6 +290,8 @@
             ):
                 known[traits] = crashed_at
                 is_new = True
+        if is_new:
+            self.crashes[crash.upstream] = known
         return is_new
 
     def _merge_clearance(self, each: int, at: float, now: float) -> bool:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -260,6 +260,16 @@
     assert joined.classify(traits, 2) is Classification.REFUSED
 
 
+def test_evidence_that_is_cleared_already_leaves_nothing():
+    """Guards against crashed upstreams without any request that may be it."""
+    table = SuspectTable()
+    table.record_crash('a', [frozenset({STYLE})], 0)
+    table.clear(frozenset({STYLE}), 20)
+    stale = Evidence((Crash('b', ((STYLE,),), 25),))
+    assert not table.merge(stale, 30)
+    assert 'b' not in table.crashes
+
+
 def test_expired_evidence_is_dropped():
     """Guards against requests that are compared with old evidence forever."""
     table = SuspectTable()
