Log when an upstream turns cold, and each request that is sent to one

Callers of the large deployment saw a cold upstream flooded, and the logs could not tell why: no line had when a host learned that an upstream is cold, how old that news was, or by how many hosts it divided the rate.

Cause of the blind spot: only the draining state of an entry was logged. Change: 'upstream is cold' with its remaining time and the age of the news, 'request sent to a cold upstream' with the number of hosts counted, and the counter gateway_cold_sends. At most the cold rate of lines a second and host.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -66,9 +66,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
-    """A slot at an upstream that is held by one request."""
+    """A slot at an upstream that is held by one request.
+
+    ``cold_left`` is how long the upstream stays cold as far as this host knows,
+    in seconds; ``host_count`` is the number of hosts that the host divides the
+    rate of a cold upstream by.
+    """
 
     upstream: Upstream
+    cold_left: float = 0
+    host_count: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +141,7 @@
         self.on_acquire()
         if service_settings.cold_rate and now < best.cold_until:
             self.health.take_cold_token(best.name)
-        return Reservation(best)
+        return Reservation(best, max(best.cold_until - now, 0), self.host_count)
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -49,6 +49,12 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
+        self.cold_sends = Counter(
+            'gateway_cold_sends',
+            'Sends to upstreams that are cold',
+            _BY_SERVICE,
+            registry=self.registry,
+        )
         self.refused_suspects = Counter(
             'gateway_refused_suspects',
             'Refusals of requests that are blamed for crashes of upstreams',
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -133,6 +133,8 @@
         """Send the request once; return the failure, or None on success."""
         reservation = await self._acquire()
         self.tried_upstreams.append(reservation.upstream.name)
+        if reservation.cold_left:
+            self._log_cold_send(reservation)
         try:
             await self.response_forwarder.run(
                 reservation, self._is_last_attempt()
@@ -146,6 +148,19 @@
         self._count_attempt('answered')
         return None
 
+    def _log_cold_send(self, reservation: Reservation) -> None:
+        service = self.authorized.service
+        self.proxy.metrics.cold_sends.labels(service).inc()
+        log.info(
+            'request sent to a cold upstream',
+            extra={
+                'request': self.authorized.request.request_id,
+                'upstream': reservation.upstream.name,
+                'cold_left_ms': _to_milliseconds(reservation.cold_left),
+                'hosts': reservation.host_count,
+            },
+        )
+
     def _count_attempt(self, outcome: str) -> None:
         attempts_metric = self.proxy.metrics.upstream_attempts
         attempts_metric.labels(self.authorized.service, outcome).inc()
--- a/primroseyoke/platform/feeds.py
+++ b/primroseyoke/platform/feeds.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import logging
+import time
 from collections.abc import Callable
 
 from ..exceptions import ConfigurationInvalid
@@ -30,6 +31,7 @@
 OPERATOR_TOPIC = 'keyed.op'
 UPSTREAM_TOPIC = 'keyed.servers'
 
+_MS_PER_SECOND = 1000
 _CONFIGURATION_KEY = 'config'
 _EVACUATED_ZONE_PREFIX = 'evacuate/'
 
@@ -140,6 +142,9 @@
             upstream = upstream or registry.upstreams.get(record.key)
             if upstream is not None and record.value:
                 present.append(upstream)
+                _log_cold(
+                    registry.upstreams.get(upstream.name), upstream, event
+                )
         registry.replace_all(present, event.read_at)
         log.info(
             'upstream list loaded from the store',
@@ -152,7 +157,7 @@
         registry = self.routing_state.registry
         newest = {record.key: record for record in event.records}
         for record in newest.values():
-            self._apply(record, event.read_at)
+            self._apply(record, event)
         registry.expire(event.read_at)
         if newest:
             self.on_change()
@@ -161,8 +166,9 @@
     def _receive_returned(self, event: StoreReconnected) -> None:
         self.routing_state.registry.record_store_recovery(event.read_at)
 
-    def _apply(self, record: KeyedRecord, now: float) -> None:
+    def _apply(self, record: KeyedRecord, event: TopicChanges) -> None:
         registry = self.routing_state.registry
+        now = event.read_at
         previous = registry.upstreams.get(record.key)
         if not record.value:
             if previous is not None:
@@ -184,6 +190,7 @@
                     'offset': record.offset,
                 },
             )
+        _log_cold(previous, upstream, event)
         registry.put(upstream)
 
     def _decode(self, record: KeyedRecord, now: float) -> Upstream | None:
@@ -201,6 +208,36 @@
             return None
 
 
+def _log_cold(
+    previous: Upstream | None,
+    upstream: Upstream,
+    event: TopicListing | TopicChanges,
+) -> None:
+    """Log that an upstream has become cold, and how old that news is."""
+    was_cold = (
+        previous is not None
+        and previous.started_at == upstream.started_at
+        and previous.cold_until > event.read_at
+    )
+    if was_cold or upstream.cold_until <= event.read_at:
+        return
+    log.info(
+        'upstream is cold',
+        extra={
+            'upstream': upstream.name,
+            'started_at': upstream.started_at,
+            'cold_for_ms': _to_milliseconds(
+                upstream.cold_until - event.read_at
+            ),
+            'age_ms': _to_milliseconds(time.monotonic() - event.read_at),
+        },
+    )
+
+
+def _to_milliseconds(seconds: float) -> float:
+    return round(seconds * _MS_PER_SECOND, 1)
+
+
 def upstream_effect(record: KeyedRecord) -> bytes:
     """Return what an upstream's entry says, without what changes all the time.
 
