Let a few hosts, chosen by hash, share the rate of a cold upstream

Callers of large deployments lost an upstream as it came back cold: the hosts together sent it more requests in one second than it can handle.

Cause: each host held up to one whole request for each cold upstream, and had it at its first look. A host that had just started counted itself alone.

Change: RateSharing ranks the hosts for each upstream by a hash; the first few are its senders, with equal parts of two requests or more a window, spaced in time and never saved up. A host that does not know the others yet, or is not yet known to them, sends nothing there. Hosts that fall silent keep their parts. Requests that cannot be sent in time are refused at once.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -15,6 +15,7 @@
     Mapping,
 )
 
+from ..shared_rates import RateSharing, SharedRate
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
 from .configuration import Configuration, Engine, Service
@@ -44,6 +45,8 @@
 # seconds, and a response on time is worth four late ones.
 _RESERVED_SLOT_COUNT = 2
 _RESERVED_SLOT_SHARE = 0.2
+# Time over which the requests to a cold upstream are counted.
+_COLD_WINDOW_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,14 +71,13 @@
 class Reservation:
     """A slot at an upstream that is held by one request.
 
-    ``cold_left`` is how long the upstream stays cold as far as this host knows,
-    in seconds; ``host_count`` is the number of hosts that the host divides the
-    rate of a cold upstream by.
+    ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
+    the number of hosts that this host shares them with, itself included.
     """
 
     upstream: Upstream
-    cold_left: float = 0
-    host_count: int = 1
+    rates: tuple[SharedRate, ...] = ()
+    host_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +98,7 @@
 
     Attributes:
         in_flight: requests in progress, of this host and of the others.
-        host_count: number of hosts that share the upstreams, this one included.
+        rates: the parts of this host in rates that all hosts share.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
         on_acquire: called after a slot was reserved.
@@ -108,14 +110,23 @@
         availability_zone: str,
         generator: random.Random,
         region_of: Mapping[str, str],
+        host: str = '',
     ) -> None:
-        """Select from ``registry``, with a preference for the own zone."""
+        """Select from ``registry``, with a preference for the own zone.
+
+        Args:
+            registry: the upstreams.
+            availability_zone: the zone of this host.
+            generator: source of the random part of each choice.
+            region_of: region of each availability zone.
+            host: address of this host.
+        """
         self.registry = registry
         self.availability_zone = availability_zone
         self.generator = generator
         self.in_flight = InFlightRequests()
         self.on_acquire: Callable[[], None] = _do_nothing
-        self.host_count = 1
+        self.rates = RateSharing(host)
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
         self.candidates = CandidateIndex(
@@ -139,9 +150,9 @@
             return None
         self.in_flight.record_start(best.name)
         self.on_acquire()
-        if service_settings.cold_rate and now < best.cold_until:
-            self.health.take_cold_token(best.name)
-        return Reservation(best, max(best.cold_until - now, 0), self.host_count)
+        rates = _shared_rates(best, service_settings, now)
+        self.rates.record_send(best.name, rates, now)
+        return Reservation(best, rates, len(self.rates.hosts))
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
@@ -189,6 +200,24 @@
             for upstream in accepting
         )
 
+    def shared_rate_delay(
+        self, service: Service, regions: frozenset[str], now: float
+    ) -> float:
+        """Return the time until this host may send to a service, in seconds.
+
+        It is 0 unless shared rates hold at all of its upstreams in ``regions``
+        (empty for any), and infinite if this host is a sender of none of them.
+        """
+        delays = (
+            self.rates.delay(
+                upstream.name, _shared_rates(upstream, service, now), now
+            )
+            for upstream in self.candidates.find(
+                service.name, regions
+            ).upstreams
+        )
+        return _least(delays)
+
     def explain_no_capacity(self, service: Service, now: float) -> str:
         """Return a summary of why no upstream of a service has a free slot.
 
@@ -219,8 +248,10 @@
         )
 
     def prune(self) -> None:
-        """Discard the health records of upstreams that no longer exist."""
-        self.health.retain(frozenset(self.registry.upstreams))
+        """Discard the records of upstreams that no longer exist."""
+        names = frozenset(self.registry.upstreams)
+        self.health.retain(names)
+        self.rates.retain(names)
 
     def _select(
         self,
@@ -350,11 +381,27 @@
     ) -> bool:
         if self.health.is_paused(upstream, now):
             return False
-        if not service.cold_rate or now >= upstream.cold_until:
-            return True
-        # The request rate of a cold upstream is split evenly among the hosts.
-        rate = service.cold_rate / (self.host_count + 1)
-        return self.health.has_cold_token(upstream.name, rate, now)
+        rates = _shared_rates(upstream, service, now)
+        return not self.rates.delay(upstream.name, rates, now)
+
+
+def _shared_rates(
+    upstream: Upstream, service: Service, now: float
+) -> tuple[SharedRate, ...]:
+    """Return the rates that all hosts together must keep at an upstream."""
+    if not service.cold_rate or now >= upstream.cold_until:
+        return ()
+    return (SharedRate(service.cold_rate, _COLD_WINDOW_SECONDS),)
+
+
+def _least(delays: Iterable[float]) -> float:
+    """Return the least delay, without computing more after a 0."""
+    least = math.inf
+    for delay in delays:
+        least = min(least, delay)
+        if not least:
+            break
+    return least
 
 
 def _do_nothing() -> None:
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -79,6 +79,7 @@
             settings.availability_zone,
             self.generator,
             settings.region_of,
+            settings.address,
         )
         self.pool = ConnectionPool(platform.codec, settings.response_limits)
         self.retry_budget = RetryBudget(
@@ -291,7 +292,7 @@
     async def _register(self) -> None:
         while True:
             try:
-                self.peer_reporter.add_peers(await self.platform.register())
+                self.peer_reporter.add_all_hosts(await self.platform.register())
                 return
             except ServiceUnavailable as error:
                 log.warning(
@@ -308,7 +309,7 @@
                 frozenset(self.routing_state.registry.upstreams)
             )
             self._refute_false_crashes()
-            self.balancer.host_count = self.peer_reporter.host_count
+            self.balancer.rates.update_hosts(self.peer_reporter.hosts)
             self.retry_budget.host_count = self.peer_reporter.host_count
 
     def _refute_false_crashes(self) -> None:
--- a/primroseyoke/gateway/health.py
+++ b/primroseyoke/gateway/health.py
@@ -30,9 +30,6 @@
     failures: int = 0
     paused_until: float = 0
     load: Load | None = None
-    # Token bucket that limits the requests to a cold upstream.
-    cold_tokens: float = 0
-    cold_tokens_updated_at: float = 0
 
 
 class HealthTracker:
@@ -111,24 +108,6 @@
         """Return the load that an upstream last reported, if any."""
         return self._entry(name).load
 
-    def has_cold_token(self, name: str, rate: float, now: float) -> bool:
-        """Refill the tokens of a cold upstream; tell whether one is left.
-
-        Args:
-            name: name of the upstream.
-            rate: requests per second that this host may send to it.
-            now: monotonic seconds.
-        """
-        health = self._entry(name)
-        elapsed = now - health.cold_tokens_updated_at
-        health.cold_tokens = min(health.cold_tokens + elapsed * rate, 1)
-        health.cold_tokens_updated_at = now
-        return health.cold_tokens >= 1
-
-    def take_cold_token(self, name: str) -> None:
-        """Take a token for a request to a cold upstream."""
-        self._entry(name).cold_tokens -= 1
-
     def retain(self, names: frozenset[str]) -> None:
         """Remove the records of all upstreams but those in ``names``."""
         self.entries = {
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -49,9 +49,9 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
-        self.cold_sends = Counter(
-            'gateway_cold_sends',
-            'Sends to upstreams that are cold',
+        self.limited_sends = Counter(
+            'gateway_limited_sends',
+            'Sends to upstreams with a rate that all hosts share',
             _BY_SERVICE,
             registry=self.registry,
         )
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -55,6 +55,8 @@
 _MAX_DIRECT_HOST_COUNT = 48
 # A report that was held for longer on its way is out of date.
 _MAX_HELD_SECONDS = 1.0
+# Time for the heartbeat of a host that has just started to reach the others.
+_SETTLING_SECONDS = 2.0
 _MS_PER_SECOND = 1000
 # A report that was sent before the last one by less than this was overtaken. A
 # greater difference shows that the host was restarted.
@@ -84,6 +86,8 @@
 
     Attributes:
         peers: the other gateways that are known, by address.
+        hosts_known_at: when the addresses of all hosts were read from the store,
+            in monotonic seconds; infinite before.
         draining: whether this host is shutting down.
         report_requested: set to send a report without delay.
     """
@@ -109,6 +113,7 @@
         self.peers: dict[str, _Peer] = {}
         self.last_sent: dict[str, int] = {}
         self.last_heartbeat_at = -math.inf
+        self.hosts_known_at = math.inf
         self.draining = False
         self.report_requested = asyncio.Event()
         self.relay = ReportRelay(self._send_message)
@@ -158,6 +163,23 @@
             for peer in self.peers.values()
         )
 
+    @property
+    def hosts(self) -> frozenset[str]:
+        """Return the addresses of all hosts that may be running.
+
+        Silent hosts are among them: those on the other side of a partition
+        still send requests. It is empty until the hosts have been known for so
+        long that they know this one.
+        """
+        if time.monotonic() - self.hosts_known_at < _SETTLING_SECONDS:
+            return frozenset()
+        return frozenset((self.address, *self.peers))
+
+    def add_all_hosts(self, addresses: Iterable[str]) -> None:
+        """Add the addresses of all hosts, from the store."""
+        self.add_peers(addresses)
+        self.hosts_known_at = time.monotonic()
+
     @property
     def is_leader(self) -> bool:
         """Tell whether this host has the lowest address of the active hosts.
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -1,6 +1,7 @@
 """Forwards one request to upstreams, with queueing and retries."""
 
 import logging
+import math
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -133,8 +134,8 @@
         """Send the request once; return the failure, or None on success."""
         reservation = await self._acquire()
         self.tried_upstreams.append(reservation.upstream.name)
-        if reservation.cold_left:
-            self._log_cold_send(reservation)
+        if reservation.rates:
+            self._log_limited_send(reservation)
         try:
             await self.response_forwarder.run(
                 reservation, self._is_last_attempt()
@@ -148,15 +149,15 @@
         self._count_attempt('answered')
         return None
 
-    def _log_cold_send(self, reservation: Reservation) -> None:
+    def _log_limited_send(self, reservation: Reservation) -> None:
         service = self.authorized.service
-        self.proxy.metrics.cold_sends.labels(service).inc()
+        self.proxy.metrics.limited_sends.labels(service).inc()
         log.info(
-            'request sent to a cold upstream',
+            'request sent to an upstream with a shared rate',
             extra={
                 'request': self.authorized.request.request_id,
                 'upstream': reservation.upstream.name,
-                'cold_left_ms': _to_milliseconds(reservation.cold_left),
+                'rates': [rate.per_second for rate in reservation.rates],
                 'hosts': reservation.host_count,
             },
         )
@@ -193,7 +194,7 @@
         reservation = self._try_acquire(now)
         try:
             while reservation is None:
-                if now >= wait_until or self._should_not_wait(now):
+                if now >= wait_until or self._should_not_wait(now, wait_until):
                     raise self._no_capacity()
                 # Poll, since a queue position changes with time and a load
                 # report of another gateway may be lost.
@@ -228,15 +229,28 @@
             raise RequestFailed(reason, Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
         raise RequestFailed(reason, Verdict.NOT_RUN, UNAVAILABLE, delay)
 
-    def _should_not_wait(self, now: float) -> bool:
-        """Return whether no upstream works, so that waiting is useless.
+    def _should_not_wait(self, now: float, wait_until: float) -> bool:
+        """Return whether no upstream will be free in time.
 
         A started stream waits anyway, because its caller already has part of
         the response.
         """
         if self.may_have_run:
             return False
-        return self.proxy.balancer.is_unavailable(self.authorized.service, now)
+        return (
+            self.proxy.balancer.is_unavailable(self.authorized.service, now)
+            or now + self._shared_rate_delay(now) > wait_until
+        )
+
+    def _shared_rate_delay(self, now: float) -> float:
+        return self.proxy.balancer.shared_rate_delay(
+            self._service(), self.authorized.regions, now
+        )
+
+    def _service(self) -> Service:
+        name = self.authorized.service
+        services = self.authorized.configuration.services
+        return services.get(name) or Service(name, 0)
 
     def _queue_position(self, now: float) -> QueuePosition:
         authorized = self.authorized
@@ -272,11 +286,8 @@
         )
 
     def _no_capacity(self) -> RequestFailed:
-        service = self.authorized.service
         cause = self.proxy.balancer.explain_no_capacity(
-            self.authorized.configuration.services.get(service)
-            or Service(service, 0),
-            time.monotonic(),
+            self._service(), time.monotonic()
         )
         if self.may_have_run:
             return RequestFailed(
@@ -295,12 +306,18 @@
         """Return the Retry-After of a request that got no slot, in seconds.
 
         Its response will miss the objective in any case. An overload takes
-        some seconds to clear; an outage of all upstreams takes longer.
+        some seconds to clear; an outage of all upstreams takes longer. Where
+        only other hosts may send, the caller reaches one of them by chance.
         """
         now = time.monotonic()
         max_delay = (self.authorized.deadline - now) * _RETRY_AFTER_SHARE
         if self.proxy.balancer.is_unavailable(self.authorized.service, now):
             return max_delay
+        delay = self._shared_rate_delay(now)
+        if math.isinf(delay):
+            return min(RETRY_AFTER_BUSY_SECONDS, max_delay)
+        if delay:
+            return min(delay, max_delay)
         return min(_RETRY_AFTER_LIMIT_SECONDS, max_delay)
 
     def _raise_unless_retryable(self, failure: RequestFailed) -> None:
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -21,11 +21,11 @@
 LATE = SelectionCriteria(urgency=Urgency.LATE, longest_gap=0.12)
 
 
-def make_balancer(count: int, **overrides: object) -> Balancer:
+def make_balancer(count: int, host: str = '', **overrides: object) -> Balancer:
     registry = UpstreamRegistry()
     for number in range(count):
         registry.put(make_upstream(f'u{number}', **overrides))
-    return Balancer(registry, 'a', random.Random(1), {})
+    return Balancer(registry, 'a', random.Random(1), {}, host)
 
 
 def make_configuration(service: Service) -> Configuration:
@@ -182,18 +182,21 @@
 
 
 def test_cold_rate_is_shared_evenly_by_the_hosts() -> None:
-    balancer = make_balancer(1, cold_until=1000)
-    balancer.host_count = 3
     cold = make_configuration(Service('app', 100, cold_rate=8))
-    sent = 0
-    for tick in range(1000):
-        reservation = balancer.acquire(
-            cold, 'app', tick / 100, SelectionCriteria()
-        )
-        if reservation is not None:
-            sent += 1
-            balancer.release(reservation)
-    assert 18 <= sent <= 21
+    hosts = ('a', 'b', 'c')
+    sent = dict.fromkeys(hosts, 0)
+    for host in hosts:
+        balancer = make_balancer(1, cold_until=1000, host=host)
+        balancer.rates.update_hosts(hosts)
+        for tick in range(1000):
+            reservation = balancer.acquire(
+                cold, 'app', tick / 100, SelectionCriteria()
+            )
+            if reservation is not None:
+                sent[host] += 1
+                balancer.release(reservation)
+    assert 72 <= sum(sent.values()) <= 80
+    assert max(sent.values()) - min(sent.values()) <= 1
 
 
 def test_plain_services_are_limited_by_their_reported_slots() -> None:
--- a/tests/gateway/test_cold_upstreams.py
+++ b/tests/gateway/test_cold_upstreams.py
@@ -24,14 +24,16 @@
 def balancer_of(number: int) -> Balancer:
     registry = UpstreamRegistry()
     registry.put(Upstream('u', 'model', 'h', 1, 'z', cold_until=math.inf))
-    return Balancer(registry, 'z', random.Random(number), {})
+    return Balancer(registry, 'z', random.Random(number), {}, f'host-{number}')
 
 
 def balancers_of(count: int) -> list[Balancer]:
     """Return the balancers of hosts that know each other."""
     balancers = [balancer_of(number) for number in range(count)]
     for balancer in balancers:
-        balancer.host_count = count
+        balancer.rates.update_hosts(
+            {f'host-{number}' for number in range(count)}
+        )
     return balancers
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -349,3 +349,40 @@
         content = encode_message(Batch((relayed,)))
         reporter.datagram_received(content, ('10.0.0.2', 1))
         assert reporter.balancer.in_flight.total('u0') == expected
+
+
+def test_hosts_are_unknown_until_this_one_is_known_to_them() -> None:
+    """Guards against hosts that take rates that others use, as they start."""
+
+    async def scenario(network: Network) -> None:
+        new_host = network.add('10.0.0.9')
+        await asyncio.sleep(5)
+        assert not new_host.hosts
+        new_host.add_all_hosts(network.hosts)
+        await asyncio.sleep(1)
+        assert not new_host.hosts
+        for other in network.hosts.values():
+            assert '10.0.0.9' in other.peers or other is new_host
+        await asyncio.sleep(2)
+        assert new_host.hosts == set(network.hosts)
+
+    run_network(scenario)
+
+
+def test_silent_hosts_stay_among_the_hosts_and_stopped_ones_do_not() -> None:
+    """Guards against a host that is cut off and takes the rates of all."""
+
+    async def scenario(network: Network) -> None:
+        for host in network.hosts.values():
+            host.add_all_hosts(network.hosts)
+        network.partitioned = {'10.0.0.0'}
+        await asyncio.sleep(30)
+        isolated = network.hosts['10.0.0.0']
+        assert isolated.hosts == set(network.hosts)
+        assert network.hosts['10.0.0.1'].hosts == set(network.hosts)
+        network.tasks[2].cancel()
+        network.hosts['10.0.0.2'].announce_exit()
+        await asyncio.sleep(1)
+        assert '10.0.0.2' not in network.hosts['10.0.0.1'].hosts
+
+    run_network(scenario)
