Spend no shared retries before the number of hosts is known

Change: RetryBudget counts infinitely many hosts until the list of hosts was read from the store; its own requests still earn retries. Tests that used a budget without hosts now set their number, and the deployment of tests waits until the gateway knows its hosts.

Measured: test_host_that_does_not_know_the_others_spends_no_slack failed before (a retry was allowed) and passes; tests/gateway and tests/platform pass.

--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -293,6 +293,7 @@
         while True:
             try:
                 self.peer_reporter.add_all_hosts(await self.platform.register())
+                self._update_hosts()
                 return
             except ServiceUnavailable as error:
                 log.warning(
@@ -309,8 +310,14 @@
                 frozenset(self.routing_state.registry.upstreams)
             )
             self._refute_false_crashes()
-            self.balancer.rates.update_hosts(self.peer_reporter.hosts)
-            self.retry_budget.host_count = self.peer_reporter.host_count
+            self._update_hosts()
+
+    def _update_hosts(self) -> None:
+        """Share limits with the hosts that are known now."""
+        reporter = self.peer_reporter
+        self.balancer.rates.update_hosts(reporter.hosts)
+        if reporter.knows_hosts:
+            self.retry_budget.host_count = reporter.host_count
 
     def _refute_false_crashes(self) -> None:
         """Drop evidence that the store contradicts, if it is up to date."""
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -163,6 +163,11 @@
             for peer in self.peers.values()
         )
 
+    @property
+    def knows_hosts(self) -> bool:
+        """Tell whether the addresses of all hosts were read from the store."""
+        return math.isfinite(self.hosts_known_at)
+
     @property
     def hosts(self) -> frozenset[str]:
         """Return the addresses of all hosts that may be running.
--- a/primroseyoke/gateway/retry_budget.py
+++ b/primroseyoke/gateway/retry_budget.py
@@ -1,6 +1,7 @@
 """Retry budget, split evenly among the hosts of a deployment."""
 
 import collections
+import math
 
 __all__ = ('RetryBudget',)
 
@@ -11,6 +12,10 @@
     The limit holds over all hosts together without coordination: each host
     limits itself to ``ratio`` of its own requests and an even part of
     ``slack``.
+
+    Attributes:
+        host_count: number of hosts that share ``slack``; infinite while it is
+            not known.
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
@@ -18,7 +23,7 @@
         self.ratio = ratio
         self.slack = slack
         self.window = window
-        self.host_count = 1
+        self.host_count = math.inf
         self.requests: dict[str, collections.deque[float]] = {}
         self.retries: dict[str, collections.deque[float]] = {}
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -192,6 +192,7 @@
             await wait_until(
                 lambda: (
                     gateway.ready
+                    and gateway.peer_reporter.knows_hosts
                     and names <= set(gateway.routing_state.registry.upstreams)
                 ),
             )
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -40,6 +40,17 @@
 
 def test_services_have_separate_budgets() -> None:
     budget = RetryBudget(0, 2, WINDOW)
+    budget.host_count = 1
     assert budget.try_spend('app', 1)
     assert not budget.try_spend('app', 1)
     assert budget.try_spend('model', 1)
+
+
+def test_host_that_does_not_know_the_others_spends_no_slack() -> None:
+    """Guards against hosts that each spend half of the slack as they start."""
+    budget = RetryBudget(ratio=0.2, slack=92, window=10)
+    assert not budget.try_spend('app', now=0)
+    for _ in range(5):
+        budget.record_request('app', now=0)
+    assert budget.try_spend('app', now=0)
+    assert not budget.try_spend('app', now=0)
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -238,11 +238,13 @@
             name = f'{group}-{rank}'
             routing_state.registry.put(Upstream(name, 'model', 'h', 1, 'a'))
             balancer.groups.add_rank(name, str(group))
+        budget = RetryBudget(0.2, 92, 10)
+        budget.host_count = 1
         proxy = Proxy(
             Authorizer(routing_state, generator),
             balancer,
             Pool(self.groups, generator),
-            RetryBudget(0.2, 92, 10),
+            budget,
         )
         reports = PeerReporter(address, address, 1)
         reports.balancer = balancer
