--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -66,6 +66,7 @@
                     'draining': upstream.draining,
                     'cold': now < upstream.cold_until,
                     'paused': balancer.health.is_paused(upstream, now),
+                    'rate_limit': balancer.notices.rate_limit(upstream, now),
                     'requests': balancer.in_flight.total(upstream.name),
                 }
                 for upstream in routing_state.registry.upstreams.values()
@@ -90,6 +91,9 @@
         metrics.suspect_traits.set(
             len(gateway.proxy.crash_detector.suspects.blame)
         )
+        metrics.limited_upstreams.set(
+            gateway.balancer.limited_count(time.monotonic())
+        )
         metrics.upstreams.set(len(gateway.routing_state.registry.upstreams))
         metrics.configuration_version.set(
             configuration.version if configuration else 0
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -21,6 +21,7 @@
 from .configuration import Configuration, Engine, Service
 from .health import HealthTracker
 from .in_flight import InFlightRequests
+from .notices import UpstreamNotices
 from .rank_groups import RankGroupMonitor
 from .upstreams import Upstream, UpstreamRegistry
 from .wait_queue import Urgency
@@ -99,6 +100,7 @@
     Attributes:
         in_flight: requests in progress, of this host and of the others.
         rates: the parts of this host in rates that all hosts share.
+        notices: what upstreams state of themselves.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
         on_acquire: called after a slot was reserved.
@@ -127,6 +129,7 @@
         self.in_flight = InFlightRequests()
         self.on_acquire: Callable[[], None] = _do_nothing
         self.rates = RateSharing(host)
+        self.notices = UpstreamNotices(generator)
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
         self.candidates = CandidateIndex(
@@ -150,7 +153,7 @@
             return None
         self.in_flight.record_start(best.name)
         self.on_acquire()
-        rates = _shared_rates(best, service_settings, now)
+        rates = self.shared_rates(best, service_settings, now)
         self.rates.record_send(best.name, rates, now)
         return Reservation(best, rates, len(self.rates.hosts))
 
@@ -200,6 +203,22 @@
             for upstream in accepting
         )
 
+    def shared_rates(
+        self, upstream: Upstream, service: Service, now: float
+    ) -> tuple[SharedRate, ...]:
+        """Return the rates that all hosts together keep at an upstream."""
+        rates = []
+        if service.cold_rate and now < upstream.cold_until:
+            rates.append(SharedRate(service.cold_rate, _COLD_WINDOW_SECONDS))
+        return tuple(rates)
+
+    def limited_count(self, now: float) -> int:
+        """Return how many upstreams state a limit of their requests."""
+        return sum(
+            self.notices.rate_limit(upstream, now) is not None
+            for upstream in self.registry.upstreams.values()
+        )
+
     def shared_rate_delay(
         self, service: Service, regions: frozenset[str], now: float
     ) -> float:
@@ -210,7 +229,7 @@
         """
         delays = (
             self.rates.delay(
-                upstream.name, _shared_rates(upstream, service, now), now
+                upstream.name, self.shared_rates(upstream, service, now), now
             )
             for upstream in self.candidates.find(
                 service.name, regions
@@ -252,6 +271,7 @@
         names = frozenset(self.registry.upstreams)
         self.health.retain(names)
         self.rates.retain(names)
+        self.notices.retain(names)
 
     def _select(
         self,
@@ -381,19 +401,10 @@
     ) -> bool:
         if self.health.is_paused(upstream, now):
             return False
-        rates = _shared_rates(upstream, service, now)
+        rates = self.shared_rates(upstream, service, now)
         return not self.rates.delay(upstream.name, rates, now)
 
 
-def _shared_rates(
-    upstream: Upstream, service: Service, now: float
-) -> tuple[SharedRate, ...]:
-    """Return the rates that all hosts together must keep at an upstream."""
-    if not service.cold_rate or now >= upstream.cold_until:
-        return ()
-    return (SharedRate(service.cold_rate, _COLD_WINDOW_SECONDS),)
-
-
 def _least(delays: Iterable[float]) -> float:
     """Return the least delay, without computing more after a 0."""
     least = math.inf
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -55,6 +55,11 @@
             _BY_SERVICE,
             registry=self.registry,
         )
+        self.limited_upstreams = Gauge(
+            'gateway_limited_upstreams',
+            'Upstreams that state a limit of their requests',
+            registry=self.registry,
+        )
         self.refused_suspects = Counter(
             'gateway_refused_suspects',
             'Refusals of requests that are blamed for crashes of upstreams',
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -73,6 +73,8 @@
     ``executed`` is False if the upstream states that it did not run the
     request. ``failed_upstream`` names the upstream that caused a failure, if
     stated. ``keep_alive`` is the idle timeout of the connection in seconds.
+    ``rate_limit`` is the number of requests per second that the upstream takes
+    from all hosts together, None if it states none.
     """
 
     status: int
@@ -83,6 +85,7 @@
     load: Load | None = None
     failed_upstream: str = ''
     keep_alive: float = math.inf
+    rate_limit: float | None = None
 
 
 class Codec(Protocol):
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -183,6 +183,9 @@
                     self.proxy.pool.codec,
                     self.authorized.request.request_id,
                 )
+                self.proxy.balancer.notices.record_response(
+                    connection.upstream, head, time.monotonic()
+                )
                 if stream and head.signed and head.status in _SUCCESS_STATUSES:
                     await self._forward_stream(connection, head, timer)
                 else:
--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -1,6 +1,7 @@
 """HTTP headers of the platform: decoding and encoding."""
 
 import math
+import re
 from collections.abc import Iterable
 
 from ..gateway.requests import (
@@ -32,6 +33,8 @@
 _LOAD_HEADER = b'x-primroseyoke-instance-load'
 # Name of the upstream that caused a failure.
 _FAULTY_UPSTREAM_HEADER = b'at-server'
+# Requests per second that the upstream takes from all hosts together.
+_RATE_LIMIT_HEADER = b'server-limit'
 _LAST_EVENT_ID_HEADER = b'last-event-id'
 # Parts of the prompt in order, as comma-separated ``ID:TOKENS``. The last one
 # belongs to this request or to its session.
@@ -52,6 +55,9 @@
     _EXPECTED_UPSTREAM_HEADER,
     _LAST_EVENT_ID_HEADER,
 }
+# Sent by another upstream than the one that was addressed.
+_MISDIRECTED_STATUS = 421
+_DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _AUTHORIZATION_SCHEME = 'bearer'
 
 
@@ -118,12 +124,15 @@
     ) -> ResponseHead:
         """Decode the head of an upstream's response."""
         fields = dict(headers)
+        executed = (
+            status != _MISDIRECTED_STATUS and _NOT_EXECUTED_HEADER not in fields
+        )
         return ResponseHead(
             status=status,
             headers=_without_headers(headers, _HOP_BY_HOP_HEADERS),
             request_id=_decode_text(fields.get(_REQUEST_ID_HEADER, b'')),
             signed=_SIGNATURE_HEADER in fields,
-            executed=status != 421 and _NOT_EXECUTED_HEADER not in fields,
+            executed=executed,
             load=_parse_load(fields.get(_LOAD_HEADER, b'')),
             failed_upstream=_decode_text(
                 fields.get(_FAULTY_UPSTREAM_HEADER, b'')
@@ -131,6 +140,7 @@
             keep_alive=_parse_keep_alive_seconds(
                 _decode_text(fields.get(b'keep-alive', b''))
             ),
+            rate_limit=_stated_rate_limit(status, headers),
         )
 
 
@@ -178,6 +188,24 @@
     return Load(*_parse_integers(content, 3))
 
 
+def _stated_rate_limit(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> float | None:
+    """Return the limit that the upstream states.
+
+    Anything but a single decimal number is ignored, and so is what another
+    upstream states that has taken over the address.
+    """
+    stated = [
+        content.strip()
+        for name, content in headers
+        if name.lower() == _RATE_LIMIT_HEADER
+    ]
+    if len(stated) != 1 or status == _MISDIRECTED_STATUS:
+        return None
+    return float(stated[0]) if _DECIMAL_NUMBER.fullmatch(stated[0]) else None
+
+
 def _parse_keep_alive_seconds(text: str) -> float:
     for parameter in text.split(','):
         name, _, seconds = parameter.strip().partition('=')
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -111,3 +111,30 @@
         parts = tuple(f'{part:x}' for part in range(32))
     assert request.prompt_parts == parts
     assert (b'x-primroseyoke-prompt-prefix', text) in request.headers
+
+
+@pytest.mark.parametrize(
+    ('contents', 'limit'),
+    [
+        ([b'1.3'], 1.3),
+        ([b' 2 '], 2),
+        ([b'0'], 0),
+        ([], None),
+        ([b'x'], None),
+        ([b'-1'], None),
+        ([b'1e9'], None),
+        ([b'nan'], None),
+        ([b'9' * 400], None),
+        ([b'1', b'2'], None),
+    ],
+)
+def test_limits_that_upstreams_state_are_decoded(contents, limit) -> None:
+    headers = [(b'server-limit', content) for content in contents]
+    assert CODEC.decode_response(200, headers).rate_limit == limit
+    assert CODEC.decode_response(503, headers).rate_limit == limit
+
+
+def test_limit_that_another_upstream_states_is_ignored() -> None:
+    """Guards against a limit of an upstream that took over the address."""
+    headers = [(b'server-limit', b'1')]
+    assert CODEC.decode_response(421, headers).rate_limit is None
