Keep the rate limits that upstreams state, over all hosts

Change: a stated limit is a shared rate like that of a cold upstream, counted over 4 s, so RateSharing divides it among a few hosts. Hosts tell each other in heartbeats what their own responses stated in the last 2 s, 16 upstreams at most; the newest statement holds, a response without one ends it, a new start of the upstream too. Each sender may send a request each 10 s, whatever the limit, since only a response can raise it; without any news a limit lapses after 30 to 60 s. So a wrong word of a host or an upstream takes no upstream away for good. Requests that cannot be sent in time are refused at once.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -48,6 +48,8 @@
 _RESERVED_SLOT_SHARE = 0.2
 # Time over which the requests to a cold upstream are counted.
 _COLD_WINDOW_SECONDS = 1.0
+# The same for an upstream that states a limit of its requests.
+_LIMIT_WINDOW_SECONDS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,6 +212,9 @@
         rates = []
         if service.cold_rate and now < upstream.cold_until:
             rates.append(SharedRate(service.cold_rate, _COLD_WINDOW_SECONDS))
+        limit = self.notices.rate_limit(upstream, now)
+        if limit is not None:
+            rates.append(SharedRate(limit, _LIMIT_WINDOW_SECONDS))
         return tuple(rates)
 
     def limited_count(self, now: float) -> int:
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -15,6 +15,7 @@
     'PeerMessage',
     'RelayedReport',
     'Report',
+    'ToldLimit',
     'decode_message',
     'encode_message',
 )
@@ -22,6 +23,19 @@
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
+class ToldLimit(msgspec.Struct, array_like=True, frozen=True):
+    """A limit that an upstream stated to the sender ``age`` seconds ago.
+
+    ``per_second`` is None if it named none. ``started_at`` identifies the start
+    of the upstream.
+    """
+
+    upstream: str
+    started_at: _Count
+    per_second: Annotated[float, msgspec.Meta(ge=0)] | None
+    age: Annotated[float, msgspec.Meta(ge=0)]
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """Report of a gateway to its peers.
 
@@ -30,6 +44,7 @@
     left. ``topics`` tells how far it has read the topics of the store; only
     heartbeats have it. ``sequence`` is the boot time of the host in milliseconds
     when it was sent. The receiver passes the report on if ``pass_on`` is set.
+    ``limits`` has what upstreams recently stated; only heartbeats have it.
     """
 
     host: str
@@ -40,6 +55,7 @@
     topics: Mapping[str, Announcement] = {}
     sequence: int = 0
     pass_on: bool = False
+    limits: tuple[ToldLimit, ...] = ()
 
 
 class RelayedReport(msgspec.Struct, array_like=True, frozen=True):
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -21,10 +21,12 @@
 from ..evidence import Evidence
 from .balancer import Balancer
 from .clocks import boot_time
+from .notices import LimitStatement
 from .peer_reports import (
     Batch,
     PeerMessage,
     Report,
+    ToldLimit,
     decode_message,
     encode_message,
 )
@@ -293,7 +295,9 @@
         """
         sharing = self.sharing
         is_direct = relay_address in {None, self.address}
-        report = self._report(balancer)
+        report = msgspec.structs.replace(
+            self._report(balancer), limits=_told_limits(balancer)
+        )
         if sharing and (is_direct or sharing.is_announcing):
             report = msgspec.structs.replace(
                 report, topics=sharing.announcements()
@@ -369,7 +373,7 @@
                 or relayed.held > _MAX_HELD_SECONDS
             ):
                 continue
-            self._apply_report(relayed.report, relayed.address)
+            self._apply_report(relayed.report, relayed.address, relayed.held)
             if batch.pass_on:
                 self._pass_on(
                     relayed.address,
@@ -389,7 +393,9 @@
         self.relay.add(address, passed_on, is_local, held)
         self.report_requested.set()
 
-    def _apply_report(self, report: Report, address: str) -> None:
+    def _apply_report(
+        self, report: Report, address: str, held: float = 0
+    ) -> None:
         balancer = self.balancer
         if balancer is None:
             return
@@ -418,6 +424,8 @@
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
         balancer.in_flight.apply_report(report.host, report.running, now)
+        for told in report.limits:
+            balancer.notices.record_told(_limit_statement(told, held, now))
 
     def _reported_within(self, seconds: float) -> list[str]:
         now = time.monotonic()
@@ -440,6 +448,31 @@
                 )
 
 
+def _told_limits(balancer: Balancer) -> tuple[ToldLimit, ...]:
+    now = time.monotonic()
+    return tuple(
+        ToldLimit(
+            stated.upstream,
+            stated.started_at,
+            stated.per_second if math.isfinite(stated.per_second) else None,
+            now - stated.stated_at,
+        )
+        for stated in balancer.notices.recent(now)
+    )
+
+
+def _limit_statement(
+    told: ToldLimit, held: float, now: float
+) -> LimitStatement:
+    return LimitStatement(
+        told.upstream,
+        told.started_at,
+        math.inf if told.per_second is None else told.per_second,
+        now - told.age - held,
+        is_own=False,
+    )
+
+
 def _do_nothing() -> None:
     """Allow calls of ``on_report`` before a callback is set."""
 
--- a/primroseyoke/shared_rates.py
+++ b/primroseyoke/shared_rates.py
@@ -28,6 +28,9 @@
 _MAX_CATCH_UP_SECONDS = 0.1
 # With a single sender, nothing would be sent while that host is away.
 _MIN_SENDER_COUNT = 2
+# An upstream gets a request of each sender at least this often, since only in a
+# response can it state a higher rate.
+_MAX_INTERVAL_SECONDS = 10.0
 _WEIGHT_BYTES = 8
 
 
@@ -63,7 +66,7 @@
         self.host = host
         self.hosts = frozenset(hosts)
         self.places: dict[tuple[str, int], int | None] = {}
-        self.next_sends: dict[tuple[str, float], float] = {}
+        self.used_until: dict[tuple[str, float], float] = {}
 
     def update_hosts(self, hosts: Collection[str]) -> None:
         """Replace the hosts that share the rates."""
@@ -93,18 +96,15 @@
     ) -> None:
         """Record that this host sends a request, at monotonic time ``now``."""
         for rate in rates:
-            interval = self._sender_count(rate) / rate.per_second
             key = (upstream, rate.window)
-            due = self.next_sends.get(key, now)
-            self.next_sends[key] = (
-                max(due, now - _MAX_CATCH_UP_SECONDS) + interval
-            )
+            due = self.used_until.get(key, now) + self._interval(rate)
+            self.used_until[key] = max(due, now - _MAX_CATCH_UP_SECONDS)
 
     def retain(self, upstreams: Collection[str]) -> None:
         """Discard what is known of all upstreams but ``upstreams``."""
-        self.next_sends = {
-            key: next_send
-            for key, next_send in self.next_sends.items()
+        self.used_until = {
+            key: until
+            for key, until in self.used_until.items()
             if key[0] in upstreams
         }
         self.places = {
@@ -115,15 +115,24 @@
 
     def _delay(self, upstream: str, rate: SharedRate, now: float) -> float:
         place = self._place(upstream, rate)
-        if place is None or not rate.per_second:
+        if place is None:
             return math.inf
+        interval = self._interval(rate)
         key = (upstream, rate.window)
-        if key not in self.next_sends:
+        if key not in self.used_until:
             # Other senders have learned of the rate at about the same time, so
             # their first requests are spread. This host may have restarted, so
             # it sends none at once.
-            self.next_sends[key] = now + (place + 1) / rate.per_second
-        return max(self.next_sends[key] - now, 0)
+            share = (place + 1) / self._sender_count(rate)
+            self.used_until[key] = now - interval * (1 - share)
+        return max(self.used_until[key] + interval - now, 0)
+
+    def _interval(self, rate: SharedRate) -> float:
+        """Return the time between two requests of a sender, in seconds."""
+        if not rate.per_second:
+            return _MAX_INTERVAL_SECONDS
+        interval = self._sender_count(rate) / rate.per_second
+        return min(interval, _MAX_INTERVAL_SECONDS)
 
     def _sender_count(self, rate: SharedRate) -> int:
         return min(rate.sender_count, len(self.hosts))
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,13 +1,16 @@
 """Exchange of reports between gateways over an emulated network."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable
 from unittest import mock
 
+import cbor2
 import pytest
 
 from primroseyoke.gateway.balancer import Balancer
+from primroseyoke.gateway.notices import UpstreamNotices
 from primroseyoke.gateway.peer_reports import (
     Batch,
     RelayedReport,
@@ -15,7 +18,8 @@
     encode_message,
 )
 from primroseyoke.gateway.peers import PeerReporter
-from primroseyoke.gateway.upstreams import UpstreamRegistry
+from primroseyoke.gateway.requests import ResponseHead
+from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
 from tests.event_loop import run
 
 
@@ -386,3 +390,69 @@
         assert '10.0.0.2' not in network.hosts['10.0.0.1'].hosts
 
     run_network(scenario)
+
+
+def test_hosts_tell_each_other_the_limits_that_upstreams_state() -> None:
+    """Guards against hosts that each learn of a limit by exceeding it."""
+
+    async def scenario(network: Network) -> None:
+        first, second = list(network.hosts.values())[:2]
+        upstream = Upstream('u0', 'app', 'h', 1, 'a', started_at=7)
+        now = asyncio.get_running_loop().time()
+        head = ResponseHead(200, (), signed=True, rate_limit=1.5)
+        first.balancer.notices.record_response(upstream, head, now)
+        await asyncio.sleep(0.5)
+        notices = second.balancer.notices
+        assert notices.rate_limit(upstream, now) == 1.5
+        assert not notices.recent(now)
+        restarted = dataclasses.replace(upstream, started_at=8)
+        assert notices.rate_limit(restarted, now) is None
+        head = ResponseHead(200, (), signed=True)
+        first.balancer.notices.record_response(upstream, head, now + 0.5)
+        await asyncio.sleep(0.5)
+        assert notices.rate_limit(upstream, now) is None
+
+    run_network(scenario)
+
+
+def test_older_statements_of_a_limit_do_not_replace_newer_ones() -> None:
+    async def scenario(network: Network) -> None:
+        first, second = list(network.hosts.values())[:2]
+        upstream = Upstream('u0', 'app', 'h', 1, 'a')
+        now = asyncio.get_running_loop().time()
+        for host, limit, at in ((first, 5.0, now - 1), (second, 2.0, now)):
+            head = ResponseHead(200, (), signed=True, rate_limit=limit)
+            host.balancer.notices.record_response(upstream, head, at)
+        await asyncio.sleep(0.5)
+        for host in network.hosts.values():
+            assert host.balancer.notices.rate_limit(upstream, now) == 2
+
+    run_network(scenario)
+
+
+def test_reports_with_odd_limits_are_ignored() -> None:
+    """Guards against a report that makes an upstream's limit last for ever."""
+    peers = PeerReporter('me', '127.0.0.1', 1)
+    balancer = Balancer(UpstreamRegistry(), 'a', random.Random(1), {})
+    peers.balancer = balancer
+    for odd in (
+        ['u', 0, -1, 0],
+        ['u', 0, 1, -5],
+        ['u', -1, 1, 0],
+        ['u', 0, 'x', 0],
+        ['u', 0, 1, float('nan')],
+        ['u', 0, float('nan'), 0],
+    ):
+        report = ['other', {}, False, False, 'a', {}, 1, False, [odd]]
+        peers.datagram_received(cbor2.dumps(report), ('127.0.0.2', 1))
+    assert not balancer.notices.limits
+
+
+def test_limit_of_an_upstream_lapses_without_news() -> None:
+    """Guards against an upstream that is spared while its senders are away."""
+    notices = UpstreamNotices(random.Random(1))
+    upstream = Upstream('u0', 'app', 'h', 1, 'a')
+    head = ResponseHead(200, (), signed=True, rate_limit=0)
+    notices.record_response(upstream, head, 100)
+    assert notices.rate_limit(upstream, 129) == 0
+    assert notices.rate_limit(upstream, 161) is None
