Rank hosts for an upstream by one multiplication instead of a digest

Callers saw nothing yet; at 390 hosts the first look at each upstream with a shared rate took 439 us, and a rank group that returns cold has up to 192 of them at once.

Cause: a digest for each pair of host and upstream. Change: a digest for each host and each upstream, and a Fibonacci hash of the pair.

--- a/primroseyoke/shared_rates.py
+++ b/primroseyoke/shared_rates.py
@@ -31,7 +31,11 @@
 # An upstream gets a request of each sender at least this often, since only in a
 # response can it state a higher rate.
 _MAX_INTERVAL_SECONDS = 10.0
-_WEIGHT_BYTES = 8
+_KEY_BYTES = 8
+_KEY_MASK = 2**64 - 1
+_KEY_SHIFT = 32
+# 2**64 divided by the golden ratio (Fibonacci hashing).
+_MULTIPLIER = 0x9E3779B97F4A7C15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,15 +68,19 @@
     def __init__(self, host: str, hosts: Collection[str] = ()) -> None:
         """Share rates with ``hosts``."""
         self.host = host
-        self.hosts = frozenset(hosts)
+        self.hosts: frozenset[str] = frozenset()
+        self.host_keys: dict[str, int] = {}
         self.places: dict[tuple[str, int], int | None] = {}
         self.used_until: dict[tuple[str, float], float] = {}
+        self.update_hosts(hosts)
 
     def update_hosts(self, hosts: Collection[str]) -> None:
         """Replace the hosts that share the rates."""
-        if self.hosts != frozenset(hosts):
-            self.hosts = frozenset(hosts)
-            self.places.clear()
+        if self.hosts == frozenset(hosts):
+            return
+        self.hosts = frozenset(hosts)
+        self.host_keys = {host: _key(host) for host in self.hosts}
+        self.places.clear()
 
     def delay(
         self, upstream: str, rates: Iterable[SharedRate], now: float
@@ -142,8 +150,11 @@
         count = self._sender_count(rate)
         key = (upstream, count)
         if key not in self.places:
+            upstream_key = _key(upstream)
             senders = heapq.nlargest(
-                count, self.hosts, key=lambda host: _weight(host, upstream)
+                count,
+                self.hosts,
+                key=lambda host: _weight(self.host_keys[host] ^ upstream_key),
             )
             self.places[key] = (
                 senders.index(self.host) if self.host in senders else None
@@ -151,7 +162,12 @@
         return self.places[key]
 
 
-def _weight(host: str, upstream: str) -> bytes:
-    return hashlib.blake2b(
-        f'{host}\0{upstream}'.encode(), digest_size=_WEIGHT_BYTES
-    ).digest()
+def _key(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=_KEY_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def _weight(key: int) -> int:
+    """Mix the bits of a key, so that hosts rank differently by upstream."""
+    mixed = key * _MULTIPLIER & _KEY_MASK
+    return (mixed ^ (mixed >> _KEY_SHIFT)) * _MULTIPLIER & _KEY_MASK
