Ignore entries with ports, addresses or times out of range

What callers would see: requests that end without an answer, since one odd entry among those of the upstreams was used as an upstream (an operator of a similar system reported hosts that ended or stopped following the list).

Cause: decode_upstream took any integer as port (70000, -1, Arabic digits), any text as host, any start time and any remaining time. Connecting to such a port raises OverflowError, which nothing catches: the request is lost, and tasks that ask the upstream restart again and again. HostList refused the whole list for one entry, and did not catch too deep nesting. Addresses of gateways were not checked either; a datagram to a text that is no address ends the transport.

Change: one check of ip:port for settings, entries and the host list; odd entries are ignored with a log line, the others hold. Addresses of gateways must be IP addresses; the emulated hosts of test_topic_sharing had leading zeros, which are none, and are renumbered.

Open: a too deeply nested record makes a page of the agents' log unreadable.

--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -1,5 +1,6 @@
 """Messages that gateways send each other as datagrams."""
 
+import ipaddress
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -18,6 +19,7 @@
     'ToldLimit',
     'decode_message',
     'encode_message',
+    'is_ip_address',
 )
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -65,6 +67,11 @@
     held: Annotated[float, msgspec.Meta(ge=0)]
     report: Report
 
+    def __post_init__(self) -> None:
+        """Reject addresses that are not IP addresses."""
+        if not is_ip_address(self.address):
+            raise ValueError(f'{self.address!r} is not an IP address')
+
 
 class Batch(msgspec.Struct, frozen=True):
     """Reports of several hosts; passed on in the zone if ``pass_on`` is set."""
@@ -78,6 +85,15 @@
 _EVIDENCE_FIELD = 'crashes'
 
 
+def is_ip_address(text: str) -> bool:
+    """Return whether ``text`` is an IP address."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message as CBOR."""
     return cbor2.dumps(msgspec.to_builtins(message))
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -29,6 +29,7 @@
     ToldLimit,
     decode_message,
     encode_message,
+    is_ip_address,
 )
 from .report_relay import ReportRelay
 from .topic_sharing import TopicSharing
@@ -151,6 +152,13 @@
         """Add the addresses that are not yet known as peers."""
         now = time.monotonic()
         for address in set(addresses) - {self.address} - set(self.peers):
+            if not is_ip_address(address):
+                # Sending to it would look up a name, or end the transport.
+                log.warning(
+                    'invalid address of a gateway ignored',
+                    extra={'address': address},
+                )
+                continue
             self.peers[address] = _Peer(now)
             # Makes a heartbeat due at once. The new peers learn this address
             # from it and send their next report to it.
--- a/primroseyoke/host_list.py
+++ b/primroseyoke/host_list.py
@@ -6,14 +6,18 @@
 """
 
 import dataclasses
+import logging
 from typing import Literal
 
 import msgspec
 import urllib3
 
 from .exceptions import ServiceUnavailable
+from .settings import Address
 
-__all__ = ('HostList', 'ListedHost')
+__all__ = ('HostList', 'ListedHost', 'decode_hosts')
+
+log = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,7 +33,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _HostListDocument:
-    hosts: tuple[ListedHost, ...]
+    hosts: tuple[msgspec.Raw, ...]
 
 
 class HostList:
@@ -48,9 +52,38 @@
         """
         try:
             response = self.pool.request('GET', self.url)
-            decoded = msgspec.json.decode(response.data, type=_HostListDocument)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except urllib3.exceptions.HTTPError as error:
             raise ServiceUnavailable(
-                f'host list at {self.url}: no valid response: {error}'
+                f'host list at {self.url}: no response: {error}'
             ) from error
-        return decoded.hosts
+        return decode_hosts(response.data)
+
+
+def decode_hosts(content: bytes) -> tuple[ListedHost, ...]:
+    """Return the hosts of a list, without entries that are not valid.
+
+    Raises:
+        ServiceUnavailable: it is no list.
+    """
+    try:
+        document = msgspec.json.decode(content, type=_HostListDocument)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ServiceUnavailable(
+            f'host list: no valid list: {error}'
+        ) from error
+    hosts = []
+    for entry in document.hosts:
+        try:
+            hosts.append(_decode_host(entry))
+        except (msgspec.MsgspecError, ValueError) as error:
+            log.warning(
+                'invalid entry in the host list ignored',
+                extra={'reason': str(error)},
+            )
+    return tuple(hosts)
+
+
+def _decode_host(entry: msgspec.Raw) -> ListedHost:
+    host = msgspec.json.decode(entry, type=ListedHost)
+    Address.parse(host.address)
+    return host
--- a/primroseyoke/platform/entries.py
+++ b/primroseyoke/platform/entries.py
@@ -18,6 +18,7 @@
     Target,
 )
 from ..gateway.upstreams import Upstream
+from ..settings import Address
 
 __all__ = ('decode_configuration', 'decode_upstream')
 
@@ -25,6 +26,11 @@
 _BYTES_PER_MB = 1e6
 _BYTES_PER_MBIT = 1e6 / 8
 
+# Values beyond these are errors: a day of warm-up, and the largest integer that
+# all JSON libraries keep.
+_MAX_COLD_MS = 86_400_000
+_MAX_TIME_MS = 2**53
+
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
@@ -41,9 +47,9 @@
     zone: str
     state: str
     # Remaining warm-up time in milliseconds.
-    cold_left_ms: _NonNegativeFloat = 0
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS)] = 0
     # Start time of the process in Unix milliseconds.
-    born: _NonNegativeInt = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIME_MS)] = 0
 
 
 class _WeightedTarget(msgspec.Struct):
@@ -147,23 +153,23 @@
     """
     try:
         entry = _upstream_entry_decoder.decode(content)
-        host, _, port = entry.address.rpartition(':')
-        address = (host, int(port))
+        address = Address.parse(entry.address)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigurationInvalid(
             f'invalid upstream entry {name!r}: {error}',
         ) from error
-    if entry.state not in {'ready', 'draining'} or not host or not name:
+    is_named = bool(name and address.port)
+    if entry.state not in {'ready', 'draining'} or not is_named:
         raise ConfigurationInvalid(
-            f'invalid upstream entry {name!r}: '
-            f'state {entry.state!r}, address {entry.address!r}; expected state '
-            "'ready' or 'draining', address host:port and a non-empty name",
+            f'invalid upstream entry {name!r}: state {entry.state!r}, port '
+            f"{address.port}; expected state 'ready' or 'draining', a port "
+            'above 0 and a non-empty name',
         )
     return Upstream(
         name=name,
         service=entry.service,
-        host=address[0],
-        port=address[1],
+        host=address.host,
+        port=address.port,
         availability_zone=entry.zone,
         draining=entry.state == 'draining',
         cold_until=now + entry.cold_left_ms / _MS_PER_SECOND,
--- a/primroseyoke/settings.py
+++ b/primroseyoke/settings.py
@@ -32,8 +32,10 @@
         host, _, port = text.rpartition(':')
         host = host.strip('[]')
         ipaddress.ip_address(host)
-        if not 0 <= int(port) <= _MAX_PORT:
-            raise ValueError(text)
+        # int() accepts signs, spaces and the digits of other scripts.
+        is_number = port.isascii() and port.isdigit()
+        if not is_number or int(port) > _MAX_PORT:
+            raise ValueError(f'port {port!r} is not within 0 to {_MAX_PORT}')
         return cls(host, int(port))
 
     def __str__(self) -> str:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -456,3 +456,16 @@
     notices.record_response(upstream, head, 100)
     assert notices.rate_limit(upstream, 129) == 0
     assert notices.rate_limit(upstream, 161) is None
+
+
+@pytest.mark.parametrize('odd', ['', 'nowhere', '10.0.0.1\0', '10.0.0.1:80'])
+def test_addresses_that_are_no_ip_addresses_are_ignored(odd) -> None:
+    """Guards against an address to which no report can be sent."""
+    peers = PeerReporter('me', '127.0.0.1', 1)
+    peers.balancer = Balancer(UpstreamRegistry(), 'a', random.Random(1), {})
+    peers.add_peers([odd, '10.0.0.2'])
+    content = cbor2.dumps(
+        {'reports': [[odd, 0, ['other', {}, False, False, 'a', {}, 1]]]}
+    )
+    peers.datagram_received(content, ('127.0.0.2', 1))
+    assert set(peers.peers) == {'10.0.0.2'}
--- a/tests/gateway/test_topic_sharing.py
+++ b/tests/gateway/test_topic_sharing.py
@@ -160,7 +160,9 @@
         self.isolated: set[str] = set()
         self.store.put('first', b'1')
         for number in range(count):
-            self.add(f'10.{number % 3}.0.{number // 3:03}', ZONES[number % 3])
+            self.add(
+                f'10.{number % 3}.0.{100 + number // 3}', ZONES[number % 3]
+            )
 
     def add(self, address: str, zone: str) -> Host:
         host = Host(self, address, zone)
@@ -306,7 +308,7 @@
 
 def test_an_isolated_host_reads_the_store_itself() -> None:
     async def scenario(system: System) -> None:
-        system.isolated = {'10.2.0.002'}
+        system.isolated = {'10.2.0.102'}
         delay = await system.update_delay('change')
         assert delay < MAX_UPDATE_DELAY_SECONDS
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -59,7 +59,18 @@
         {'coldLeftMs': 'soon'},
         {'zone': None},
         {'born': 1.5},
+        {'born': 10**400},
+        {'born': 2**70},
+        {'coldLeftMs': 10**300},
+        {'address': '10.128.0.9:0'},
+        {'address': '10.128.0.9:-1'},
+        {'address': '10.128.0.9:70000'},
+        {'address': '10.128.0.9:' + '9' * 5000},
+        {'address': '10.128.0.9:\u0663'},
+        {'address': 'nowhere.example:80'},
+        {'address': '10.128.0.9\0:80'},
     ],
+    ids=lambda overrides: str(overrides)[:40],
 )
 def test_invalid_upstream_entry_is_rejected(
     overrides: dict[str, object],
@@ -69,7 +80,23 @@
         decode_upstream('i-1', content, now=100)
 
 
-@pytest.mark.parametrize('content', [b'', b'{', b'\xff\xfe', b'[]', b'null'])
+DEEP = b'[' * 100_000 + b']' * 100_000
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'{',
+        b'\xff\xfe',
+        b'[]',
+        b'null',
+        DEEP,
+        json.dumps(ENTRY).encode()[:-1] + b',"x":' + DEEP + b'}',
+        json.dumps(ENTRY).encode()[:-1] + b',"coldLeftMs":1e400}',
+    ],
+    ids=lambda content: str(content)[:20],
+)
 def test_malformed_upstream_entry_is_rejected(content: bytes) -> None:
     with pytest.raises(ConfigurationInvalid):
         decode_upstream('i-1', content, now=100)
