Answer all requests before a stopping gateway exits

What callers would see: a request that arrived late in a planned stop was passed on, and the exit closed its connection without an answer, also of requests that may not be repeated (reported by an operator of a similar system).

Cause: only streams were refused late in the grace period (from 4.5 s before its end); other requests were passed on until the end, and what was unanswered then was cut off. Streams that began between 3.0 and 3.5 s of 8 s could be cut too.

Change: once the balancer in front has had time to notice (2.6 s, or half of a short grace period), requests whose deadline lies beyond the exit are refused with not_run. 0.15 s before it stops serving, the gateway answers what is left: 504 with may_have_run, or 503 if no upstream has got it.

The entry drains for 300 s by default and accepts nothing new then; read, not run.

--- a/primroseyoke/gateway/authorization.py
+++ b/primroseyoke/gateway/authorization.py
@@ -66,8 +66,9 @@
     """Authorizes requests by the current configuration.
 
     Attributes:
-        stream_cutoff_at: monotonic time from which new streams are rejected
-            because this host is shutting down.
+        exit_at: monotonic time at which this host stops serving.
+        last_calls_at: monotonic time from which requests are rejected that may
+            last beyond the exit.
     """
 
     def __init__(
@@ -78,7 +79,8 @@
         """Authorize by the configuration in ``routing_state``."""
         self.routing_state = routing_state
         self.generator = generator
-        self.stream_cutoff_at = math.inf
+        self.exit_at = math.inf
+        self.last_calls_at = math.inf
         self.longest_timeout_by_prefix: dict[str, float] = {}
 
     def authorize(
@@ -96,16 +98,17 @@
         if route is None:
             raise self._denial('no such route', _STATUS_NOT_FOUND, now)
         client = self._authenticate(configuration, route, request, now)
-        if route.execution is Execution.STREAM and now > self.stream_cutoff_at:
-            raise _temporarily_refused('the host is about to stop')
         timeout = min(request.timeout, route.timeout)
+        deadline = request.arrived_at + timeout
+        if now >= self.last_calls_at and deadline > self.exit_at:
+            raise _temporarily_refused('the host is about to stop')
         return AuthorizedRequest(
             request=request,
             configuration=configuration,
             route=route,
             service=self._pick_service(route),
             client=client,
-            deadline=request.arrived_at + timeout,
+            deadline=deadline,
             first_attempt_at=request.arrived_at
             - self._time_since_first_attempt(route, request),
         )
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -39,9 +39,10 @@
 _READINESS_NOTICE_SECONDS = 2.6
 # Shutdown completes this long before the expected SIGKILL.
 _EXIT_MARGIN_SECONDS = 0.25
-# Usual upper bound of a stream's duration. A draining gateway accepts no new
-# stream that could not finish before it exits.
-_MAX_STREAM_SECONDS = 4.5
+# Share of a short grace period within which all requests are still accepted.
+_ACCEPTANCE_SHARE = 0.5
+# Requests without an answer are answered this long before the exit.
+_LAST_ANSWER_SECONDS = 0.15
 # Interval at which idle connections and expired upstreams are removed.
 _SWEEP_INTERVAL_SECONDS = 1.0
 # Interval at which a draining gateway checks for unfinished requests.
@@ -344,8 +345,15 @@
         )
         started = loop.time()
         self.request_listener.draining = True
-        self.proxy.authorizer.stream_cutoff_at = (
-            time.monotonic() + self.settings.grace - _MAX_STREAM_SECONDS
+        now = time.monotonic()
+        exit_at = now + self.settings.grace - _EXIT_MARGIN_SECONDS
+        self.proxy.shut_down(
+            now
+            + min(
+                _READINESS_NOTICE_SECONDS,
+                self.settings.grace * _ACCEPTANCE_SHARE,
+            ),
+            exit_at - _LAST_ANSWER_SECONDS,
         )
         self.peer_reporter.announce_drain()
         with contextlib.suppress(ServiceUnavailable):
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 
 from ..exceptions import RequestFailed
@@ -49,6 +50,8 @@
         self.metrics = Metrics()
         self.queues: dict[str, WaitQueue] = {}
         self.first_event_estimates: dict[str, Estimate] = {}
+        self.timers: set[asyncio.Timeout] = set()
+        self.exit_at = math.inf
 
     async def handle(
         self, request: CallerRequest, response: ResponseWriter
@@ -69,6 +72,22 @@
             self._record_metrics(forwarder, response)
             _log_request_end(request, forwarder, response, detail, started)
 
+    def shut_down(self, last_calls_at: float, exit_at: float) -> None:
+        """Answer all requests before this host stops serving.
+
+        Args:
+            last_calls_at: monotonic time from which requests are rejected that
+                may last beyond the exit.
+            exit_at: monotonic time at which those are failed that are still
+                unanswered.
+        """
+        self.exit_at = exit_at
+        self.authorizer.last_calls_at = last_calls_at
+        self.authorizer.exit_at = exit_at
+        for timer in self.timers:
+            if not timer.expired():
+                timer.reschedule(min(timer.when() or exit_at, exit_at))
+
     def queue(self, service: str) -> WaitQueue:
         """Return the queue of requests that wait for a service."""
         return self.queues.setdefault(service, WaitQueue())
@@ -99,8 +118,12 @@
         """
         failure = None
         detail = ''
+        timer = asyncio.timeout_at(
+            min(forwarder.authorized.deadline, self.exit_at)
+        )
+        self.timers.add(timer)
         try:
-            async with asyncio.timeout_at(forwarder.authorized.deadline):
+            async with timer:
                 await forwarder.run()
         except RequestFailed as error:
             failure = error
@@ -110,6 +133,8 @@
             detail = 'the deadline of the request passed'
         except ConnectionError:
             detail = 'the caller closed the connection'
+        finally:
+            self.timers.discard(timer)
         if failure is not None and response.started:
             response.abort()
         elif failure is not None:
