Believe upstreams that say in a response that they leave or want a pause

Cause: the gateway read neither header.

Change: UpstreamNotices is the one place for what upstreams state in responses: load (moved from HealthTracker), limit, pause, leaving. An upstream that says that it leaves counts as draining in the registry, whatever its entry says, until it has a new start time. A rejection with a number of seconds keeps this host away for that time and up to a fifth more, 60 s at most; a later response does not end it. If all upstreams of a service want a pause or have a shared rate, callers are refused at once with the earliest useful Retry-After. Hosts do not tell each other of either, so a wrong word keeps one host away, not all. Dates, signs, exponents, repeated fields and what a 421 states are no statement.

--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -66,6 +66,9 @@
                     'draining': upstream.draining,
                     'cold': now < upstream.cold_until,
                     'paused': balancer.health.is_paused(upstream, now),
+                    'wants_pause': round(
+                        balancer.notices.pause_left(upstream, now), 3
+                    ),
                     'rate_limit': balancer.notices.rate_limit(upstream, now),
                     'requests': balancer.in_flight.total(upstream.name),
                 }
@@ -94,6 +97,9 @@
         metrics.limited_upstreams.set(
             gateway.balancer.limited_count(time.monotonic())
         )
+        metrics.leaving_upstreams.set(
+            len(gateway.routing_state.registry.leaving)
+        )
         metrics.upstreams.set(len(gateway.routing_state.registry.upstreams))
         metrics.configuration_version.set(
             configuration.version if configuration else 0
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -131,7 +131,7 @@
         self.in_flight = InFlightRequests()
         self.on_acquire: Callable[[], None] = _do_nothing
         self.rates = RateSharing(host)
-        self.notices = UpstreamNotices(generator)
+        self.notices = UpstreamNotices(generator, registry)
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
         self.candidates = CandidateIndex(
@@ -189,7 +189,7 @@
         """Return the maximum number of requests in progress at an upstream."""
         if service.engine is not None:
             return max(service.engine.slots, 1)
-        load = self.health.load(upstream.name)
+        load = self.notices.loads.get(upstream.name)
         slots = load.slots if load else 0
         return (slots or _DEFAULT_SLOT_COUNT) * _QUEUE_FACTOR
 
@@ -224,18 +224,17 @@
             for upstream in self.registry.upstreams.values()
         )
 
-    def shared_rate_delay(
+    def stated_delay(
         self, service: Service, regions: frozenset[str], now: float
     ) -> float:
-        """Return the time until this host may send to a service, in seconds.
+        """Return the time until an upstream wants a request of this host.
 
-        It is 0 unless shared rates hold at all of its upstreams in ``regions``
-        (empty for any), and infinite if this host is a sender of none of them.
+        It is 0 in seconds unless shared rates or pauses hold at all upstreams
+        of the service in ``regions`` (empty for any), and infinite if this host
+        is a sender of none of them.
         """
         delays = (
-            self.rates.delay(
-                upstream.name, self.shared_rates(upstream, service, now), now
-            )
+            self._stated_delay(upstream, service, now)
             for upstream in self.candidates.find(
                 service.name, regions
             ).upstreams
@@ -404,10 +403,20 @@
     def _is_usable(
         self, upstream: Upstream, service: Service, now: float
     ) -> bool:
-        if self.health.is_paused(upstream, now):
-            return False
+        return not (
+            self.health.is_paused(upstream, now)
+            or self._stated_delay(upstream, service, now)
+        )
+
+    def _stated_delay(
+        self, upstream: Upstream, service: Service, now: float
+    ) -> float:
+        """Return the time until an upstream wants a request of this host."""
         rates = self.shared_rates(upstream, service, now)
-        return not self.rates.delay(upstream.name, rates, now)
+        return max(
+            self.rates.delay(upstream.name, rates, now),
+            self.notices.pause_left(upstream, now),
+        )
 
 
 def _least(delays: Iterable[float]) -> float:
--- a/primroseyoke/gateway/health.py
+++ b/primroseyoke/gateway/health.py
@@ -4,7 +4,6 @@
 import logging
 import random
 
-from .requests import Load
 from .upstreams import Upstream
 
 __all__ = ('HealthTracker',)
@@ -29,11 +28,10 @@
 class _UpstreamHealth:
     failures: int = 0
     paused_until: float = 0
-    load: Load | None = None
 
 
 class HealthTracker:
-    """Tracks failures, reported load and pauses of upstreams and zones.
+    """Tracks failures and pauses of upstreams and zones.
 
     Attributes:
         zones_paused: end of the pause of each paused zone, in monotonic
@@ -47,13 +45,11 @@
         self.unreachable_by_zone: dict[str, dict[str, float]] = {}
         self.zones_paused: dict[str, float] = {}
 
-    def record_success(self, name: str, load: Load | None) -> None:
+    def record_success(self, name: str) -> None:
         """Record a response; the upstream is no longer paused."""
         health = self._entry(name)
         health.failures = 0
         health.paused_until = 0
-        if load is not None:
-            health.load = load
 
     def record_failure(self, name: str, now: float) -> None:
         """Pause an upstream that failed or rejected a request."""
@@ -104,10 +100,6 @@
         health = self.entries.get(upstream.name)
         return health is not None and now < health.paused_until
 
-    def load(self, name: str) -> Load | None:
-        """Return the load that an upstream last reported, if any."""
-        return self._entry(name).load
-
     def retain(self, names: frozenset[str]) -> None:
         """Remove the records of all upstreams but those in ``names``."""
         self.entries = {
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -60,6 +60,17 @@
             'Upstreams that state a limit of their requests',
             registry=self.registry,
         )
+        self.leaving_upstreams = Gauge(
+            'gateway_leaving_upstreams',
+            'Upstreams that have said that they leave and not started anew',
+            registry=self.registry,
+        )
+        self.wanted_pauses = Counter(
+            'gateway_wanted_pauses',
+            'Rejections with which an upstream asked for a pause',
+            _BY_SERVICE,
+            registry=self.registry,
+        )
         self.refused_suspects = Counter(
             'gateway_refused_suspects',
             'Refusals of requests that are blamed for crashes of upstreams',
--- a/primroseyoke/gateway/notices.py
+++ b/primroseyoke/gateway/notices.py
@@ -1,8 +1,11 @@
 """What upstreams state of themselves in their responses.
 
-Hosts tell each other what their own responses said, so that a host knows it of
-upstreams that it sends little or nothing. The newest statement holds. A response
-that says nothing of a limit ends it.
+Hosts tell each other the limits that their own responses stated, so that a host
+knows them of upstreams that it sends little or nothing. The newest statement
+holds. A response that says nothing of a limit ends it.
+
+That an upstream leaves, or wants a pause, is only believed of its own response:
+a wrong word can keep one host away from it, not all.
 """
 
 import dataclasses
@@ -11,8 +14,8 @@
 import random
 from collections.abc import Collection
 
-from .requests import ResponseHead
-from .upstreams import Upstream
+from .requests import Load, ResponseHead
+from .upstreams import Upstream, UpstreamRegistry
 
 __all__ = ('LimitStatement', 'UpstreamNotices')
 
@@ -25,6 +28,8 @@
 _TELLING_SECONDS = 2.0
 # Statements told in one report, which bounds its size.
 _MAX_TOLD_COUNT = 16
+# Random share by which a host pauses longer than the upstream wants.
+_PAUSE_JITTER_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,23 +51,44 @@
     is_own: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseStatement:
+    """Until when an upstream wants no requests, in monotonic seconds."""
+
+    started_at: int
+    until: float
+
+
 class UpstreamNotices:
     """The newest statements of each upstream.
 
     Attributes:
         limits: the newest statement on a limit, by upstream; an upstream that
             never named one has none.
+        pauses: the pause that an upstream wants of this host, by upstream.
+        loads: the load that an upstream last reported, by upstream.
     """
 
-    def __init__(self, generator: random.Random) -> None:
-        """Start without statements."""
+    def __init__(
+        self, generator: random.Random, registry: UpstreamRegistry
+    ) -> None:
+        """Start without statements; mark upstreams that leave in ``registry``."""
         self.generator = generator
+        self.registry = registry
         self.limits: dict[str, LimitStatement] = {}
+        self.pauses: dict[str, PauseStatement] = {}
+        self.loads: dict[str, Load] = {}
 
     def record_response(
         self, upstream: Upstream, head: ResponseHead, now: float
     ) -> None:
         """Record what a response states of the upstream that sent it."""
+        if head.load is not None:
+            self.loads[upstream.name] = head.load
+        if head.leaving:
+            self.registry.mark_leaving(upstream)
+        if head.pause:
+            self._put_pause(upstream, head.pause, now)
         if head.rate_limit is not None:
             self._put(upstream, head.rate_limit, now)
         elif head.signed and upstream.name in self.limits:
@@ -90,6 +116,13 @@
             return None
         return stated.per_second
 
+    def pause_left(self, upstream: Upstream, now: float) -> float:
+        """Return how long an upstream wants no requests, in seconds."""
+        stated = self.pauses.get(upstream.name)
+        if stated is None or stated.started_at != upstream.started_at:
+            return 0
+        return max(stated.until - now, 0)
+
     def recent(self, now: float) -> tuple[LimitStatement, ...]:
         """Return what upstreams have recently told this host, newest first."""
         told = [
@@ -107,6 +140,27 @@
             for name, stated in self.limits.items()
             if name in names
         }
+        self.pauses = {
+            name: stated
+            for name, stated in self.pauses.items()
+            if name in names
+        }
+        self.loads = {
+            name: load for name, load in self.loads.items() if name in names
+        }
+
+    def _put_pause(
+        self, upstream: Upstream, seconds: float, now: float
+    ) -> None:
+        # Hosts that were rejected together do not return together.
+        jitter = 1 + _PAUSE_JITTER_SHARE * self.generator.random()
+        self.pauses[upstream.name] = PauseStatement(
+            upstream.started_at, now + seconds * jitter
+        )
+        log.info(
+            'upstream wants no requests for some time',
+            extra={'upstream': upstream.name, 'seconds': seconds},
+        )
 
     def _put(self, upstream: Upstream, per_second: float, now: float) -> None:
         lifetime = _LIMIT_LIFETIME_SECONDS * (1 + self.generator.random())
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -74,7 +74,9 @@
     request. ``failed_upstream`` names the upstream that caused a failure, if
     stated. ``keep_alive`` is the idle timeout of the connection in seconds.
     ``rate_limit`` is the number of requests per second that the upstream takes
-    from all hosts together, None if it states none.
+    from all hosts together, None if it states none. ``leaving`` is whether it
+    states that it is about to stop. ``pause`` is the time in seconds for which
+    it wants no requests of this host, as it states with a rejection.
     """
 
     status: int
@@ -86,6 +88,8 @@
     failed_upstream: str = ''
     keep_alive: float = math.inf
     rate_limit: float | None = None
+    leaving: bool = False
+    pause: float = 0
 
 
 class Codec(Protocol):
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -183,9 +183,7 @@
                     self.proxy.pool.codec,
                     self.authorized.request.request_id,
                 )
-                self.proxy.balancer.notices.record_response(
-                    connection.upstream, head, time.monotonic()
-                )
+                self._record_statements(connection.upstream, head)
                 if stream and head.signed and head.status in _SUCCESS_STATUSES:
                     await self._forward_stream(connection, head, timer)
                 else:
@@ -196,9 +194,19 @@
                 Verdict.MAY_HAVE_RUN,
                 GATEWAY_TIMEOUT,
             ) from error
-        self.proxy.balancer.health.record_success(name, head.load)
+        self.proxy.balancer.health.record_success(name)
         self.proxy.crash_detector.record_sound(self.candidate)
 
+    def _record_statements(
+        self, upstream: Upstream, head: ResponseHead
+    ) -> None:
+        self.proxy.balancer.notices.record_response(
+            upstream, head, time.monotonic()
+        )
+        if head.pause:
+            pauses = self.proxy.metrics.wanted_pauses
+            pauses.labels(self.authorized.service).inc()
+
     async def _forward_stream(
         self,
         connection: UpstreamConnection,
--- a/primroseyoke/gateway/upstreams.py
+++ b/primroseyoke/gateway/upstreams.py
@@ -1,13 +1,18 @@
 """Registry of the known upstreams and whether they accept requests."""
 
 import dataclasses
+import logging
 from collections.abc import Collection, Iterable, Mapping
 
 __all__ = ('Upstream', 'UpstreamRegistry')
 
+log = logging.getLogger(__name__)
+
 # Time after a store outage within which running upstreams write their entries
 # again if these expired during the outage.
 STORE_RECOVERY_GRACE_SECONDS = 2.0
+# Upstreams that have left are remembered, since an old entry may come back.
+_MAX_LEAVING_COUNT = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +40,7 @@
         upstreams: upstreams by name.
         zones_out: availability zones that operators took out of service.
         version: changes with the upstreams.
+        leaving: start of each upstream that has said that it leaves, by name.
     """
 
     def __init__(self) -> None:
@@ -44,6 +50,25 @@
         self.zones_out: frozenset[str] = frozenset()
         self.store_recovered_at = -STORE_RECOVERY_GRACE_SECONDS
         self.lapsed_until: dict[str, float] = {}
+        self.leaving: dict[str, int] = {}
+
+    def mark_leaving(self, upstream: Upstream) -> None:
+        """Treat an upstream as draining until it has started anew.
+
+        Its entry may say for longer that it is ready, for example while the
+        store is away.
+        """
+        if self.leaving.get(upstream.name) == upstream.started_at:
+            return
+        log.info(
+            'upstream says that it leaves', extra={'upstream': upstream.name}
+        )
+        self.leaving[upstream.name] = upstream.started_at
+        if len(self.leaving) > _MAX_LEAVING_COUNT:
+            self.leaving.pop(next(iter(self.leaving)))
+        known = self.upstreams.get(upstream.name)
+        if known is not None:
+            self.put(known)
 
     def record_store_recovery(self, now: float) -> None:
         """Record that the store responds again after an outage."""
@@ -52,6 +77,11 @@
     def put(self, upstream: Upstream) -> None:
         """Add an upstream or replace the one with the same name."""
         self.lapsed_until.pop(upstream.name, None)
+        left_at = self.leaving.get(upstream.name, upstream.started_at)
+        if left_at != upstream.started_at:
+            self.leaving.pop(upstream.name)
+        elif upstream.name in self.leaving:
+            upstream = dataclasses.replace(upstream, draining=True)
         if self.upstreams.get(upstream.name) != upstream:
             self.version += 1
         self.upstreams[upstream.name] = upstream
--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -35,6 +35,12 @@
 _FAULTY_UPSTREAM_HEADER = b'at-server'
 # Requests per second that the upstream takes from all hosts together.
 _RATE_LIMIT_HEADER = b'server-limit'
+# ``1`` if the upstream is about to stop.
+_LEAVING_HEADER = b'server-leaving'
+# With a rejection: seconds for which the upstream wants no requests.
+_PAUSE_HEADER = b'retry-after'
+# A longer pause would take an upstream away because of one wrong header.
+_MAX_PAUSE_SECONDS = 60.0
 _LAST_EVENT_ID_HEADER = b'last-event-id'
 # Parts of the prompt in order, as comma-separated ``ID:TOKENS``. The last one
 # belongs to this request or to its session.
@@ -57,6 +63,7 @@
 }
 # Sent by another upstream than the one that was addressed.
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 _DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _AUTHORIZATION_SCHEME = 'bearer'
 
@@ -127,6 +134,10 @@
         executed = (
             status != _MISDIRECTED_STATUS and _NOT_EXECUTED_HEADER not in fields
         )
+        # What another upstream states that has taken over the address is not
+        # about the one that was addressed.
+        head = () if status == _MISDIRECTED_STATUS else tuple(headers)
+        rejection = head if status == _UNAVAILABLE_STATUS else ()
         return ResponseHead(
             status=status,
             headers=_without_headers(headers, _HOP_BY_HOP_HEADERS),
@@ -140,7 +151,12 @@
             keep_alive=_parse_keep_alive_seconds(
                 _decode_text(fields.get(b'keep-alive', b''))
             ),
-            rate_limit=_stated_rate_limit(status, headers),
+            rate_limit=_parse_number(_stated(_RATE_LIMIT_HEADER, head)),
+            leaving=_stated(_LEAVING_HEADER, head) == b'1',
+            pause=min(
+                _parse_number(_stated(_PAUSE_HEADER, rejection)) or 0,
+                _MAX_PAUSE_SECONDS,
+            ),
         )
 
 
@@ -188,22 +204,15 @@
     return Load(*_parse_integers(content, 3))
 
 
-def _stated_rate_limit(
-    status: int, headers: Iterable[tuple[bytes, bytes]]
-) -> float | None:
-    """Return the limit that the upstream states.
-
-    Anything but a single decimal number is ignored, and so is what another
-    upstream states that has taken over the address.
-    """
-    stated = [
-        content.strip()
-        for name, content in headers
-        if name.lower() == _RATE_LIMIT_HEADER
-    ]
-    if len(stated) != 1 or status == _MISDIRECTED_STATUS:
-        return None
-    return float(stated[0]) if _DECIMAL_NUMBER.fullmatch(stated[0]) else None
+def _stated(name: bytes, headers: Headers) -> bytes:
+    """Return the text of a header that occurs once, else an empty one."""
+    texts = [text for field, text in headers if field.lower() == name]
+    return texts[0].strip() if len(texts) == 1 else b''
+
+
+def _parse_number(content: bytes) -> float | None:
+    """Parse a decimal number; anything else is no statement."""
+    return float(content) if _DECIMAL_NUMBER.fullmatch(content) else None
 
 
 def _parse_keep_alive_seconds(text: str) -> float:
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -79,7 +79,7 @@
 
 def test_late_requests_leave_reserved_slots_of_a_plain_upstream_free() -> None:
     balancer = make_balancer(1)
-    balancer.health.record_success('u0', Load(0, 0, 4))
+    balancer.notices.loads['u0'] = Load(0, 0, 4)
     plain = make_configuration(Service('app', 100))
     criteria_list = [LATE] * 9 + [SelectionCriteria()] * 9
     reserved = [
@@ -201,7 +201,7 @@
 
 def test_plain_services_are_limited_by_their_reported_slots() -> None:
     balancer = make_balancer(1)
-    balancer.health.record_success('u0', Load(0, 0, 2))
+    balancer.notices.loads['u0'] = Load(0, 0, 2)
     plain = make_configuration(Service('app', 100))
     reserved = [
         balancer.acquire(plain, 'app', 1, SelectionCriteria()) for _ in range(5)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -450,7 +450,7 @@
 
 def test_limit_of_an_upstream_lapses_without_news() -> None:
     """Guards against an upstream that is spared while its senders are away."""
-    notices = UpstreamNotices(random.Random(1))
+    notices = UpstreamNotices(random.Random(1), UpstreamRegistry())
     upstream = Upstream('u0', 'app', 'h', 1, 'a')
     head = ResponseHead(200, (), signed=True, rate_limit=0)
     notices.record_response(upstream, head, 100)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -138,3 +138,44 @@
     """Guards against a limit of an upstream that took over the address."""
     headers = [(b'server-limit', b'1')]
     assert CODEC.decode_response(421, headers).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'contents', 'pause'),
+    [
+        (503, [b'1.5'], 1.5),
+        (503, [b'2'], 2),
+        (503, [b'999999999'], 60),
+        (200, [b'2'], 0),
+        (421, [b'2'], 0),
+        (503, [], 0),
+        (503, [b'-1'], 0),
+        (503, [b'1e9'], 0),
+        (503, [b'soon'], 0),
+        (503, [b'Fri, 31 Dec 1999 23:59:59 GMT'], 0),
+        (503, [b'1', b'2'], 0),
+    ],
+)
+def test_pauses_that_upstreams_want_are_decoded(
+    status, contents, pause
+) -> None:
+    """Only a rejection asks for a pause, and none is endless."""
+    headers = [(b'retry-after', content) for content in contents]
+    assert CODEC.decode_response(status, headers).pause == pause
+
+
+@pytest.mark.parametrize(
+    ('status', 'contents', 'leaving'),
+    [
+        (200, [b'1'], True),
+        (503, [b' 1 '], True),
+        (421, [b'1'], False),
+        (200, [b'0'], False),
+        (200, [b'yes'], False),
+        (200, [b'1', b'1'], False),
+        (200, [], False),
+    ],
+)
+def test_upstreams_that_leave_are_recognized(status, contents, leaving) -> None:
+    headers = [(b'server-leaving', content) for content in contents]
+    assert CODEC.decode_response(status, headers).leaving is leaving
