Break a resumed stream off if its upstream adds no event to it

The upstream that resumed it answered with a signed success of the stream's type and no event.

Cause: a stream counted as complete if its last attempt ended well, whatever it had delivered. Change: an attempt that delivers no event is broken, so the request is tried elsewhere within its attempts, or the response is broken off visibly. It cannot be told from an upstream that broke right after its last event; design.md 6.5 says why the visible break is chosen.

Measured: two of the three cases of test_a_stream_is_not_complete_without_an_ event_after_it_resumed failed before (length 0, chunked and ended at once); all pass, with the tests of streams and faulty upstreams.

--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -232,7 +232,8 @@
             raise _broken_response(connection, str(error)) from error
         finally:
             groups.record_stream_end(upstream.name)
-        if splitter.pending or not self.response.started:
+        if splitter.pending or not self.progress.attempt_events:
+            # Without an event, what is missing may be all after the break.
             raise _broken_response(connection, 'ended within an event')
         self.response.finish()
 
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -281,6 +281,42 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('framing', ['empty', 'chunked', 'closed'])
+def test_a_stream_is_not_complete_without_an_event_after_it_resumed(
+    framing,
+) -> None:
+    """Guards against a stream that lacks its end and looks complete.
+
+    The upstream that resumes it answers with success and without an event.
+    """
+
+    async def resume_without_events(
+        upstream: StandInUpstream,
+        request: CallerRequest,
+        response: ResponseWriter,
+    ) -> None:
+        headers = upstream.signature_headers(request)
+        if not request.last_event_id:
+            await stream_and_break(upstream, request, response)
+        elif framing == 'empty':
+            response.respond(200, headers, b'')
+        elif framing == 'chunked':
+            response.start(200, headers)
+            response.finish()
+        else:
+            response.start(200, [*headers, (b'connection', b'close')])
+            response.connection.close()
+
+    async def scenario() -> None:
+        handlers = (resume_without_events, resume_without_events)
+        async with deployment(model=handlers) as system:
+            received = await system.call('/draft/', 'POST')
+            assert received.body == events(1, 3)
+            assert not received.complete
+
+    asyncio.run(scenario())
+
+
 def test_a_broken_stream_that_is_not_resumable_ends_incomplete() -> None:
     async def scenario() -> None:
         async with deployment(model=(stream_and_break,)) as system:
