--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -63,7 +63,8 @@
 }
 # Sent by another upstream than the one that was addressed.
 _MISDIRECTED_STATUS = 421
-_UNAVAILABLE_STATUS = 503
+# With these, Retry-After asks for a pause (RFC 9110, 10.2.3; RFC 6585, 4).
+_REJECTION_STATUSES = frozenset((429, 503))
 _DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _AUTHORIZATION_SCHEME = 'bearer'
 
@@ -137,7 +138,7 @@
         # What another upstream states that has taken over the address is not
         # about the one that was addressed.
         head = () if status == _MISDIRECTED_STATUS else tuple(headers)
-        rejection = head if status == _UNAVAILABLE_STATUS else ()
+        rejection = head if status in _REJECTION_STATUSES else ()
         return ResponseHead(
             status=status,
             headers=_without_headers(headers, _HOP_BY_HOP_HEADERS),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -145,6 +145,7 @@
     [
         (503, [b'1.5'], 1.5),
         (503, [b'2'], 2),
+        (429, [b'1'], 1),
         (503, [b'999999999'], 60),
         (200, [b'2'], 0),
         (421, [b'2'], 0),
