Let agents keep the rate that their upstream states in its load report

Callers of entries saw nothing of this yet: the load report had no field for it, so an upstream in need had only its concurrency limit, and short requests could reach it at any rate.

Change: UpstreamLoad.rate_limit; Admission starts requests by the same RateSharing as gateways, with the agent as the only sender. A report without it ends it, and so does a restart. Limits of other hosts need no agreement here.

Measured: the two new tests of test_admission.py failed before (no such field) and pass: at 1 a second 15 to 21 requests in 20 s, at most 11 in any 4 s.

--- a/primroseyoke/admission.py
+++ b/primroseyoke/admission.py
@@ -7,13 +7,21 @@
 import dataclasses
 import enum
 import math
+from typing import Annotated
+
+import msgspec
 
 from .queues import Ticket, WaitingQueue
+from .shared_rates import RateSharing, SharedRate
 
 __all__ = ('Admission', 'Limits', 'RequestOutcome', 'Ticket', 'UpstreamLoad')
 
 # After crashes, slow start takes at most this many times its usual duration.
 _MAX_RAMP_SLOWDOWN_FACTOR = 64
+# Time over which the requests are counted that an upstream takes.
+_LIMIT_WINDOW_SECONDS = 4.0
+# The agent alone sends requests to its upstream.
+_AGENT = 'agent'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,12 +43,14 @@
 class UpstreamLoad:
     """Load report of an upstream; ``uptime`` is in seconds.
 
-    ``incarnation`` changes whenever the upstream restarts.
+    ``incarnation`` changes whenever the upstream restarts. ``rate_limit`` is the
+    number of requests per second that it takes, None for any number.
     """
 
     incarnation: str
     uptime: float
     running: int
+    rate_limit: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class RequestOutcome(enum.Enum):
@@ -93,6 +103,7 @@
         # Reserved bytes of abandoned requests in descending order.
         self.abandoned_sizes: list[int] = []
         self.running_ranges = (_RunningCountRange(0), _RunningCountRange(0))
+        self.rates = RateSharing(_AGENT, [_AGENT])
         # When the last report was processed, in monotonic seconds.
         self.last_report_at = -math.inf
 
@@ -130,8 +141,8 @@
         expired = self.queue.expire(now)
         admitted = []
         ticket = self.queue.peek()
-        while ticket is not None and self._can_start(ticket):
-            self._start(ticket)
+        while ticket is not None and self._can_start(ticket, now):
+            self._start(ticket, now)
             admitted.append(ticket)
             ticket = self.queue.peek()
         return admitted, expired
@@ -254,17 +265,27 @@
         """Return how many requests run on the upstream, tracked or not."""
         return len(self.running) + self.untracked_running
 
-    def _start(self, ticket: Ticket) -> None:
+    def _start(self, ticket: Ticket, now: float) -> None:
+        self.rates.record_send(_AGENT, self._rates(), now)
         self.queue.start(ticket.attempt)
         self.running[ticket.attempt] = ticket
         self.ramp_attempts.add(ticket.attempt)
         self.reserved_bytes += ticket.reserved_bytes
         self.running_ranges[0].include(len(self.running))
 
-    def _can_start(self, ticket: Ticket) -> bool:
+    def _rates(self) -> tuple[SharedRate, ...]:
+        """Return the rate that the upstream states, if any."""
+        report = self.last_report
+        if report is None or report.rate_limit is None:
+            return ()
+        return (SharedRate(report.rate_limit, _LIMIT_WINDOW_SECONDS),)
+
+    def _can_start(self, ticket: Ticket, now: float) -> bool:
         occupied = self.total_running()
         if self.suspended_at is not None:
             return False
+        if self.rates.delay(_AGENT, self._rates(), now):
+            return False
         if occupied >= min(self.current_limit, self.limits.max_running):
             return False
         if occupied and (ticket.exclusive or self._runs_exclusive()):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -423,3 +423,34 @@
     assert admission.enqueue(keyed_call)[0].idempotent
     admission.finish(1, RequestOutcome.COMPLETED)
     assert admission.advance(0)[0][0] == keyed_call
+
+
+def test_upstream_gets_no_more_than_the_rate_that_it_states():
+    """Guards against overload of an upstream that asks for fewer requests.
+
+    The users allow 1.5 times the rate and 5 requests in any 4 s.
+    """
+    admission = warm()
+    admission.observe_load(UpstreamLoad('one', 13, 0, rate_limit=1), 0)
+    started = []
+    for tick in range(200):
+        fill(admission, 1, 'many', first=100 + tick)
+        for ticket in admission.advance(tick / 10)[0]:
+            started.append(tick / 10)
+            admission.finish(ticket.attempt, RequestOutcome.COMPLETED)
+    assert 15 <= len(started) <= 21
+    assert all(
+        sum(start <= at < start + 4 for at in started) <= 11
+        for start in started
+    )
+    admission.observe_load(UpstreamLoad('one', 34, 0), 20)
+    assert len(admission.advance(20)[0]) > 3
+
+
+def test_upstream_that_states_no_rate_or_a_restart_has_none():
+    admission = warm()
+    admission.observe_load(UpstreamLoad('one', 13, 0, rate_limit=0), 0)
+    fill(admission, 3, 'many', first=100)
+    assert not admission.advance(1)[0]
+    admission.observe_load(UpstreamLoad('two', 1, 0), 2)
+    assert admission.advance(2)[0]
