--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -67,9 +67,11 @@
                     'cold': now < upstream.cold_until,
                     'paused': balancer.health.is_paused(upstream, now),
                     'wants_pause': round(
-                        balancer.notices.pause_left(upstream, now), 3
+                        balancer.limits.notices.pause_left(upstream, now), 3
+                    ),
+                    'rate_limit': balancer.limits.notices.rate_limit(
+                        upstream, now
                     ),
-                    'rate_limit': balancer.notices.rate_limit(upstream, now),
                     'requests': balancer.in_flight.total(upstream.name),
                 }
                 for upstream in routing_state.registry.upstreams.values()
@@ -95,7 +97,7 @@
             len(gateway.proxy.crash_detector.suspects.blame)
         )
         metrics.limited_upstreams.set(
-            gateway.balancer.limited_count(time.monotonic())
+            gateway.balancer.limits.limited_count(time.monotonic())
         )
         metrics.leaving_upstreams.set(
             len(gateway.routing_state.registry.leaving)
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -15,14 +15,14 @@
     Mapping,
 )
 
-from ..shared_rates import RateSharing, SharedRate
+from ..shared_rates import SharedRate
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
 from .configuration import Configuration, Engine, Service
 from .health import HealthTracker
 from .in_flight import InFlightRequests
-from .notices import UpstreamNotices
 from .rank_groups import RankGroupMonitor
+from .upstream_limits import UpstreamLimits
 from .upstreams import Upstream, UpstreamRegistry
 from .wait_queue import Urgency
 
@@ -46,10 +46,6 @@
 # seconds, and a response on time is worth four late ones.
 _RESERVED_SLOT_COUNT = 2
 _RESERVED_SLOT_SHARE = 0.2
-# Time over which the requests to a cold upstream are counted.
-_COLD_WINDOW_SECONDS = 1.0
-# The same for an upstream that states a limit of its requests.
-_LIMIT_WINDOW_SECONDS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,8 +97,7 @@
 
     Attributes:
         in_flight: requests in progress, of this host and of the others.
-        rates: the parts of this host in rates that all hosts share.
-        notices: what upstreams state of themselves.
+        limits: shared rates and pauses, from what upstreams state.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
         on_acquire: called after a slot was reserved.
@@ -130,8 +125,7 @@
         self.generator = generator
         self.in_flight = InFlightRequests()
         self.on_acquire: Callable[[], None] = _do_nothing
-        self.rates = RateSharing(host)
-        self.notices = UpstreamNotices(generator, registry)
+        self.limits = UpstreamLimits(host, generator, registry)
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
         self.candidates = CandidateIndex(
@@ -155,9 +149,8 @@
             return None
         self.in_flight.record_start(best.name)
         self.on_acquire()
-        rates = self.shared_rates(best, service_settings, now)
-        self.rates.record_send(best.name, rates, now)
-        return Reservation(best, rates, len(self.rates.hosts))
+        rates = self.limits.record_send(best, service_settings, now)
+        return Reservation(best, rates, len(self.limits.sharing.hosts))
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
@@ -189,7 +182,7 @@
         """Return the maximum number of requests in progress at an upstream."""
         if service.engine is not None:
             return max(service.engine.slots, 1)
-        load = self.notices.loads.get(upstream.name)
+        load = self.limits.notices.loads.get(upstream.name)
         slots = load.slots if load else 0
         return (slots or _DEFAULT_SLOT_COUNT) * _QUEUE_FACTOR
 
@@ -205,41 +198,19 @@
             for upstream in accepting
         )
 
-    def shared_rates(
-        self, upstream: Upstream, service: Service, now: float
-    ) -> tuple[SharedRate, ...]:
-        """Return the rates that all hosts together keep at an upstream."""
-        rates = []
-        if service.cold_rate and now < upstream.cold_until:
-            rates.append(SharedRate(service.cold_rate, _COLD_WINDOW_SECONDS))
-        limit = self.notices.rate_limit(upstream, now)
-        if limit is not None:
-            rates.append(SharedRate(limit, _LIMIT_WINDOW_SECONDS))
-        return tuple(rates)
-
-    def limited_count(self, now: float) -> int:
-        """Return how many upstreams state a limit of their requests."""
-        return sum(
-            self.notices.rate_limit(upstream, now) is not None
-            for upstream in self.registry.upstreams.values()
-        )
-
-    def stated_delay(
+    def delay(
         self, service: Service, regions: frozenset[str], now: float
     ) -> float:
-        """Return the time until an upstream wants a request of this host.
+        """Return the time until an upstream takes a request of this host.
 
-        It is 0 in seconds unless shared rates or pauses hold at all upstreams
-        of the service in ``regions`` (empty for any), and infinite if this host
-        is a sender of none of them.
+        Full upstreams count as taking one. ``regions`` restricts the upstreams;
+        it is empty for any.
+
+        Returns:
+            Seconds; infinity if only other hosts may send to them.
         """
-        delays = (
-            self._stated_delay(upstream, service, now)
-            for upstream in self.candidates.find(
-                service.name, regions
-            ).upstreams
-        )
-        return _least(delays)
+        candidates = self.candidates.find(service.name, regions)
+        return self.limits.least_delay(candidates.upstreams, service, now)
 
     def explain_no_capacity(self, service: Service, now: float) -> str:
         """Return a summary of why no upstream of a service has a free slot.
@@ -262,10 +233,16 @@
             for upstream in accepting
             if self.groups.is_avoided(upstream.name, now)
         ]
+        limited = [
+            upstream.name
+            for upstream in accepting
+            if self.limits.delay(upstream, service, now)
+        ]
         taken = self.in_flight.total_of(upstream.name for upstream in accepting)
         return (
             f'{len(known)} upstreams known, {len(accepting)} in service, '
             f'{len(paused)} paused, {len(avoided)} standing still, '
+            f'{len(limited)} limited, '
             f'{taken} requests there, '
             f'{len(self.in_flight.reports)} other hosts heard'
         )
@@ -274,8 +251,7 @@
         """Discard the records of upstreams that no longer exist."""
         names = frozenset(self.registry.upstreams)
         self.health.retain(names)
-        self.rates.retain(names)
-        self.notices.retain(names)
+        self.limits.retain(names)
 
     def _select(
         self,
@@ -405,29 +381,9 @@
     ) -> bool:
         return not (
             self.health.is_paused(upstream, now)
-            or self._stated_delay(upstream, service, now)
+            or self.limits.delay(upstream, service, now)
         )
 
-    def _stated_delay(
-        self, upstream: Upstream, service: Service, now: float
-    ) -> float:
-        """Return the time until an upstream wants a request of this host."""
-        rates = self.shared_rates(upstream, service, now)
-        return max(
-            self.rates.delay(upstream.name, rates, now),
-            self.notices.pause_left(upstream, now),
-        )
-
-
-def _least(delays: Iterable[float]) -> float:
-    """Return the least delay, without computing more after a 0."""
-    least = math.inf
-    for delay in delays:
-        least = min(least, delay)
-        if not least:
-            break
-    return least
-
 
 def _do_nothing() -> None:
     """Allow calls of ``on_acquire`` before a callback is set."""
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -316,7 +316,7 @@
     def _update_hosts(self) -> None:
         """Share limits with the hosts that are known now."""
         reporter = self.peer_reporter
-        self.balancer.rates.update_hosts(reporter.hosts)
+        self.balancer.limits.sharing.update_hosts(reporter.hosts)
         if reporter.knows_hosts:
             self.retry_budget.host_count = reporter.host_count
 
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -239,11 +239,11 @@
             return False
         return (
             self.proxy.balancer.is_unavailable(self.authorized.service, now)
-            or now + self._stated_delay(now) > wait_until
+            or now + self._delay(now) > wait_until
         )
 
-    def _stated_delay(self, now: float) -> float:
-        return self.proxy.balancer.stated_delay(
+    def _delay(self, now: float) -> float:
+        return self.proxy.balancer.delay(
             self._service(), self.authorized.regions, now
         )
 
@@ -313,7 +313,7 @@
         max_delay = (self.authorized.deadline - now) * _RETRY_AFTER_SHARE
         if self.proxy.balancer.is_unavailable(self.authorized.service, now):
             return max_delay
-        delay = self._stated_delay(now)
+        delay = self._delay(now)
         if math.isinf(delay):
             return min(RETRY_AFTER_BUSY_SECONDS, max_delay)
         if delay:
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -200,9 +200,8 @@
     def _record_statements(
         self, upstream: Upstream, head: ResponseHead
     ) -> None:
-        self.proxy.balancer.notices.record_response(
-            upstream, head, time.monotonic()
-        )
+        notices = self.proxy.balancer.limits.notices
+        notices.record_response(upstream, head, time.monotonic())
         if head.pause:
             pauses = self.proxy.metrics.wanted_pauses
             pauses.labels(self.authorized.service).inc()
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -79,7 +79,7 @@
 
 def test_late_requests_leave_reserved_slots_of_a_plain_upstream_free() -> None:
     balancer = make_balancer(1)
-    balancer.notices.loads['u0'] = Load(0, 0, 4)
+    balancer.limits.notices.loads['u0'] = Load(0, 0, 4)
     plain = make_configuration(Service('app', 100))
     criteria_list = [LATE] * 9 + [SelectionCriteria()] * 9
     reserved = [
@@ -187,7 +187,7 @@
     sent = dict.fromkeys(hosts, 0)
     for host in hosts:
         balancer = make_balancer(1, cold_until=1000, host=host)
-        balancer.rates.update_hosts(hosts)
+        balancer.limits.sharing.update_hosts(hosts)
         for tick in range(1000):
             reservation = balancer.acquire(
                 cold, 'app', tick / 100, SelectionCriteria()
@@ -201,7 +201,7 @@
 
 def test_plain_services_are_limited_by_their_reported_slots() -> None:
     balancer = make_balancer(1)
-    balancer.notices.loads['u0'] = Load(0, 0, 2)
+    balancer.limits.notices.loads['u0'] = Load(0, 0, 2)
     plain = make_configuration(Service('app', 100))
     reserved = [
         balancer.acquire(plain, 'app', 1, SelectionCriteria()) for _ in range(5)
--- a/tests/gateway/test_cold_upstreams.py
+++ b/tests/gateway/test_cold_upstreams.py
@@ -31,7 +31,7 @@
     """Return the balancers of hosts that know each other."""
     balancers = [balancer_of(number) for number in range(count)]
     for balancer in balancers:
-        balancer.rates.update_hosts(
+        balancer.limits.sharing.update_hosts(
             {f'host-{number}' for number in range(count)}
         )
     return balancers
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -400,15 +400,15 @@
         upstream = Upstream('u0', 'app', 'h', 1, 'a', started_at=7)
         now = asyncio.get_running_loop().time()
         head = ResponseHead(200, (), signed=True, rate_limit=1.5)
-        first.balancer.notices.record_response(upstream, head, now)
+        first.balancer.limits.notices.record_response(upstream, head, now)
         await asyncio.sleep(0.5)
-        notices = second.balancer.notices
+        notices = second.balancer.limits.notices
         assert notices.rate_limit(upstream, now) == 1.5
         assert not notices.recent(now)
         restarted = dataclasses.replace(upstream, started_at=8)
         assert notices.rate_limit(restarted, now) is None
         head = ResponseHead(200, (), signed=True)
-        first.balancer.notices.record_response(upstream, head, now + 0.5)
+        first.balancer.limits.notices.record_response(upstream, head, now + 0.5)
         await asyncio.sleep(0.5)
         assert notices.rate_limit(upstream, now) is None
 
@@ -422,10 +422,10 @@
         now = asyncio.get_running_loop().time()
         for host, limit, at in ((first, 5.0, now - 1), (second, 2.0, now)):
             head = ResponseHead(200, (), signed=True, rate_limit=limit)
-            host.balancer.notices.record_response(upstream, head, at)
+            host.balancer.limits.notices.record_response(upstream, head, at)
         await asyncio.sleep(0.5)
         for host in network.hosts.values():
-            assert host.balancer.notices.rate_limit(upstream, now) == 2
+            assert host.balancer.limits.notices.rate_limit(upstream, now) == 2
 
     run_network(scenario)
 
@@ -445,7 +445,7 @@
     ):
         report = ['other', {}, False, False, 'a', {}, 1, False, [odd]]
         peers.datagram_received(cbor2.dumps(report), ('127.0.0.2', 1))
-    assert not balancer.notices.limits
+    assert not balancer.limits.notices.limits
 
 
 def test_limit_of_an_upstream_lapses_without_news() -> None:
--- a/tests/gateway/test_upstream_limits.py
+++ b/tests/gateway/test_upstream_limits.py
@@ -57,7 +57,7 @@
 
 async def wait_for_hosts(system: Deployment) -> None:
     """Wait until the gateway may use rates that it shares."""
-    while not system.gateway.balancer.rates.hosts:
+    while not system.gateway.balancer.limits.sharing.hosts:
         await asyncio.sleep(0.05)
 
 
