Keep the longest pause that an upstream wants, and limits of known upstreams

Found in reading the change again: a rejection that named a shorter pause ended a longer one that the upstream had named before, and a host kept limits that a peer told of upstreams that do not exist, without a bound.

Change: the later end of two pauses holds; limits of unknown upstreams are not kept. What a stop allows is set in one short method.

Measured: test_shorter_pause_does_not_end_a_longer_one and the case 'unknown' of test_reports_with_odd_limits_are_ignored pass; not run without the change.

--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -345,16 +345,7 @@
         )
         started = loop.time()
         self.request_listener.draining = True
-        now = time.monotonic()
-        exit_at = now + self.settings.grace - _EXIT_MARGIN_SECONDS
-        self.proxy.shut_down(
-            now
-            + min(
-                _READINESS_NOTICE_SECONDS,
-                self.settings.grace * _ACCEPTANCE_SHARE,
-            ),
-            exit_at - _LAST_ANSWER_SECONDS,
-        )
+        self._limit_new_requests(time.monotonic())
         self.peer_reporter.announce_drain()
         with contextlib.suppress(ServiceUnavailable):
             await self.platform.unregister()
@@ -370,6 +361,12 @@
             server.close()
         await self._finish_requests(deadline)
 
+    def _limit_new_requests(self, now: float) -> None:
+        grace = self.settings.grace
+        acceptance = min(_READINESS_NOTICE_SECONDS, grace * _ACCEPTANCE_SHARE)
+        time_left = grace - _EXIT_MARGIN_SECONDS - _LAST_ANSWER_SECONDS
+        self.proxy.shut_down(now + acceptance, now + time_left)
+
     async def _finish_requests(self, deadline: float) -> None:
         """Wait until no request is being read or answered, or the deadline."""
         loop = asyncio.get_running_loop()
--- a/primroseyoke/gateway/notices.py
+++ b/primroseyoke/gateway/notices.py
@@ -96,6 +96,8 @@
 
     def record_told(self, statement: LimitStatement) -> None:
         """Record what another host was told, unless newer is known."""
+        if statement.upstream not in self.registry.upstreams:
+            return
         known = self.limits.get(statement.upstream)
         if known is None or known.stated_at < statement.stated_at:
             self._replace(known, statement)
@@ -154,8 +156,9 @@
     ) -> None:
         # Hosts that were rejected together do not return together.
         jitter = 1 + _PAUSE_JITTER_SHARE * self.generator.random()
+        pause = max(seconds * jitter, self.pause_left(upstream, now))
         self.pauses[upstream.name] = PauseStatement(
-            upstream.started_at, now + seconds * jitter
+            upstream.started_at, now + pause
         )
         log.info(
             'upstream wants no requests for some time',
--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -137,8 +137,8 @@
         )
         # What another upstream states that has taken over the address is not
         # about the one that was addressed.
-        head = () if status == _MISDIRECTED_STATUS else tuple(headers)
-        rejection = head if status in _REJECTION_STATUSES else ()
+        stated = () if status == _MISDIRECTED_STATUS else tuple(headers)
+        rejection = stated if status in _REJECTION_STATUSES else ()
         return ResponseHead(
             status=status,
             headers=_without_headers(headers, _HOP_BY_HOP_HEADERS),
@@ -152,10 +152,10 @@
             keep_alive=_parse_keep_alive_seconds(
                 _decode_text(fields.get(b'keep-alive', b''))
             ),
-            rate_limit=_parse_number(_stated(_RATE_LIMIT_HEADER, head)),
-            leaving=_stated(_LEAVING_HEADER, head) == b'1',
+            rate_limit=_parse_number(_single(_RATE_LIMIT_HEADER, stated)),
+            leaving=_single(_LEAVING_HEADER, stated) == b'1',
             pause=min(
-                _parse_number(_stated(_PAUSE_HEADER, rejection)) or 0,
+                _parse_number(_single(_PAUSE_HEADER, rejection)) or 0,
                 _MAX_PAUSE_SECONDS,
             ),
         )
@@ -205,7 +205,7 @@
     return Load(*_parse_integers(content, 3))
 
 
-def _stated(name: bytes, headers: Headers) -> bytes:
+def _single(name: bytes, headers: Headers) -> bytes:
     """Return the text of a header that occurs once, else an empty one."""
     texts = [text for field, text in headers if field.lower() == name]
     return texts[0].strip() if len(texts) == 1 else b''
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -392,12 +392,18 @@
     run_network(scenario)
 
 
+def add_upstream(network: Network, upstream: Upstream) -> None:
+    for host in network.hosts.values():
+        host.balancer.registry.put(upstream)
+
+
 def test_hosts_tell_each_other_the_limits_that_upstreams_state() -> None:
     """Guards against hosts that each learn of a limit by exceeding it."""
 
     async def scenario(network: Network) -> None:
         first, second = list(network.hosts.values())[:2]
         upstream = Upstream('u0', 'app', 'h', 1, 'a', started_at=7)
+        add_upstream(network, upstream)
         now = asyncio.get_running_loop().time()
         head = ResponseHead(200, (), signed=True, rate_limit=1.5)
         first.balancer.limits.notices.record_response(upstream, head, now)
@@ -419,6 +425,7 @@
     async def scenario(network: Network) -> None:
         first, second = list(network.hosts.values())[:2]
         upstream = Upstream('u0', 'app', 'h', 1, 'a')
+        add_upstream(network, upstream)
         now = asyncio.get_running_loop().time()
         for host, limit, at in ((first, 5.0, now - 1), (second, 2.0, now)):
             head = ResponseHead(200, (), signed=True, rate_limit=limit)
@@ -433,9 +440,12 @@
 def test_reports_with_odd_limits_are_ignored() -> None:
     """Guards against a report that makes an upstream's limit last for ever."""
     peers = PeerReporter('me', '127.0.0.1', 1)
-    balancer = Balancer(UpstreamRegistry(), 'a', random.Random(1), {})
+    registry = UpstreamRegistry()
+    registry.put(Upstream('u', 'app', 'h', 1, 'a'))
+    balancer = Balancer(registry, 'a', random.Random(1), {})
     peers.balancer = balancer
     for odd in (
+        ['unknown', 0, 1, 0],
         ['u', 0, -1, 0],
         ['u', 0, 1, -5],
         ['u', -1, 1, 0],
@@ -469,3 +479,13 @@
     )
     peers.datagram_received(content, ('127.0.0.2', 1))
     assert set(peers.peers) == {'10.0.0.2'}
+
+
+def test_shorter_pause_does_not_end_a_longer_one() -> None:
+    """Guards against a rejection that shortens what an upstream wanted."""
+    notices = UpstreamNotices(random.Random(1), UpstreamRegistry())
+    upstream = Upstream('u0', 'app', 'h', 1, 'a')
+    for pause in (30, 1):
+        head = ResponseHead(503, (), executed=False, pause=pause)
+        notices.record_response(upstream, head, 100)
+    assert 30 <= notices.pause_left(upstream, 100) <= 36
