Read log pages that have a too deeply nested record

What operators would see: hosts that no longer follow the log, since one record makes each page that has it unreadable (reported by an operator of a similar system for another list).

Cause: the JSON decoder refuses deep nesting, and the fallback for odd records decoded the same text. Which depth is too deep depends on the host's stack, so hosts could also read different contents. Change: values nested deeper than 64 are null on every host, before the page is decoded.

--- a/primroseyoke/log_service.py
+++ b/primroseyoke/log_service.py
@@ -10,6 +10,9 @@
 
 import dataclasses
 import json
+import re
+import types
+from collections.abc import Iterator
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -22,9 +25,14 @@
     'LogPage',
     'LogRecord',
     'LogService',
+    'decode_response',
 )
 
 _PAGE_RECORD_LIMIT = 500
+# Deeper values are null: whether a host can decode more depends on its stack.
+_MAX_DEPTH = 64
+_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_DEPTH_CHANGES = types.MappingProxyType({b'[': 1, b'{': 1, b']': -1, b'}': -1})
 
 _Response = TypeVar('_Response')
 
@@ -118,7 +126,7 @@
             )
         try:
             return msgspec.convert(
-                _decode_response(response.data), response_class
+                decode_response(response.data), response_class
             )
         except (ValueError, RecursionError) as error:
             raise ServiceUnavailable(
@@ -126,7 +134,17 @@
             ) from error
 
 
-def _decode_response(body: bytes) -> Any:
+def decode_response(body: bytes) -> Any:
+    """Decode a response of the log service.
+
+    Every host reads the same from it: the content of a record that not all
+    could decode is None.
+
+    Raises:
+        ValueError: it is not valid JSON.
+    """
+    if body.count(b'[') + body.count(b'{') > _MAX_DEPTH:
+        body = _without_deep_values(body)
     try:
         return msgspec.json.decode(body)
     except msgspec.MsgspecError:
@@ -136,6 +154,27 @@
         return _decode_records(json.loads(body))
 
 
+def _without_deep_values(body: bytes) -> bytes:
+    """Replace arrays and objects that are nested too deeply by null."""
+    kept = []
+    kept_until = 0
+    for start, end in _deep_spans(body):
+        kept.extend((body[kept_until:start], b'null'))
+        kept_until = end
+    return b''.join((*kept, body[kept_until:]))
+
+
+def _deep_spans(body: bytes) -> Iterator[tuple[int, int]]:
+    depth = start = 0
+    for token in _TOKENS.finditer(body):
+        before = depth
+        depth += _DEPTH_CHANGES.get(token[0], 0)
+        if before == _MAX_DEPTH < depth:
+            start = token.start()
+        elif before > _MAX_DEPTH == depth:
+            yield start, token.end()
+
+
 def _decode_records(page: Any) -> Any:
     if isinstance(page, dict):
         for entry in page.get('records', ()):
