Decode bodies that never end their nesting as no JSON

The rest of such a body is cut as well, so the decoder refuses it with ValueError. test_log_service.py passes, and the linter.

--- a/primroseyoke/log_service.py
+++ b/primroseyoke/log_service.py
@@ -169,10 +169,13 @@
     for token in _TOKENS.finditer(body):
         before = depth
         depth += _DEPTH_CHANGES.get(token[0], 0)
-        if before == _MAX_DEPTH < depth:
+        if (before, depth) == (_MAX_DEPTH, _MAX_DEPTH + 1):
             start = token.start()
-        elif before > _MAX_DEPTH == depth:
+        elif (before, depth) == (_MAX_DEPTH + 1, _MAX_DEPTH):
             yield start, token.end()
+    if depth > _MAX_DEPTH:
+        # It never ends, so the rest is no JSON, and the decoder will say so.
+        yield start, len(body)
 
 
 def _decode_records(page: Any) -> Any:
