--- a/primroseyoke/log_service.py
+++ b/primroseyoke/log_service.py
@@ -156,7 +156,7 @@
 
 def _without_deep_values(body: bytes) -> bytes:
     """Replace arrays and objects that are nested too deeply by null."""
-    kept = []
+    kept: list[bytes] = []
     kept_until = 0
     for start, end in _deep_spans(body):
         kept.extend((body[kept_until:start], b'null'))
@@ -165,7 +165,8 @@
 
 
 def _deep_spans(body: bytes) -> Iterator[tuple[int, int]]:
-    depth = start = 0
+    depth = 0
+    start = 0
     for token in _TOKENS.finditer(body):
         before = depth
         depth += _DEPTH_CHANGES.get(token[0], 0)
