--- a/tests/gateway/test_upstream_limits.py
+++ b/tests/gateway/test_upstream_limits.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from primroseyoke.gateway.admin import AdminEndpoints
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
 from tests.gateway.deployment import Deployment, deployment
@@ -137,9 +138,7 @@
             await wait_for_hosts(system)
             statuses = await call_for(system, 1)
             assert statuses == {200: 20}
-            state = system.gateway.admin_listener.handler.__self__.state(
-                time.monotonic()
-            )
+            state = AdminEndpoints(system.gateway).state(time.monotonic())
             limit = state['upstreams']['app-0']['rate_limit']
             assert limit == (0 if stated == [b'0'] else None)
 
--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from primroseyoke.gateway.admin import AdminEndpoints
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
 from tests.gateway.deployment import Deployment, deployment, wait_until
@@ -69,7 +70,7 @@
             await asyncio.sleep(0 if store_away else 1.2)
             assert set(await call_often(system)) == {200}
             assert not leaving.received_requests
-            state = system.gateway.admin_listener.handler.__self__.state(0)
+            state = AdminEndpoints(system.gateway).state(0)
             assert state['upstreams']['app-0']['draining']
 
     asyncio.run(scenario())
