Refuse requests that waited too long for a slot during a stop

Requests that had come in time waited for a slot, were passed on when little time was left, and were answered with may_have_run at the exit.

Cause: whether a request can end before the exit was checked as it came, not as it is sent. Change: the same check stands before each first send.

test_invalid_entries_do_not_affect_other_upstreams failed in that run for its own entry: it had port 0, since its stand-in was never started. It is started now; that entries with port 0 are refused is tested by test_entries.py.

--- a/primroseyoke/gateway/authorization.py
+++ b/primroseyoke/gateway/authorization.py
@@ -100,8 +100,7 @@
         client = self._authenticate(configuration, route, request, now)
         timeout = min(request.timeout, route.timeout)
         deadline = request.arrived_at + timeout
-        if now >= self.last_calls_at and deadline > self.exit_at:
-            raise _temporarily_refused('the host is about to stop')
+        self.check_time_left(deadline, now)
         return AuthorizedRequest(
             request=request,
             configuration=configuration,
@@ -113,6 +112,15 @@
             - self._time_since_first_attempt(route, request),
         )
 
+    def check_time_left(self, deadline: float, now: float) -> None:
+        """Check that a request that is sent now can end before the exit.
+
+        Raises:
+            RequestFailed: it may last longer.
+        """
+        if now >= self.last_calls_at and deadline > self.exit_at:
+            raise _temporarily_refused('the host is about to stop')
+
     def _authenticate(
         self,
         configuration: Configuration,
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -270,6 +270,8 @@
     def _try_acquire(self, now: float) -> Reservation | None:
         self._refuse_suspect()
         authorized = self.authorized
+        if not self.may_have_run:
+            self.proxy.authorizer.check_time_left(authorized.deadline, now)
         position = self._queue_position(now)
         if not self.proxy.queue(authorized.service).is_next(position):
             return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -142,6 +142,7 @@
         store = StandInStore()
         await store.start()
         upstream = StandInUpstream('good', answer_ok)
+        await upstream.start()
         store.put('keyed.servers', 'good', upstream.entry('app'))
         store.put('keyed.servers', 'bad', {'service': 1})
         store.put('keyed.servers', 'torn', b'\xff\x00')
@@ -163,5 +164,6 @@
         await wait_until(lambda: 'new' not in registry.upstreams)
         task.cancel()
         store.stop()
+        upstream.stop()
 
     asyncio.run(scenario())
