Log and measure how far each topic of the store has been read

Callers got 404 for an added route after the store came back from an older copy; the logs could not tell whether offsets, versions or the exchange between gateways were the cause. The era that the store names in its responses, also in refused ones, is decoded and logged; /state and the metrics have era, offset, listings, reads with status 410, records ignored as older and the age of the last confirmation, by topic. No decision depends on these.

--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -58,6 +58,7 @@
             'configuration_age': round(now - routing_state.confirmed_at, 3)
             if configuration
             else None,
+            'topics': self._topics(),
             'zones_out': sorted(routing_state.registry.zones_out),
             'zones_paused': sorted(balancer.health.zones_paused),
             'upstreams': {
@@ -80,6 +81,11 @@
             'leads_expert_maps': gateway.peer_reporter.is_leader,
         }
 
+    def _topics(self) -> dict[str, dict[str, float]]:
+        sharing = self.gateway.peer_reporter.sharing
+        consumers = sharing.consumers if sharing else ()
+        return {consumer.name: consumer.state() for consumer in consumers}
+
     def _send_readiness(self, response: ResponseWriter) -> None:
         if self.gateway.ready:
             response.respond(_OK, (), b'ready\n')
@@ -102,6 +108,11 @@
         metrics.leaving_upstreams.set(
             len(gateway.routing_state.registry.leaving)
         )
+        for name, state in self._topics().items():
+            metrics.record_topic(name, state)
+        metrics.configuration_age.set(
+            time.monotonic() - gateway.routing_state.confirmed_at
+        )
         metrics.upstreams.set(len(gateway.routing_state.registry.upstreams))
         metrics.configuration_version.set(
             configuration.version if configuration else 0
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -234,8 +234,10 @@
             self.generator,
         )
         sharing = self.peer_reporter.sharing
-        if sharing is not None and self.settings.peer_ports:
-            sharing.add_all(topic_consumers)
+        if sharing is not None:
+            sharing.consumers = topic_consumers
+            if self.settings.peer_ports:
+                sharing.add_all(topic_consumers)
         return [
             *(consumer.run for consumer in topic_consumers),
             self._register,
--- a/primroseyoke/gateway/http_client.py
+++ b/primroseyoke/gateway/http_client.py
@@ -20,10 +20,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """Status and body of a response."""
+    """Status, body and headers (by lower-case name) of a response."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class HttpClient:
@@ -135,12 +136,17 @@
 
     async def _receive(self, connection: Connection) -> HttpResponse:
         status = 0
+        headers: dict[str, str] = {}
         size = 0
         chunks: list[bytes] = []
         event = await next_event(self.parser, connection)
         while isinstance(event, h11.Response | h11.Data):
             if isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode(): text.decode('latin-1')
+                    for name, text in event.headers
+                }
             else:
                 chunks.append(bytes(event.data))
                 size += len(event.data)
@@ -151,4 +157,4 @@
             raise ConnectionResetError(
                 'connection closed before the response was complete',
             )
-        return HttpResponse(status, b''.join(chunks))
+        return HttpResponse(status, b''.join(chunks), headers)
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of a gateway."""
 
+from collections.abc import Mapping
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -113,12 +115,29 @@
             'Version of the configuration in force',
             registry=self.registry,
         )
+        self.configuration_age = Gauge(
+            'gateway_configuration_age_seconds',
+            'Time since the store last confirmed the configuration',
+            registry=self.registry,
+        )
+        self.topics = Gauge(
+            'gateway_topic',
+            'State of a topic of the store: era, next_offset, listings,'
+            ' expired_reads, ignored_records, age of the confirmation',
+            ('topic', 'state'),
+            registry=self.registry,
+        )
         self.upstreams = Gauge(
             'gateway_upstreams',
             'Upstreams known',
             registry=self.registry,
         )
 
+    def record_topic(self, topic: str, state: Mapping[str, float]) -> None:
+        """Set the gauges of one topic."""
+        for name, number in state.items():
+            self.topics.labels(topic, name).set(number)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return bytes(generate_latest(self.registry))
--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -11,7 +11,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from ..exceptions import ServiceUnavailable
 from .clocks import boot_time
@@ -90,6 +90,8 @@
 
     Attributes:
         reachable: whether the last read of the store succeeded.
+        listing_count: number of listings of the topic that were read.
+        expired_count: number of reads of records that the store does not have.
         replica: the records, from which other gateways are served.
     """
 
@@ -116,6 +118,7 @@
                 without it, all do.
         """
         self.name = name
+        self.log_fields: dict[str, Any] = {'topic': name}
         self.topic = topic
         self.on_update = on_update
         self.interval = interval
@@ -124,6 +127,8 @@
         self.source: TopicSource | None = None
         self.needs_listing = True
         self.reachable = True
+        self.listing_count = 0
+        self.expired_count = 0
         self.consecutive_failures = 0
         self.last_read_at = -math.inf
         self.last_fetch_at = -math.inf
@@ -136,8 +141,11 @@
             except RecordsExpired as error:
                 log.warning(
                     'topic records expired; reading the topic anew',
-                    extra={'topic': self.name, 'reason': str(error)},
+                    extra=self.log_fields
+                    | self.state()
+                    | {'reason': str(error)},
                 )
+                self.expired_count += 1
                 self.needs_listing = True
             except ServiceUnavailable as error:
                 await self._back_off(error)
@@ -158,6 +166,20 @@
         self._record_success(confirmed_at)
         self.on_update(TopicChanges((), _monotonic(confirmed_at)))
 
+    def state(self) -> dict[str, float]:
+        """Return numbers that tell how far this host has read the topic."""
+        replica = self.replica
+        return {
+            'era': self.topic.eras.era,
+            'next_offset': -1
+            if replica.next_offset is None
+            else replica.next_offset,
+            'listings': self.listing_count,
+            'expired_reads': self.expired_count,
+            'ignored_records': replica.ignored_count,
+            'age': boot_time() - replica.confirmed_at,
+        }
+
     async def _update(self) -> None:
         """Fetch or read news once, or wait until that is due."""
         source = self.source
@@ -198,6 +220,8 @@
             page = await self.topic.read_latest()
             self._record_success(boot_time())
             self.needs_listing = False
+            self.listing_count += 1
+            log.info('topic listed', extra=self.log_fields | self.state())
             self.replica.replace(page.records, page.next_offset)
             self.replica.read_at = sent_at
             self._report(page.records, complete=True, confirmed_at=sent_at)
--- a/primroseyoke/gateway/topic_replica.py
+++ b/primroseyoke/gateway/topic_replica.py
@@ -53,6 +53,7 @@
             ``boot_time``.
         read_at: when the store last confirmed it to this host. Only this is
             told to others: each transit makes a confirmation look newer.
+        ignored_count: number of records that were older than the known ones.
         recovered_at: when the store last responded again after an outage, as
             returned by ``boot_time``.
     """
@@ -67,6 +68,7 @@
         self.changed_at: dict[str, int] = {}
         self.next_offset: int | None = None
         self.digest = 0
+        self.ignored_count = 0
         self.confirmed_at = -math.inf
         self.read_at = -math.inf
         self.recovered_at = -math.inf
@@ -92,6 +94,8 @@
             known = self.records.get(record.key)
             if known is None or record.offset >= known.offset:
                 self._apply(record)
+            else:
+                self.ignored_count += 1
         self.next_offset = max(self.next_offset or 0, next_offset)
         self._drop_old_removals()
 
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -11,7 +11,7 @@
 import math
 import random
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Annotated, Any, Protocol
 from urllib.parse import parse_qs, urlsplit
 
@@ -183,6 +183,7 @@
     """Announces the topics of this gateway and follows those of the others.
 
     Attributes:
+        consumers: the consumers of all topics of this host.
         topics: the shared topics by name.
         fetches: number of pages fetched from other gateways.
     """
@@ -210,6 +211,7 @@
         self.availability_zone = availability_zone
         self.max_update_delay = max_update_delay
         self.generator = generator
+        self.consumers: Sequence[TopicConsumer] = ()
         self.topics: dict[str, _SharedTopic] = {}
         self.fetches = 0
         self.encoded_pages: dict[tuple[str, int, bool, int], bytes] = {}
--- a/primroseyoke/gateway/topics.py
+++ b/primroseyoke/gateway/topics.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..exceptions import PrimroseyokeError
+from ..positions import EraTracker
 
 __all__ = (
     'KeyedPage',
@@ -39,7 +40,13 @@
 
 
 class KeyedTopic(Protocol):
-    """Read access to a compacted topic; the platform adapter implements it."""
+    """Read access to a compacted topic; the platform adapter implements it.
+
+    Attributes:
+        eras: the eras that the store has named.
+    """
+
+    eras: EraTracker
 
     async def read_latest(self) -> KeyedPage:
         """Return the latest record of each key."""
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -9,6 +9,7 @@
 from ..gateway.routing_state import RoutingState
 from ..gateway.settings import GatewaySettings
 from ..gateway.topic_consumers import TopicConsumer
+from ..positions import EraTracker
 from .engines import HttpEngines
 from .feeds import (
     OPERATOR_TOPIC,
@@ -39,6 +40,7 @@
         self.settings = settings
         self.path = path
         self.store_connections: list[HttpClient] = []
+        self.eras = EraTracker('store')
         self.codec: Codec = HeaderCodec()
         self.engines: EngineClient = HttpEngines()
         self.gateway_topic = self._open_topic(_GATEWAY_TOPIC)
@@ -108,4 +110,4 @@
         address = self.settings.store.address
         connection = HttpClient(address.host, address.port)
         self.store_connections.append(connection)
-        return HttpKeyedTopic(connection, topic)
+        return HttpKeyedTopic(connection, topic, self.eras)
--- a/primroseyoke/platform/store.py
+++ b/primroseyoke/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP access to the keyed topics of the platform's store."""
 
 import base64
+import logging
 import struct
 from typing import Any
 from urllib.parse import urlencode
@@ -10,9 +11,12 @@
 from ..exceptions import ServiceUnavailable
 from ..gateway.http_client import HttpClient, HttpResponse
 from ..gateway.topics import KeyedPage, KeyedRecord, RecordsExpired
+from ..positions import EraTracker
 
 __all__ = ('HttpKeyedTopic', 'decode_records')
 
+log = logging.getLogger(__name__)
+
 # The store answers in 4 ms, and in up to 0.4 s when it is slow. A stalled
 # connection must be detected well within 3 s after an outage of the store: from
 # then on, a host counts as connected and must use what operators publish.
@@ -21,6 +25,10 @@
 _READ_HEADER = struct.Struct('>QQ')
 # Length prefix of each record.
 _RECORD_LENGTH = struct.Struct('>I')
+# Rises by one each time the store comes back from an older copy.
+_ERA_HEADER = 'store-era'
+# Larger numbers do not fit the integers of messages between gateways.
+_MAX_ERA_DIGITS = 18
 _STATUS_OK = 200
 _STATUS_GONE = 410
 
@@ -46,10 +54,16 @@
     Implements ``topics.KeyedTopic``.
     """
 
-    def __init__(self, connection: HttpClient, topic: str) -> None:
-        """Access ``topic`` through ``connection``."""
+    def __init__(
+        self,
+        connection: HttpClient,
+        topic: str,
+        eras: EraTracker | None = None,
+    ) -> None:
+        """Access ``topic`` through ``connection``; tell ``eras`` each era."""
         self.connection = connection
         self.topic = topic
+        self.eras = eras or EraTracker('store')
 
     async def read_latest(self) -> KeyedPage:
         """Return the newest record of each key.
@@ -117,6 +131,7 @@
             _RECORD_LENGTH.pack(len(record)) + record,
             _TIMEOUT_SECONDS,
         )
+        self._learn_era(answer)
         _raise_for_status(answer, 'log-append')
 
     async def _get(
@@ -130,11 +145,25 @@
             f'/{endpoint}?{urlencode(query)}',
             timeout=_TIMEOUT_SECONDS + wait,
         )
+        self._learn_era(answer)
         if answer.status == _STATUS_GONE:
             raise RecordsExpired(f'{endpoint}: status 410, records expired')
         _raise_for_status(answer, endpoint)
         return answer
 
+    def _learn_era(self, answer: HttpResponse) -> None:
+        """Learn the era from a response, also from one that is refused."""
+        text = answer.headers.get(_ERA_HEADER)
+        if text is None:
+            return
+        if text.isascii() and text.isdecimal() and len(text) <= _MAX_ERA_DIGITS:
+            self.eras.learn(int(text))
+        else:
+            log.warning(
+                'era of the store invalid; header ignored',
+                extra={'topic': self.topic, 'era': text},
+            )
+
     def _decode_listing(self, answer: HttpResponse) -> _ListingPage:
         try:
             return _listing_page_decoder.decode(answer.body)
--- a/tests/gateway/test_topic_sharing.py
+++ b/tests/gateway/test_topic_sharing.py
@@ -21,6 +21,7 @@
     TopicListing,
 )
 from primroseyoke.gateway.upstreams import UpstreamRegistry
+from primroseyoke.positions import EraTracker
 from tests.event_loop import run
 
 MAX_UPDATE_DELAY_SECONDS = 2.0
@@ -48,6 +49,7 @@
     def __init__(self, store: Store, address: str) -> None:
         self.store = store
         self.address = address
+        self.eras = EraTracker('store')
 
     async def read_latest(self) -> KeyedPage:
         await self._call()
