Order records by the era of their store, then by offset

Callers got 404 for an added route, or were served by an older version, after the store came back from an older copy. Cause: offsets were taken for an order that never falls; a listing of the copy did not lower the offset to read from, and hosts compared offsets of two eras. Position (era, offset) is now the one order of records, for the store and for gateways that tell each other. The era is learned from each response, also from refused ones. A listing of a later era may be of a copy: a record that was known before does not replace what came after it, and what operators were told is in force stays until its key is written again. Followers take the new era from the readers.

--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -14,6 +14,7 @@
 from typing import Any, Protocol
 
 from ..exceptions import ServiceUnavailable
+from ..positions import Position
 from .clocks import boot_time
 from .topic_replica import TopicPage, TopicReplica
 from .topics import (
@@ -103,6 +104,7 @@
         interval: float,
         generator: random.Random,
         effect: Callable[[KeyedRecord], bytes] | None = None,
+        keeps_lost: bool = False,
     ) -> None:
         """Consume ``topic``.
 
@@ -116,6 +118,8 @@
                 many hosts.
             effect: returns the same bytes for records that make no difference;
                 without it, all do.
+            keeps_lost: whether a record stays in effect although the store has
+                lost it, until its key is written again.
         """
         self.name = name
         self.log_fields: dict[str, Any] = {'topic': name}
@@ -123,7 +127,7 @@
         self.on_update = on_update
         self.interval = interval
         self.generator = generator
-        self.replica = TopicReplica(effect or _value_of)
+        self.replica = TopicReplica(effect or _value_of, keeps_lost)
         self.source: TopicSource | None = None
         self.needs_listing = True
         self.reachable = True
@@ -150,18 +154,22 @@
             except ServiceUnavailable as error:
                 await self._back_off(error)
 
-    def confirm(self, next_offset: int, confirmed_at: float) -> None:
+    def confirm(self, next_position: Position, confirmed_at: float) -> None:
         """Record that another gateway found the replica to be up to date.
 
         Args:
-            next_offset: the offset up to which it has read the topic.
+            next_position: the position up to which it has read the topic.
             confirmed_at: when the store confirmed that, as returned by
                 ``boot_time``.
         """
         replica = self.replica
-        if replica.next_offset is None or confirmed_at <= replica.confirmed_at:
+        if (
+            replica.next_position is None
+            or confirmed_at <= replica.confirmed_at
+        ):
             return
-        replica.next_offset = max(replica.next_offset, next_offset)
+        self.topic.eras.learn(next_position.era, boot_time())
+        replica.confirm(next_position)
         replica.confirmed_at = confirmed_at
         self._record_success(confirmed_at)
         self.on_update(TopicChanges((), _monotonic(confirmed_at)))
@@ -169,11 +177,11 @@
     def state(self) -> dict[str, float]:
         """Return numbers that tell how far this host has read the topic."""
         replica = self.replica
+        position = replica.next_position or Position(0, -1)
         return {
-            'era': self.topic.eras.era,
-            'next_offset': -1
-            if replica.next_offset is None
-            else replica.next_offset,
+            'era': position.era,
+            'next_offset': position.offset,
+            'retained_records': len(replica.retained),
             'listings': self.listing_count,
             'expired_reads': self.expired_count,
             'ignored_records': replica.ignored_count,
@@ -203,11 +211,13 @@
     def _read_delay(self) -> float:
         """Return the time until this host has to read the store, in seconds."""
         source = self.source
-        if self.replica.next_offset is None:
+        if self.replica.next_position is None:
             return 0
         if source is not None and not source.is_reader:
-            age = boot_time() - self.replica.confirmed_at
-            return source.takeover_delay - age
+            # In a new era the readers list the topic, and the others get it
+            # from them.
+            since = max(self.replica.confirmed_at, self.topic.eras.risen_at)
+            return source.takeover_delay - (boot_time() - since)
         if self.needs_listing or not self.interval:
             return 0
         interval = source.read_interval if source else self.interval
@@ -216,28 +226,46 @@
     async def _read(self) -> None:
         sent_at = boot_time()
         self.last_read_at = sent_at
-        if self.needs_listing or self.replica.next_offset is None:
-            page = await self.topic.read_latest()
-            self._record_success(boot_time())
-            self.needs_listing = False
-            self.listing_count += 1
-            log.info('topic listed', extra=self.log_fields | self.state())
-            self.replica.replace(page.records, page.next_offset)
-            self.replica.read_at = sent_at
-            self._report(page.records, complete=True, confirmed_at=sent_at)
+        known = self.replica.next_position
+        if self.needs_listing or known is None or self._is_outdated(known):
+            await self._read_listing(sent_at)
             return
         wait = self._long_poll()
         digest = self.replica.digest
-        page = await self.topic.read(self.replica.next_offset, wait)
+        page = await self.topic.read(known.offset, wait)
         self._record_success(boot_time())
-        self.replica.update(page.records, page.next_offset)
+        if page.era != known.era:
+            # The offset was of another era: what it returned proves nothing.
+            self.needs_listing = True
+            return
+        records = self.replica.update(page.records, page.next_position)
         # A read without records was answered after the wait.
         confirmed_at = sent_at if page.records else sent_at + wait
         self.replica.read_at = confirmed_at
-        self._report(page.records, complete=False, confirmed_at=confirmed_at)
+        self._report(records, complete=False, confirmed_at=confirmed_at)
         if self.source is not None and self.replica.digest != digest:
             self.source.announce_changes()
 
+    def _is_outdated(self, position: Position) -> bool:
+        """Tell whether the store has named a later era than that of a copy."""
+        return position.era < self.topic.eras.era
+
+    async def _read_listing(self, sent_at: float) -> None:
+        page = await self.topic.read_latest()
+        self._record_success(boot_time())
+        replica = self.replica
+        known = replica.next_position
+        self.needs_listing = False
+        self.listing_count += 1
+        replica.replace(page.records, page.next_position)
+        replica.read_at = sent_at
+        log.info('topic listed', extra=self.log_fields | self.state())
+        if known is not None and known.era < page.era:
+            self._record_recovery(boot_time())
+        self._report(replica.present(), complete=True, confirmed_at=sent_at)
+        if self.source is not None and known != replica.next_position:
+            self.source.announce_changes()
+
     def _long_poll(self) -> float:
         """Return how long the store may hold the next read, in seconds."""
         if self.interval:
@@ -264,19 +292,23 @@
             )
             await self._read()
             return
-        known_offset = self.replica.next_offset
-        if known_offset is not None and page.next_offset < known_offset:
+        replica = self.replica
+        known = replica.next_position
+        if known is not None and page.next_position < known:
             return
+        self.topic.eras.learn(page.era, boot_time())
         received_at = boot_time()
         recovered_at = received_at - page.recovery_age
-        if recovered_at > self.replica.recovered_at:
-            self.replica.recovered_at = recovered_at
-            self.on_update(StoreReconnected(_monotonic(recovered_at)))
+        if recovered_at > replica.recovered_at:
+            self._record_recovery(recovered_at)
         records = page.keyed_records()
         if page.complete:
-            self.replica.replace(records, page.next_offset)
+            replica.replace(records, page.next_position)
+            records = replica.present()
         else:
-            self.replica.update(records, page.next_offset)
+            records = replica.update(records, page.next_position)
+        replica.mark_retained(page.retained)
+        self.needs_listing = False
         self._report(
             records,
             complete=page.complete,
@@ -292,10 +324,11 @@
         replica = self.replica
         replica.confirmed_at = max(replica.confirmed_at, confirmed_at)
         read_at = _monotonic(replica.confirmed_at)
+        retained = frozenset(replica.retained)
         if complete:
-            self.on_update(TopicListing(records, read_at))
+            self.on_update(TopicListing(records, read_at, retained))
         else:
-            self.on_update(TopicChanges(records, read_at))
+            self.on_update(TopicChanges(records, read_at, retained))
 
     async def _back_off(self, error: ServiceUnavailable) -> None:
         self.consecutive_failures += 1
@@ -337,11 +370,14 @@
                     'failures': self.consecutive_failures,
                 },
             )
-            self.replica.recovered_at = recovered_at
-            self.on_update(StoreReconnected(_monotonic(recovered_at)))
+            self._record_recovery(recovered_at)
         self.reachable = True
         self.consecutive_failures = 0
 
+    def _record_recovery(self, recovered_at: float) -> None:
+        self.replica.recovered_at = recovered_at
+        self.on_update(StoreReconnected(_monotonic(recovered_at)))
+
 
 def _monotonic(boot: float) -> float:
     """Convert a reading of ``boot_time`` to the monotonic clock."""
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -19,12 +19,13 @@
 import msgspec
 
 from ..exceptions import ServiceUnavailable
+from ..positions import Position
 from .clocks import boot_time
 from .http_client import HttpClient
 from .listeners import ResponseWriter
 from .requests import CallerRequest
 from .topic_consumers import TopicConsumer
-from .topic_replica import TopicPage, TopicReplica
+from .topic_replica import Era, TopicPage, TopicReplica
 
 __all__ = ('Announcement', 'TopicSharing', 'decode_page')
 
@@ -67,12 +68,31 @@
     """How far a gateway has read a topic.
 
     ``age`` is the time since the store confirmed the state with ``digest`` to
-    that gateway, in seconds; infinite if it never did.
+    that gateway, in seconds; infinite if it never did. ``retained`` is the
+    number of keys whose values the store has lost and that gateway still has.
     """
 
     next_offset: int
     digest: int
     age: Annotated[float, msgspec.Meta(ge=0)]
+    era: Era = 0
+    retained: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+    @property
+    def next_position(self) -> Position:
+        """Return the position up to which the gateway has read the topic."""
+        return Position(self.era, self.next_offset)
+
+    def is_ahead_of(self, replica: TopicReplica) -> bool:
+        """Tell whether the gateway has records that ``replica`` may lack."""
+        known = replica.next_position
+        if known is None:
+            return True
+        if self.digest == replica.digest:
+            return False
+        if self.next_position == known:
+            return self.retained > len(replica.retained)
+        return self.next_position > known
 
 
 class Hosts(Protocol):
@@ -97,8 +117,7 @@
 class _Ahead:
     """A gateway that is ahead of this one."""
 
-    next_offset: int
-    digest: int
+    announcement: Announcement
     announced_at: float
 
 
@@ -132,12 +151,10 @@
 
     def newer_host(self, replica: TopicReplica) -> str | None:
         now = boot_time()
-        known_offset = replica.next_offset or 0
         self.ahead = {
             address: state
             for address, state in self.ahead.items()
-            if state.next_offset > known_offset
-            and state.digest != replica.digest
+            if state.announcement.is_ahead_of(replica)
             and now - state.announced_at < _ANNOUNCEMENT_LIFETIME_SECONDS
         }
         if not self.ahead:
@@ -152,7 +169,9 @@
 
     async def fetch(self, address: str, replica: TopicReplica) -> TopicPage:
         self.ahead.pop(address, None)
-        return await self.sharing.fetch(address, self.consumer.name, replica)
+        return await self.sharing.fetch(
+            address, self.consumer.name, replica.next_position
+        )
 
     def announce_changes(self) -> None:
         self.sharing.hosts.send_heartbeat()
@@ -161,22 +180,16 @@
         self, address: str, announcement: Announcement, now: float
     ) -> None:
         replica = self.consumer.replica
-        known_offset = replica.next_offset
-        is_ahead = (
-            known_offset is None or announcement.next_offset > known_offset
-        )
-        is_same = (
-            known_offset is not None and announcement.digest == replica.digest
-        )
-        if is_ahead and not is_same:
-            self.ahead[address] = _Ahead(
-                announcement.next_offset, announcement.digest, now
-            )
+        known = replica.next_position
+        told = announcement.next_position
+        if announcement.is_ahead_of(replica):
+            self.ahead[address] = _Ahead(announcement, now)
             self.changed.set()
-        elif is_same or announcement.next_offset != known_offset:
-            self.consumer.confirm(
-                announcement.next_offset, now - announcement.age
-            )
+        elif announcement.digest == replica.digest or (
+            # The end of another era says nothing about the end of this one.
+            known is not None and told < known and told.era == known.era
+        ):
+            self.consumer.confirm(told, now - announcement.age)
 
 
 class TopicSharing:
@@ -214,7 +227,9 @@
         self.consumers: Sequence[TopicConsumer] = ()
         self.topics: dict[str, _SharedTopic] = {}
         self.fetches = 0
-        self.encoded_pages: dict[tuple[str, int, bool, int], bytes] = {}
+        self.encoded_pages: dict[
+            tuple[str, Position, bool, int, int], bytes
+        ] = {}
 
     @property
     def reader_count(self) -> int:
@@ -241,12 +256,14 @@
         now = boot_time()
         return {
             name: Announcement(
-                replica.next_offset,
+                replica.next_position.offset,
                 replica.digest,
                 max(now - replica.read_at, 0),
+                replica.next_position.era,
+                len(replica.retained),
             )
             for name, replica in self._replicas()
-            if replica.next_offset is not None
+            if replica.next_position is not None
         }
 
     def receive(
@@ -259,16 +276,16 @@
                 topic.receive(address, announcement, boot_time())
 
     async def fetch(
-        self, address: str, name: str, replica: TopicReplica
+        self, address: str, name: str, position: Position | None
     ) -> TopicPage:
-        """Fetch from a gateway the records that ``replica`` lacks.
+        """Fetch from a gateway the records from ``position`` on; None for all.
 
         Raises:
             ServiceUnavailable: the gateway gave no valid response.
         """
         target = f'{_PATH_PREFIX}{name}'
-        if replica.next_offset is not None:
-            target = f'{target}?from={replica.next_offset}'
+        if position is not None:
+            target = f'{target}?from={position.offset}&era={position.era}'
         client = HttpClient(address, self.port)
         try:
             answer = await client.call(
@@ -292,29 +309,37 @@
         if replica is None or not request.path.startswith(_PATH_PREFIX):
             response.send_error(_NOT_FOUND, 'no such topic', 'not_run')
             return
-        if replica.next_offset is None:
+        if replica.next_position is None:
             response.send_error(_UNAVAILABLE, 'topic not read yet', 'not_run')
             return
         query = parse_qs(urlsplit(request.target).query)
         offset = query.get('from', [''])[0]
-        page = replica.page(
-            int(offset) if offset.isdecimal() else None, boot_time()
-        )
-        response.respond(_OK, (), self._encode(name, page))
+        era = query.get('era', ['0'])[0]
+        position = None
+        if offset.isdecimal() and era.isdecimal():
+            position = Position(int(era), int(offset))
+        page = replica.page(position, boot_time())
+        response.respond(_OK, (), self._encode(name, page, replica.digest))
 
     def _replicas(self) -> Iterable[tuple[str, TopicReplica]]:
         for name, topic in self.topics.items():
             yield name, topic.consumer.replica
 
-    def _encode(self, name: str, page: TopicPage) -> bytes:
+    def _encode(self, name: str, page: TopicPage, digest: int) -> bytes:
         """Encode a page; many hosts ask for the same one after a change."""
-        key = (name, page.next_offset, page.complete, len(page.records))
+        key = (
+            name,
+            page.next_position,
+            page.complete,
+            len(page.records),
+            digest,
+        )
         records = self.encoded_pages.get(key)
         if records is None:
             self.encoded_pages = {
                 known: content
                 for known, content in self.encoded_pages.items()
-                if known[0] != name or known[1] == page.next_offset
+                if known[0] != name or known[1] == page.next_position
             }
             records = zlib.compress(
                 cbor2.dumps(page.records), _COMPRESSION_LEVEL
@@ -327,6 +352,8 @@
                 page.next_offset,
                 page.age,
                 page.recovery_age,
+                page.era,
+                page.retained,
             )
         )
 
--- a/primroseyoke/gateway/topics.py
+++ b/primroseyoke/gateway/topics.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ..exceptions import PrimroseyokeError
-from ..positions import EraTracker
+from ..positions import EraTracker, Position
 
 __all__ = (
     'KeyedPage',
@@ -29,6 +29,12 @@
     key: str
     value: bytes
     offset: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the place of the record in its topic."""
+        return Position(self.era, self.offset)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +43,12 @@
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    era: int = 0
+
+    @property
+    def next_position(self) -> Position:
+        """Return the place of the next record to read."""
+        return Position(self.era, self.next_offset)
 
 
 class KeyedTopic(Protocol):
@@ -63,18 +75,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicListing:
-    """Latest record of each key, read at ``read_at`` (monotonic seconds)."""
+    """Latest record of each key, read at ``read_at`` (monotonic seconds).
+
+    The store has lost the values of the keys in ``retained``.
+    """
 
     records: tuple[KeyedRecord, ...]
     read_at: float
+    retained: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicChanges:
-    """New records of a topic in order of their offsets, possibly none."""
+    """New records of a topic in order of their offsets, possibly none.
+
+    The store has lost the values of the keys in ``retained``.
+    """
 
     records: tuple[KeyedRecord, ...]
     read_at: float
+    retained: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -61,6 +61,8 @@
                 operator_feed.receive,
                 0,
                 generator,
+                # What an operator was told is in force stays so.
+                keeps_lost=True,
             ),
             TopicConsumer(
                 UPSTREAM_TOPIC,
--- a/primroseyoke/platform/feeds.py
+++ b/primroseyoke/platform/feeds.py
@@ -51,7 +51,7 @@
     @receive.register
     def _receive_listing(self, event: TopicListing) -> None:
         self._update_evacuated_zones(frozenset(), event.records)
-        self._publish(event.records)
+        self._publish(event)
         self.routing_state.confirmed_at = event.read_at
 
     @receive.register
@@ -59,7 +59,7 @@
         self._update_evacuated_zones(
             self.routing_state.registry.zones_out, event.records
         )
-        self._publish(event.records)
+        self._publish(event)
         self.routing_state.confirmed_at = event.read_at
 
     @receive.register
@@ -88,10 +88,10 @@
             )
             registry.zones_out = frozenset(zones)
 
-    def _publish(self, records: tuple[KeyedRecord, ...]) -> None:
+    def _publish(self, event: TopicListing | TopicChanges) -> None:
         configurations = [
             record
-            for record in records
+            for record in event.records
             if record.key == _CONFIGURATION_KEY and record.value
         ]
         # Each configuration is complete, so only the newest is decoded.
@@ -104,12 +104,17 @@
                     extra={'offset': record.offset, 'reason': str(error)},
                 )
                 continue
-            if self.routing_state.apply_configuration(configuration):
+            # What the store has lost was published in an earlier era.
+            era = record.era - (record.key in event.retained)
+            if self.routing_state.apply_configuration(
+                configuration, hash(record.value), era
+            ):
                 log.info(
                     'configuration applied',
                     extra={
                         'version': configuration.version,
                         'offset': record.offset,
+                        'era': era,
                     },
                 )
 
--- a/primroseyoke/platform/store.py
+++ b/primroseyoke/platform/store.py
@@ -9,9 +9,10 @@
 import msgspec
 
 from ..exceptions import ServiceUnavailable
+from ..gateway.clocks import boot_time
 from ..gateway.http_client import HttpClient, HttpResponse
 from ..gateway.topics import KeyedPage, KeyedRecord, RecordsExpired
-from ..positions import EraTracker
+from ..positions import EraTracker, Position
 
 __all__ = ('HttpKeyedTopic', 'decode_records')
 
@@ -71,21 +72,10 @@
         Raises:
             ServiceUnavailable: the store gave no valid response.
         """
-        records: list[KeyedRecord] = []
-        query: dict[str, Any] = {'topic': self.topic, 'part': 0}
-        end_offset = None
-        while True:
-            page = self._decode_listing(await self._get('log-newest', query))
-            # Pages are not a consistent snapshot. Reading goes on from the end
-            # offset of the first page, so that no later change is missed.
-            end_offset = page.end_offset if end_offset is None else end_offset
-            records += [
-                KeyedRecord(entry.key, _decode_value(entry.value), entry.offset)
-                for entry in page.entries
-            ]
-            if not page.has_more or not page.entries:
-                return KeyedPage(tuple(records), end_offset)
-            query['after'] = page.entries[-1].key
+        listing = None
+        while listing is None:
+            listing = await self._read_listing()
+        return listing
 
     async def read(self, offset: int, wait: float) -> KeyedPage:
         """Return the records from ``offset`` on.
@@ -108,11 +98,13 @@
                 f'log-read: expected a header of {_READ_HEADER.size} bytes, '
                 f'got {len(answer.body)} bytes',
             )
-        records = decode_records(answer.body[_READ_HEADER.size :], offset)
+        era = self.eras.era
+        records = decode_records(answer.body[_READ_HEADER.size :], offset, era)
         end_offset = offset + len(records)
         return KeyedPage(
             tuple(record for record in records if record is not None),
             end_offset,
+            era,
         )
 
     async def append(self, key: str, content: bytes) -> None:
@@ -134,6 +126,32 @@
         self._learn_era(answer)
         _raise_for_status(answer, 'log-append')
 
+    async def _read_listing(self) -> KeyedPage | None:
+        """Return the newest records; None if their pages are of two eras."""
+        records: list[KeyedRecord] = []
+        query: dict[str, Any] = {'topic': self.topic, 'part': 0}
+        first = None
+        while True:
+            answer = await self._get('log-newest', query)
+            page = self._decode_listing(answer)
+            # Pages are not a consistent snapshot. Reading goes on from the end
+            # offset of the first page, so that no later change is missed.
+            first = first or Position(self.eras.era, page.end_offset)
+            if first.era != self.eras.era:
+                return None
+            records += [
+                KeyedRecord(
+                    entry.key,
+                    _decode_value(entry.value),
+                    entry.offset,
+                    first.era,
+                )
+                for entry in page.entries
+            ]
+            if not page.has_more or not page.entries:
+                return KeyedPage(tuple(records), first.offset, first.era)
+            query['after'] = page.entries[-1].key
+
     async def _get(
         self,
         endpoint: str,
@@ -152,12 +170,23 @@
         return answer
 
     def _learn_era(self, answer: HttpResponse) -> None:
-        """Learn the era from a response, also from one that is refused."""
+        """Learn the era from a response, also from one that is refused.
+
+        A response without an era is of the one that is known.
+
+        Raises:
+            ServiceUnavailable: the response is of an earlier era.
+        """
         text = answer.headers.get(_ERA_HEADER)
         if text is None:
             return
         if text.isascii() and text.isdecimal() and len(text) <= _MAX_ERA_DIGITS:
-            self.eras.learn(int(text))
+            era = int(text)
+            self.eras.learn(era, boot_time())
+            if era < self.eras.era:
+                raise ServiceUnavailable(
+                    f'{self.topic}: response of era {era} after a later one'
+                )
         else:
             log.warning(
                 'era of the store invalid; header ignored',
@@ -176,6 +205,7 @@
 def decode_records(
     content: bytes,
     first_offset: int,
+    era: int = 0,
 ) -> list[KeyedRecord | None]:
     """Return the complete records in ``content``, from ``first_offset`` on.
 
@@ -189,12 +219,14 @@
         if position + length > len(content):
             break
         record = content[position : position + length]
-        records.append(_decode_record(record, first_offset + len(records)))
+        records.append(
+            _decode_record(record, Position(era, first_offset + len(records)))
+        )
         position += length
     return records
 
 
-def _decode_record(record: bytes, offset: int) -> KeyedRecord | None:
+def _decode_record(record: bytes, position: Position) -> KeyedRecord | None:
     if not record or len(record) < 1 + record[0]:
         return None
     key_length = record[0]
@@ -202,7 +234,8 @@
         key = record[1 : 1 + key_length].decode()
     except UnicodeDecodeError:
         return None
-    return KeyedRecord(key, record[1 + key_length :], offset)
+    value = record[1 + key_length :]
+    return KeyedRecord(key, value, position.offset, position.era)
 
 
 def _decode_value(value: str) -> bytes:
--- a/primroseyoke/positions.py
+++ b/primroseyoke/positions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 
 __all__ = ('EraTracker', 'Position')
 
@@ -26,14 +27,17 @@
 
     Attributes:
         era: the highest era; 0 until the source has named one.
+        risen_at: when that era became known, in seconds of the clock that
+            ``learn`` is given.
     """
 
     def __init__(self, source: str) -> None:
         """Track the era of ``source``, whose name is used in log lines."""
         self.source = source
         self.era = 0
+        self.risen_at = -math.inf
 
-    def learn(self, era: int) -> bool:
+    def learn(self, era: int, now: float) -> bool:
         """Record an era that the source named; return whether it is new."""
         if era <= self.era:
             return False
@@ -42,4 +46,5 @@
             extra={'source': self.source, 'era': era, 'previous': self.era},
         )
         self.era = era
+        self.risen_at = now
         return True
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -23,6 +23,7 @@
     topic: str,
     feed: OperatorFeed | UpstreamFeed,
     interval: float = 0,
+    keeps_lost: bool = False,
 ) -> TopicConsumer:
     return TopicConsumer(
         topic,
@@ -30,6 +31,7 @@
         feed.receive,
         interval,
         random.Random(1),
+        keeps_lost=keeps_lost,
     )
 
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -66,6 +66,14 @@
         #: answered.
         self.stall_generation = 0
         self.request_count = 0
+        #: Sent with each response; None for a store without eras.
+        self.era: object = None
+
+    def restore(self, counts: dict[str, int]) -> None:
+        """Come back from a copy with so many records of some topics."""
+        self.era = int(self.era or 0) + 1
+        for topic, count in counts.items():
+            del self.topics[topic][count:]
 
     def put(self, topic: str, key: str, content: object) -> None:
         value = content if isinstance(content, bytes) else _encode_json(content)
@@ -84,12 +92,17 @@
         parameters = parse_qs(urlsplit(request.target).query)
         query = {name: texts[0] for name, texts in parameters.items()}
         if request.path == '/log-newest':
-            response.respond(200, (), self._newest(query))
+            response.respond(200, self._headers(), self._newest(query))
         elif request.path == '/log-read':
             await self._read(query, response)
         else:
             self._append(query, request.body)
-            response.respond(200, (), b'{}')
+            response.respond(200, self._headers(), b'{}')
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        if self.era is None:
+            return []
+        return [(b'store-era', str(self.era).encode())]
 
     def _newest(self, query: dict[str, str]) -> bytes:
         records = self.topics.get(query['topic'], [])
@@ -117,8 +130,9 @@
     ) -> None:
         topic = query['topic']
         start = int(query['from'])
-        if start < self.first_offsets.get(topic, 0):
-            response.respond(410, (), b'{}')
+        end = len(self.topics.get(topic, ()))
+        if not self.first_offsets.get(topic, 0) <= start <= end:
+            response.respond(410, self._headers(), b'{}')
             return
         deadline = time.monotonic() + int(query.get('waitMs', '0')) / 1000
         generation = self.stall_generation
@@ -136,7 +150,7 @@
             name = key.encode()
             record = bytes((len(name),)) + name + value
             content += RECORD_LENGTH.pack(len(record)) + record
-        response.respond(200, (), content)
+        response.respond(200, self._headers(), content)
 
     def _append(self, query: dict[str, str], body: bytes) -> None:
         (length,) = RECORD_LENGTH.unpack_from(body)
--- a/tests/standins/topic_hosts.py
+++ b/tests/standins/topic_hosts.py
@@ -1,6 +1,7 @@
 """Gateways that share a topic of a stand-in store, in virtual time."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -39,11 +40,16 @@
 
     def restore(self, count: int) -> None:
         """Come back from a copy that has the first ``count`` records."""
-        del self.records[count:]
         self.era += 1
+        self.records = [
+            dataclasses.replace(record, era=self.era)
+            for record in self.records[:count]
+        ]
 
     def put(self, key: str, value: bytes) -> None:
-        self.records.append(KeyedRecord(key, value, len(self.records)))
+        self.records.append(
+            KeyedRecord(key, value, len(self.records), self.era)
+        )
 
     def topic(self, address: str) -> 'StoreTopic':
         return StoreTopic(self, address)
@@ -59,7 +65,7 @@
         await self._call()
         latest = {record.key: record for record in self.store.records}
         present = tuple(each for each in latest.values() if each.value)
-        return KeyedPage(present, len(self.store.records))
+        return KeyedPage(present, len(self.store.records), self.store.era)
 
     async def read(self, offset: int, wait: float) -> KeyedPage:
         await self._call()
@@ -71,7 +77,7 @@
                 break
             await asyncio.sleep(0.01)
         records = tuple(self.store.records[offset:])
-        return KeyedPage(records, len(self.store.records))
+        return KeyedPage(records, len(self.store.records), self.store.era)
 
     async def _call(self) -> None:
         calls = self.store.calls
@@ -79,7 +85,7 @@
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         if self.address in self.store.away_for:
             raise ServiceUnavailable('away')
-        self.eras.learn(self.store.era)
+        self.eras.learn(self.store.era, asyncio.get_running_loop().time())
 
 
 class DirectSharing(TopicSharing):
@@ -88,14 +94,14 @@
     system: 'System'
     address: str
 
-    async def fetch(self, address, name, replica) -> TopicPage:
+    async def fetch(self, address, name, position) -> TopicPage:
         await asyncio.sleep(0.001)
         if not self.system.connected(self.address, address):
             raise ServiceUnavailable('no connection')
         other = self.system.hosts[address].sharing
         self.fetches += 1
         return other.topics[name].consumer.replica.page(
-            replica.next_offset, asyncio.get_running_loop().time()
+            position, asyncio.get_running_loop().time()
         )
 
 
@@ -130,6 +136,7 @@
             system.interval,
             random.Random(address),
             lambda record: record.value[:1],
+            keeps_lost=True,
         )
         self.sharing.add_all([self.consumer])
         self.reporter.add_peers(system.hosts)
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -10,7 +10,7 @@
 
 def test_the_highest_era_is_kept() -> None:
     eras = EraTracker('store')
-    assert eras.learn(3)
-    assert not eras.learn(3)
-    assert not eras.learn(2)
-    assert eras.era == 3
+    assert eras.learn(3, 1.0)
+    assert not eras.learn(3, 1.0)
+    assert not eras.learn(2, 3.0)
+    assert (eras.era, eras.risen_at) == (3, 1.0)
