Register gateways again after the store has lost records

A gateway that had registered in the lost seconds was unknown to each host that started later: it is missing from the list that decides the senders of shared rates and the number of hosts in limits. Gateways registered once, at their start. They now register again when the store names a new era, spread over time so that all hosts together make 40 registrations a second, and read the list again.

--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -48,6 +48,9 @@
 # Interval at which a draining gateway checks for unfinished requests.
 _DRAIN_POLL_SECONDS = 0.05
 _ACCEPT_BACKLOG_LIMIT = 1024
+# Rate at which all hosts together register again after a loss of the store,
+# each with two calls. The store serves some hundreds of writes a second.
+_REGISTRATIONS_PER_SECOND = 40
 # Keeps a task that fails immediately from filling the log.
 _RESTART_DELAY_SECONDS = 1.0
 
@@ -293,17 +296,24 @@
         self.pool.close_idle(frozenset(self.routing_state.registry.upstreams))
 
     async def _register(self) -> None:
-        while True:
+        """Register, and again whenever the store may have lost that.
+
+        Hosts that start later learn of this one from the store alone.
+        """
+        while not self.stopping.is_set():
             try:
                 self.peer_reporter.add_all_hosts(await self.platform.register())
-                self._update_hosts()
-                return
             except ServiceUnavailable as error:
                 log.warning(
                     'gateway registration failed; retrying',
                     extra={'reason': str(error)},
                 )
                 await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
+                continue
+            self._update_hosts()
+            await self.platform.wait_for_lost_registration()
+            spread = self.peer_reporter.host_count / _REGISTRATIONS_PER_SECOND
+            await asyncio.sleep(self.generator.random() * spread)
 
     async def _sweep(self) -> None:
         while True:
--- a/primroseyoke/gateway/membership.py
+++ b/primroseyoke/gateway/membership.py
@@ -112,7 +112,7 @@
     def add_all_hosts(self, addresses: Iterable[str]) -> None:
         """Add the addresses of all hosts, from the store."""
         self.add_peers(addresses)
-        self.hosts_known_at = time.monotonic()
+        self.hosts_known_at = min(self.hosts_known_at, time.monotonic())
 
     @property
     def is_leader(self) -> bool:
--- a/primroseyoke/gateway/platforms.py
+++ b/primroseyoke/gateway/platforms.py
@@ -37,6 +37,12 @@
             ServiceUnavailable: the store did not respond.
         """
 
+    async def wait_for_lost_registration(self) -> None:
+        """Wait until the store may have lost the registration.
+
+        It loses what was written last when it comes back from an older copy.
+        """
+
     async def unregister(self) -> None:
         """Remove this host from the list of gateways.
 
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -1,5 +1,6 @@
 """Implementation of the gateway's platform interface."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -30,6 +31,7 @@
 # 2 s after it announced that. Each read of the store is billed, so this is the
 # longest interval that meets the 2 s.
 _UPSTREAM_READ_INTERVAL_SECONDS = 1.0
+_REGISTRATION_CHECK_SECONDS = 0.5
 
 
 class PlatformAdapter:
@@ -41,6 +43,7 @@
         self.path = path
         self.store_connections: list[HttpClient] = []
         self.eras = EraTracker('store')
+        self.registered_era = 0
         self.codec: Codec = HeaderCodec()
         self.engines: EngineClient = HttpEngines()
         self.gateway_topic = self._open_topic(_GATEWAY_TOPIC)
@@ -81,8 +84,14 @@
             self.settings.host.encode(),
         )
         page = await self.gateway_topic.read_latest()
+        self.registered_era = page.era
         return [record.key for record in page.records if record.value]
 
+    async def wait_for_lost_registration(self) -> None:
+        """Wait until the store may have lost the registration."""
+        while self.eras.era == self.registered_era:
+            await asyncio.sleep(_REGISTRATION_CHECK_SECONDS)
+
     async def unregister(self) -> None:
         """Remove this gateway from the registered ones."""
         await self.gateway_topic.append(self.settings.address, b'')
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -11,7 +11,7 @@
 from primroseyoke.gateway.topics import RecordsExpired
 from primroseyoke.platform.feeds import OperatorFeed, UpstreamFeed
 from primroseyoke.platform.store import HttpKeyedTopic
-from tests.gateway.deployment import configuration, wait_until
+from tests.gateway.deployment import configuration, deployment, wait_until
 from tests.platform.test_store import make_follower
 from tests.standins.platform import StandInStore, StandInUpstream, answer_ok
 
@@ -198,3 +198,22 @@
         task.cancel()
 
     run_with_store(scenario)
+
+
+def test_a_gateway_registers_again_after_a_loss() -> None:
+    """Guards against hosts that are unknown to each that starts later.
+
+    Their registrations were among the records that the store lost.
+    """
+
+    async def scenario() -> None:
+        async with deployment() as system:
+            store = system.store
+            assert store.topics['keyed.gateways']
+            store.restore({'keyed.gateways': 0})
+            await wait_until(lambda: bool(store.topics['keyed.gateways']))
+            assert store.topics['keyed.gateways'] == [
+                ('127.0.0.1', b'gateway-1')
+            ]
+
+    asyncio.run(scenario())
