Order configuration records of entries and agents by era, too

Cause: offsets of two eras in one order.

A log in a later era is read anew into a second state, which takes over once it is read to its end. Parts that the log has lost stay in effect until they are published again; records are checked against the log's own state alone, so all hosts decide alike. Messages of era 0 are those of earlier builds, byte for byte.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,6 +19,7 @@
 from bench.figures import report
 from primroseyoke.host_list import HostList
 from primroseyoke.links import LinkPool, LinkServer
+from primroseyoke.positions import Position
 from primroseyoke.messages import Hello, Load, LoadReport, Welcome, encode
 from primroseyoke.operator_client import OperatorClient
 from primroseyoke.retries import RetryBudget
@@ -233,7 +234,7 @@
         started_at = time.monotonic()
         states = operator.host_states()
         seconds.append(time.monotonic() - started_at)
-        assert all(state.has_offset(1) for state in states)
+        assert all(state.has_applied(Position(0, 1)) for state in states)
         host_list.stop()
     for server in servers:
         server.stop()
--- a/primroseyoke/configuration.py
+++ b/primroseyoke/configuration.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import functools
+import logging
 import types
 from collections.abc import Mapping
 from typing import Annotated, Any
@@ -26,6 +27,7 @@
 )
 from .configuration_validation import Change, check_change, check_parts
 from .exceptions import ConfigurationInvalid
+from .positions import Position
 
 __all__ = (
     'Configuration',
@@ -43,6 +45,10 @@
     'parse_record',
 )
 
+log = logging.getLogger(__name__)
+
+_RawPart = dict[str, Any]
+
 # Change ids and the versions of removed parts are kept for this many offsets,
 # about two days at 500 changes a day. A record whose author has not read that
 # far is stale, so that a change whose id was discarded cannot be applied
@@ -99,11 +105,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """Read-only view of the parts in effect at one offset."""
+    """Read-only view of the parts in effect at one position in the log."""
 
     offset: int
     defaults: Defaults
     parts: Mapping[str, Any]
+    era: int = 0
 
     def parts_of_kind(self, kind: str) -> dict[str, Any]:
         """Return the parts of one kind by name."""
@@ -191,18 +198,61 @@
         self.changes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        #: Era of the log that the offsets belong to.
+        self.era = 0
+        #: Values of the parts that were in effect when the log lost them, None
+        #: for a removed part. They are no part of the state that other records
+        #: are checked against.
+        self.retained: dict[str, dict[str, Any] | None] = {}
+
+    @property
+    def position(self) -> Position:
+        """Return the position of the last record."""
+        return Position(self.era, self.offset)
 
     @property
     def current(self) -> Configuration | None:
         """Return the current view, None before the first accepted record."""
-        if self.accepted_offset < 0:
+        if self.accepted_offset < 0 and not self.retained:
             return None
+        parts = _with_retained(self.parts, self.retained)
         return Configuration(
             self.offset,
-            self.parts.get('defaults', Defaults()),
-            types.MappingProxyType(self.parts),
+            parts.get('defaults', Defaults()),
+            types.MappingProxyType(parts),
+            self.era,
         )
 
+    def retain_lost(self, previous: 'ConfigurationStateMachine') -> None:
+        """Keep in effect what ``previous`` had and the log has lost since.
+
+        A part whose latest record was known before is that of the copy. It
+        does not replace what came after it, until the part is changed again.
+        """
+        before: dict[str, dict[str, Any] | None] = {
+            name: None for name in previous.removed
+        }
+        before |= previous.raw | previous.retained
+        copied = {
+            offset + 1
+            for change, offset in self.changes.items()
+            if previous.changes.get(change) == offset
+        }
+        for name, raw in before.items():
+            version = self.version(name)
+            is_superseded = bool(version) and version not in copied
+            if raw != self.raw.get(name) and not is_superseded:
+                self.retained[name] = raw
+        try:
+            check_parts(_with_retained(self.parts, self.retained))
+        except ConfigurationInvalid as error:
+            log.warning(
+                'configuration: parts that the log has lost do not fit its'
+                ' records and are not kept: %s',
+                error,
+            )
+            self.retained = {}
+
     def version(self, name: str) -> int:
         """Return the version on which a change of a part must be based."""
         return self.versions.get(name) or self.removed.get(name, 0)
@@ -335,6 +385,7 @@
         for name, raw in record.parts.items():
             self.removed.pop(name, None)
             self.versions.pop(name, None)
+            self.retained.pop(name, None)
             if raw is None:
                 self.raw.pop(name)
                 self.removed[name] = record.offset + 1
@@ -343,6 +394,21 @@
                 self.versions[name] = record.offset + 1
 
 
+def _with_retained(
+    parts: dict[str, Any], retained: Mapping[str, _RawPart | None]
+) -> dict[str, Any]:
+    """Return the parts with those that the log has lost."""
+    if not retained:
+        return parts
+    merged = {
+        name: part for name, part in parts.items() if name not in retained
+    }
+    for name, raw in retained.items():
+        if raw is not None:
+            merged[name] = parse_part(name, raw)
+    return merged
+
+
 def parse_record(
     offset: int, appended_at: float, content: Any
 ) -> ConfigurationRecord:
--- a/primroseyoke/configuration_distribution.py
+++ b/primroseyoke/configuration_distribution.py
@@ -23,6 +23,7 @@
 from .host_list import HostList
 from .log_service import LogPage, LogService
 from .messages import Announce, Hello, Message, Pull, Snapshot, Welcome
+from .positions import Position
 from .settings import Address
 
 __all__ = (
@@ -38,6 +39,8 @@
 
 #: Question to the actor: its announcement.
 ASK_OFFSET = 'ask-offset'
+#: Question to the actor: the position of the last record that it has read.
+ASK_READ_POSITION = 'ask-read-position'
 #: Question to the actor: its state as a ``Snapshot`` message.
 ASK_SNAPSHOT = 'ask-snapshot'
 #: Question to the actor: its part of a state dump.
@@ -92,16 +95,27 @@
         self.confirmed_at = 0.0
         #: Whether the log no longer retains the record after the own offset.
         self.needs_snapshot = False
-        # The offset of the last pull, and when another pull may be sent.
-        self.last_pull = (-1, 0.0)
+        #: State of a later era of the log, while that is being read.
+        self.rebuilt: ConfigurationStateMachine | None = None
+        # The position of the last pull, and when another pull may be sent.
+        self.last_pull = (Position(0, -1), 0.0)
         self.packed_snapshot: Snapshot | None = None
 
+    @property
+    def reading(self) -> ConfigurationStateMachine:
+        """Return the state that the log is read into.
+
+        It is another one than the state in effect while a log that has lost
+        records is read anew.
+        """
+        return self.rebuilt or self.state_machine
+
     def on_receive(self, message: Any) -> Any:
         """Handle a message from the log or a peer, a question or a command."""
         if isinstance(message, LogPage):
             return self._apply_page(message)
         if isinstance(message, StoredSnapshot):
-            return self._restore(message.content, 0)
+            return self._restore(message.content, 0, message.era)
         if isinstance(message, PeerMessage):
             return self._handle_peer_message(message)
         return self._answer_question(message)
@@ -114,29 +128,76 @@
         if question == ASK_STATE:
             return {
                 'offset': self.state_machine.offset,
+                'era': self.state_machine.era,
+                'retained': sorted(self.state_machine.retained),
                 'confirmed_at': self.confirmed_at,
                 'needs_snapshot': self.needs_snapshot,
             }
+        if question == ASK_READ_POSITION:
+            return self.reading.position
         return self._announcement()
 
     def _announcement(self) -> Announce:
-        return Announce(self.state_machine.offset, self.confirmed_at)
+        position = self.state_machine.position
+        return Announce(position.offset, self.confirmed_at, position.era)
 
     def _apply_page(self, page: LogPage) -> None:
-        before = self.state_machine.offset
+        if page.era != self.reading.era:
+            self._start_era(page.era)
+            return
+        before = self.reading.offset
         if page.first > before + 1:
             self._wait_for_snapshot(page)
             return
         self.needs_snapshot = False
         for entry in page.records:
             self._apply(entry.offset, entry.appended_at, entry.content)
+        is_read = self.reading.offset == page.next - 1
+        if self.rebuilt is not None and is_read:
+            self._replace_state(self.rebuilt)
+            self._update_confirmed_at(page.now)
+            self._announce_change()
+            return
         # A log that ends at an earlier offset has lost records, so that it does
         # not confirm the configuration.
-        if self.state_machine.offset == page.next - 1:
+        if is_read:
             self._update_confirmed_at(page.now)
-        if self.state_machine.offset > before:
+        if self.rebuilt is None and self.reading.offset > before:
             self._announce_change()
 
+    def _start_era(self, era: int) -> None:
+        """Read the log anew, since its offsets are of a later era.
+
+        A page of an earlier era is a late response.
+        """
+        if era < self.reading.era:
+            log.warning(
+                'configuration: page of era %d of the log ignored, it is in'
+                ' era %d',
+                era,
+                self.reading.era,
+            )
+            return
+        log.warning(
+            'configuration: the log is in era %d and may have lost records;'
+            ' reading it anew',
+            era,
+        )
+        self.rebuilt = ConfigurationStateMachine()
+        self.rebuilt.era = era
+
+    def _replace_state(self, state_machine: ConfigurationStateMachine) -> None:
+        """Take over the state of a later era; keep what the log has lost."""
+        state_machine.retain_lost(self.state_machine)
+        self.state_machine = state_machine
+        self.rebuilt = None
+        if state_machine.retained:
+            log.warning(
+                'configuration: parts that the log has lost stay in effect'
+                ' until they are published again: %s',
+                ', '.join(sorted(state_machine.retained)),
+            )
+
     def _wait_for_snapshot(self, page: LogPage) -> None:
         if not self.needs_snapshot:
             log.warning(
@@ -147,9 +208,7 @@
         self.needs_snapshot = True
 
     def _apply(self, offset: int, appended_at: float, content: Any) -> None:
-        decision = self.state_machine.apply_log_entry(
-            offset, appended_at, content
-        )
+        decision = self.reading.apply_log_entry(offset, appended_at, content)
         if decision.outcome is not Outcome.ACCEPTED:
             log.info(
                 'configuration: record at offset %d not applied, it is %s: %s',
@@ -166,7 +225,9 @@
             self._handle_announcement(message, received.reply)
         elif not isinstance(message, Pull):
             received.reply(self._announcement())
-        elif self.state_machine.offset > message.offset:
+        elif self.state_machine.position > Position(
+            message.era, message.offset
+        ):
             received.reply(self._snapshot())
 
     def _handle_announcement(
@@ -174,18 +235,22 @@
         message: Announce,
         reply: Callable[[Message], None],
     ) -> None:
-        if message.offset > self.state_machine.offset:
-            self._pull(message.offset, reply)
-        elif message.offset == self.state_machine.offset:
+        announced = Position(message.era, message.offset)
+        if announced > self.state_machine.position:
+            self._pull(announced, reply)
+        elif announced == self.state_machine.position:
             self._update_confirmed_at(message.confirmed_at)
 
-    def _pull(self, offset: int, reply: Callable[[Message], None]) -> None:
+    def _pull(
+        self, position: Position, reply: Callable[[Message], None]
+    ) -> None:
         """Pull from one peer, not from each that announces the same change."""
         now = time.monotonic()
-        pulled_offset, retry_at = self.last_pull
-        if offset > pulled_offset or now >= retry_at:
-            self.last_pull = (offset, now + _PULL_TIMEOUT_SECONDS)
-            reply(Pull(self.state_machine.offset))
+        pulled, retry_at = self.last_pull
+        if position > pulled or now >= retry_at:
+            self.last_pull = (position, now + _PULL_TIMEOUT_SECONDS)
+            known = self.state_machine.position
+            reply(Pull(known.offset, known.era))
 
     def _take_snapshot(self, message: Snapshot) -> None:
         try:
@@ -193,11 +258,11 @@
         except ConfigurationInvalid as error:
             log.warning('configuration: snapshot ignored: %s', error)
             return
-        self._restore(state, message.confirmed_at)
+        self._restore(state, message.confirmed_at, message.era)
 
-    def _restore(self, content: bytes, confirmed_at: float) -> None:
+    def _restore(self, content: bytes, confirmed_at: float, era: int) -> None:
         try:
-            newer = self.state_machine.restore(content)
+            newer = self._restore_era(content, era)
         except ConfigurationInvalid as error:
             log.warning('configuration: snapshot ignored: %s', error)
             return
@@ -206,15 +271,35 @@
             self._update_confirmed_at(confirmed_at)
             self._announce_change()
 
+    def _restore_era(self, content: bytes, era: int) -> bool:
+        """Restore a snapshot of some era; tell whether it is now in effect."""
+        if self.rebuilt is not None and self.rebuilt.era == era:
+            # The records after it are still to be read.
+            self.rebuilt.restore(content)
+            return False
+        if era == self.state_machine.era:
+            return self.state_machine.restore(content)
+        if era < self.state_machine.era:
+            return False
+        later = ConfigurationStateMachine()
+        later.restore(content)
+        later.era = era
+        self._replace_state(later)
+        return True
+
     def _snapshot(self) -> Snapshot:
         # Many peers request the same snapshot within a second.
         packed_snapshot = self.packed_snapshot
         if (
             packed_snapshot is None
-            or packed_snapshot.offset != self.state_machine.offset
+            or Position(packed_snapshot.era, packed_snapshot.offset)
+            != self.state_machine.position
         ):
+            position = self.state_machine.position
             content = compress_state(self.state_machine.snapshot())
-            packed_snapshot = Snapshot(self.state_machine.offset, 0, content)
+            packed_snapshot = Snapshot(
+                position.offset, 0, content, position.era
+            )
             self.packed_snapshot = packed_snapshot
         return dataclasses.replace(
             packed_snapshot, confirmed_at=self.confirmed_at
@@ -296,9 +381,16 @@
         return READ_INTERVAL_SECONDS
 
     def _read_to_end(self) -> None:
-        announcement: Any = self.actor.ask(ASK_OFFSET)
+        position: Any = self.actor.ask(ASK_READ_POSITION)
+        self._read_from(position)
+        after: Any = self.actor.ask(ASK_READ_POSITION)
+        if after.era > position.era:
+            # The offset was of an earlier era.
+            self._read_from(after)
+
+    def _read_from(self, position: Position) -> None:
         for found in read_configuration_stream(
-            self.service, announcement.offset + 1
+            self.service, position.offset + 1
         ):
             self.actor.tell(found)
             if self.snapshot_writer is not None and isinstance(found, LogPage):
--- a/primroseyoke/configuration_snapshots.py
+++ b/primroseyoke/configuration_snapshots.py
@@ -54,6 +54,7 @@
     offset: int
     appended_at: float
     content: bytes
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,7 +146,7 @@
     newest = read_newest_snapshot(service)
     if newest is None or not page.first <= newest.offset + 1 <= page.next:
         return None
-    return newest
+    return dataclasses.replace(newest, era=page.era)
 
 
 class SnapshotWriter:
--- a/primroseyoke/ctl.py
+++ b/primroseyoke/ctl.py
@@ -115,12 +115,14 @@
         )
         return 0
 
-    def watch(self, offset: str) -> int:
+    def watch(self, offset: str, era: int | None = None) -> int:
         """Wait until all hosts have applied a change."""
         if not offset.isdecimal():
             raise SettingsInvalid(f'not an offset: {offset}')
         outdated: list[HostState] = []
-        for outdated_now in self.operator.watch(int(offset), FLAGS.timeout):
+        for outdated_now in self.operator.watch(
+            int(offset), FLAGS.timeout, era
+        ):
             outdated = outdated_now
             names = ', '.join(map(_describe_host, outdated))
             _print(f'offset {offset}: not yet at: {names}' if outdated else '')
@@ -155,7 +157,9 @@
         if decision.outcome is not Outcome.ACCEPTED:
             _print(decision.detail)
             return _EXIT_REFUSED
-        return self.watch(str(published.offset)) if FLAGS.wait else 0
+        if not FLAGS.wait:
+            return 0
+        return self.watch(str(published.offset), published.era)
 
     def _set_state(self, part: str, state: str) -> int:
         reason = _required_reason()
--- a/primroseyoke/log_service.py
+++ b/primroseyoke/log_service.py
@@ -3,9 +3,10 @@
 Bodies are JSON. ``POST /streams/<stream>`` appends the body and returns
 ``{"offset", "appended_at"}``. ``GET
 /streams/<stream>?from=<offset>&limit=<count>`` returns ``{"records":
-[{"offset", "appended_at", "content"}], "first", "next", "now"}``. The offsets
-of a stream are consecutive. Times are those of the log, in Unix seconds, and do
-not decrease with the offset.
+[{"offset", "appended_at", "content"}], "first", "next", "now", "era"}``. The
+offsets of a stream are consecutive. Times are those of the log, in Unix
+seconds, and do not decrease with the offset. ``era`` rises each time the log
+comes back from an older copy; it is 0 if it is missing.
 """
 
 import dataclasses
@@ -52,12 +53,14 @@
 
     ``first`` is the lowest retained offset of the stream, ``next`` the offset
     of the next record to be appended, ``now`` the log's time of the response.
+    All offsets are of ``era``.
     """
 
     records: tuple[LogRecord, ...]
     first: int
     next: int
     now: float
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -189,21 +189,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announce:
-    """Configuration offset of the sender, sent periodically and on change.
+    """Configuration position of the sender, sent periodically and on change.
 
     ``confirmed_at`` is the latest time (Unix seconds, clock of the log) at
-    which the log had no record after ``offset``.
+    which the log had no record after ``offset`` of ``era``.
     """
 
     offset: int
     confirmed_at: float
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pull:
-    """Requests the receiver's configuration if it is newer than ``offset``."""
+    """Requests the receiver's configuration if it is newer than this one."""
 
     offset: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,6 +215,7 @@
     offset: int
     confirmed_at: float
     content: bytes
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -259,6 +262,7 @@
     )
 )
 
+_ERA_FIELD = 'era'
 # Raised for invalid CBOR, a wrong array shape and wrong field types.
 _DECODE_ERRORS = (ValueError, TypeError, LookupError, cbor2.CBORError)
 
@@ -266,6 +270,10 @@
 def encode(message: Message) -> bytes:
     """Return a message encoded as CBOR."""
     fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    # Earlier versions do not know this field. The log of most deployments is
+    # in its first era.
+    if not fields.get(_ERA_FIELD, True):
+        fields.pop(_ERA_FIELD)
     return cbor2.dumps((type(message).__name__, *fields.values()))
 
 
@@ -279,7 +287,10 @@
         raise MessageInvalid('expected a binary frame, received a text frame')
     try:
         tag, *fields = cbor2.loads(frame)
-        fields_by_name = dict(zip(_FIELD_NAMES[tag], fields, strict=True))
+        names = _FIELD_NAMES[tag]
+        if len(fields) < len(names):
+            names = tuple(name for name in names if name != _ERA_FIELD)
+        fields_by_name = dict(zip(names, fields, strict=True))
         message: Message = msgspec.convert(
             fields_by_name, _MESSAGE_CLASSES[tag]
         )
--- a/primroseyoke/operator_client.py
+++ b/primroseyoke/operator_client.py
@@ -19,6 +19,7 @@
 from .exceptions import ConfigurationInvalid, ServiceUnavailable
 from .host_list import HostList, ListedHost
 from .log_service import LogPage, LogService
+from .positions import Position
 
 __all__ = ('HostState', 'OperatorClient', 'PublishedChange')
 
@@ -32,10 +33,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PublishedChange:
-    """A published change: its offset in the log and the decision on it."""
+    """A published change: its offset in the log and the decision on it.
+
+    The offset is of ``era``.
+    """
 
     offset: int
     decision: Decision
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,9 +56,18 @@
         offset = self.state.get('offset') if self.state else None
         return offset if isinstance(offset, int) else None
 
-    def has_offset(self, offset: int) -> bool:
-        """Tell whether the host has applied the change at ``offset``."""
-        return self.offset is not None and self.offset >= offset
+    @property
+    def era(self) -> int:
+        """Return the era of that offset, 0 if it is unknown."""
+        era = self.state.get('era') if self.state else None
+        return era if isinstance(era, int) else 0
+
+    def has_applied(self, position: Position) -> bool:
+        """Tell whether the host has applied the change at ``position``."""
+        return (
+            self.offset is not None
+            and Position(self.era, self.offset) >= position
+        )
 
 
 class OperatorClient:
@@ -89,8 +103,11 @@
         ):
             if isinstance(item, StoredSnapshot):
                 self.state_machine.restore(item.content)
-            else:
+            elif item.era == self.state_machine.era:
                 self._apply_page(item)
+            else:
+                self._start_era(item.era)
+                return
 
     def check(
         self,
@@ -161,17 +178,21 @@
         with ThreadPoolExecutor(_MAX_PARALLEL_STATE_REQUESTS) as executor:
             return list(executor.map(self._fetch_host_state, hosts))
 
-    def watch(self, offset: int, timeout: float) -> Iterator[list[HostState]]:
+    def watch(
+        self, offset: int, timeout: float, era: int | None = None
+    ) -> Iterator[list[HostState]]:
         """Yield the hosts that have not applied a change, until all have.
 
-        The last list is empty unless ``timeout`` seconds have passed.
+        The last list is empty unless ``timeout`` seconds have passed. The offset
+        is of the era of the log, by default the latest that a host has read.
         """
         deadline = time.monotonic() + timeout
         while True:
+            states = self.host_states()
+            latest = max((state.era for state in states), default=0)
+            position = Position(latest if era is None else era, offset)
             outdated = [
-                state
-                for state in self.host_states()
-                if not state.has_offset(offset)
+                state for state in states if not state.has_applied(position)
             ]
             yield outdated
             if not outdated or time.monotonic() > deadline:
@@ -218,6 +239,20 @@
             'seen': self.state_machine.offset,
         }
 
+    def _start_era(self, era: int) -> None:
+        """Read the log anew after it has come back from an older copy.
+
+        Raises:
+            ServiceUnavailable: the response is of an earlier era.
+        """
+        if era < self.state_machine.era:
+            raise ServiceUnavailable(
+                f'log service: response of era {era} after a later one'
+            )
+        self.state_machine = ConfigurationStateMachine()
+        self.state_machine.era = era
+        self.refresh()
+
     def _apply_page(self, page: LogPage) -> None:
         if page.first > self.state_machine.offset + 1:
             raise ServiceUnavailable(
@@ -232,5 +267,5 @@
             )
             if isinstance(entry.content, dict):
                 change = str(entry.content.get('change'))
-                published = PublishedChange(entry.offset, decision)
+                published = PublishedChange(entry.offset, decision, page.era)
                 self.decisions.setdefault(change, published)
--- a/primroseyoke/state_dumps.py
+++ b/primroseyoke/state_dumps.py
@@ -47,6 +47,7 @@
     return {
         'upstream': actor.upstream,
         'offset': configuration.offset if configuration else -1,
+        'era': configuration.era if configuration else 0,
         'confirmed_at': actor.confirmed_at,
         'accepting': not actor.refusal_reason(),
         'refusal': actor.refusal_reason(),
--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -3,7 +3,8 @@
 Faults: ``down`` (responds with status 503), ``delay`` (seconds before each
 response), ``drop_responses`` (number of appends that are stored but whose
 connection is closed without a response), ``expired`` (by stream, the offset
-below which records have expired).
+below which records have expired), ``restored`` (number of records of each
+stream in an older copy, from which the log comes back in a new era).
 """
 
 import json
@@ -17,6 +18,15 @@
     def __init__(self, port=0, **faults):
         super().__init__(port, **faults)
         self.streams = {}
+        self.era = 0
+
+    def _restore(self):
+        with self.lock:
+            counts = self.faults.pop('restored', None)
+            if counts is not None:
+                self.era += 1
+                for stream, count in counts.items():
+                    del self.streams.setdefault(stream, [])[count:]
 
     def handle(self, handler):
         content = handler.read_body()
@@ -24,6 +34,7 @@
         if self.faults.get('down'):
             handler.send_json(503, {'error': 'down'})
             return
+        self._restore()
         url = urlsplit(handler.path)
         name = unquote(url.path.removeprefix('/streams/'))
         if handler.command == 'POST':
@@ -66,5 +77,6 @@
                 'first': first,
                 'next': len(records),
                 'now': time.time(),
+                'era': self.era,
             },
         )
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -1,19 +1,23 @@
 """Distribution of the configuration: the actor, a model and processes."""
 
+import dataclasses
 import functools
 import signal
 import typing
 
+import cbor2
 import freezegun
 import pytest
 from minicheck import Protocol, check_liveness, check_safety
 
 from primroseyoke.configuration_distribution import (
+    ASK_READ_POSITION,
     ASK_STATE,
     ConfigurationActor,
     PeerMessage,
 )
-from primroseyoke.messages import Announce, Pull, Snapshot
+from primroseyoke.messages import Announce, Pull, Snapshot, decode, encode
+from primroseyoke.positions import Position
 from primroseyoke.log_service import LogPage, LogRecord
 from primroseyoke.configuration_snapshots import (
     CONFIGURATION_STREAM,
@@ -66,7 +70,13 @@
     actor.on_receive(message)
     bad = PeerMessage(Snapshot(9, 300.0, b'x'), answers.append)
     actor.on_receive(bad)
-    state = {'offset': 0, 'confirmed_at': 150.0, 'needs_snapshot': False}
+    state = {
+        'offset': 0,
+        'era': 0,
+        'retained': [],
+        'confirmed_at': 150.0,
+        'needs_snapshot': False,
+    }
     assert actor.on_receive(ASK_STATE) == state
 
 
@@ -270,3 +280,104 @@
     fleet.log_service.set_faults(expired=expired)
     wait_for(lambda: offset_of(entry) == 0)
     assert not entry.state()['needs_snapshot']
+
+
+def test_changes_are_in_force_after_the_log_has_lost_records(fleet):
+    """Guards against processes that go by offsets which the log reuses.
+
+    A change that the log lost stays in force until its part is written again.
+    """
+    fleet.entries = [
+        fleet.start_entry(f'entry-{number}', zone)
+        for number, zone in enumerate(ZONES)
+    ]
+    fleet.update_host_list()
+    parts = [{f'zone/{zone}': {}} for zone in (*ZONES, 'zone-c')]
+    for part in parts:
+        assert fleet.publish(part).returncode == 0
+    taken = fleet.publish({'zone/zone-b': {'state': 'out', 'reason': 'x'}})
+    assert taken.returncode == 0, taken
+    wait_for(lambda: all(offset_of(entry) == 3 for entry in fleet.entries), 13)
+    fleet.log_service.set_faults(
+        restored={CONFIGURATION_STREAM: 2, SNAPSHOT_STREAM: 0}
+    )
+    changed = fleet.publish({'zone/zone-a': {'reason': 'changed'}})
+    assert changed.returncode == 0, changed
+    for entry in fleet.entries:
+        state = entry.state()
+        assert (state['era'], state['offset']) == (1, 2)
+        assert state['retained'] == ['zone/zone-b', 'zone/zone-c']
+    for zone in ('zone-b', 'zone-c'):
+        assert fleet.publish({f'zone/{zone}': {}}).returncode == 0
+    for entry in fleet.entries:
+        assert not entry.state()['retained']
+
+
+def lost_change(offset, reason, appended='lost'):
+    return LogRecord(
+        offset,
+        150.0,
+        {
+            'change': f'{appended}-{offset}',
+            'author': 'test',
+            'reason': 'test',
+            'parts': {'zone/a': {'reason': reason}},
+            'against': {'zone/a': offset},
+            'seen': offset - 1,
+        },
+    )
+
+
+def reason_of(actor):
+    current = actor.state_machine.current
+    return current.parts['zone/a'].reason
+
+
+def test_a_page_of_a_later_era_is_read_anew():
+    """Guards against records of two eras in one state."""
+    actor = actor_at(1)
+    actor.on_receive(LogPage((), 0, 1, 200.0, era=1))
+    assert actor.on_receive(ASK_READ_POSITION) == Position(1, -1)
+    assert reason_of(actor) == '1'
+    actor.on_receive(LogPage(RECORDS[:1], 0, 1, 201.0, era=1))
+    assert actor.state_machine.position == Position(1, 0)
+    assert reason_of(actor) == '1'
+    assert actor.on_receive(ASK_STATE)['retained'] == ['zone/a']
+    written = lost_change(1, 'new', 'written')
+    actor.on_receive(LogPage((written,), 0, 2, 202.0, era=1))
+    assert reason_of(actor) == 'new'
+    assert not actor.on_receive(ASK_STATE)['retained']
+
+
+def test_a_late_page_of_an_earlier_era_is_ignored():
+    actor = actor_at(-1)
+    actor.on_receive(LogPage((), 0, 1, 200.0, era=2))
+    actor.on_receive(LogPage(RECORDS[:1], 0, 1, 201.0, era=2))
+    actor.on_receive(LogPage((RECORDS[1],), 0, 2, 202.0, era=1))
+    assert actor.state_machine.position == Position(2, 0)
+    assert actor.confirmed_at == 201
+
+
+def test_peers_go_by_the_era_before_the_offset():
+    """Guards against peers that hold back each other from a later era."""
+    actor, ahead = actor_at(1), actor_at(0)
+    ahead.state_machine.era = 1
+    answers = []
+    actor.on_receive(PeerMessage(Announce(0, 150.0, 1), answers.append))
+    assert answers == [Pull(1, 0)]
+    ahead.on_receive(PeerMessage(answers.pop(), answers.append))
+    actor.on_receive(PeerMessage(answers.pop(), answers.append))
+    assert actor.state_machine.position == Position(1, 0)
+    assert reason_of(actor) == '1'
+    actor.on_receive(PeerMessage(Announce(1, 300.0), answers.append))
+    assert not answers
+    assert actor.confirmed_at < 300
+
+
+def test_messages_of_the_first_era_are_those_of_earlier_versions():
+    """Guards against links between two builds that break."""
+    for message in (Announce(3, 1.5), Pull(3), Snapshot(3, 1.5, b'x')):
+        fields = cbor2.loads(encode(message))
+        assert len(fields) == len(dataclasses.fields(message))
+        assert decode(encode(message)) == message
+    assert decode(encode(Pull(3, 2))) == Pull(3, 2)
