--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import pytest
 
+from primroseyoke.gateway import connection_pool
 from primroseyoke.gateway.admin import AdminEndpoints
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
@@ -157,3 +159,83 @@
             await call_until_received(system, 'app-0')
 
     asyncio.run(scenario())
+
+
+def test_a_pause_outlasts_the_upstreams_entry_in_the_store():
+    """Guards against pauses that are forgotten with an entry that comes back.
+
+    An entry lapses while its upstream lives, or is missing from an older copy
+    that the store comes back from.
+    """
+
+    async def scenario() -> None:
+        headers = [NOT_EXECUTED, (b'retry-after', b'20')]
+        handlers = (answering(headers, 503), answer_ok)
+        async with deployment(app=handlers) as system:
+            await call_until_received(system, 'app-0')
+            upstream = system.upstreams['app-0']
+            known = system.gateway.routing_state.registry.upstreams
+            system.store.put('keyed.servers', 'app-0', b'')
+            await wait_until(lambda: 'app-0' not in known)
+            system.store.put('keyed.servers', 'app-0', upstream.entry('app'))
+            await wait_until(lambda: 'app-0' in known)
+            assert set(await call_often(system)) == {200}
+            assert not upstream.received_requests
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('statement', [(b'retry-after', b'20'), LEAVING])
+def test_requests_that_wait_for_a_connection_are_held_back_too(statement):
+    """Guards against requests that were chosen before the upstream's word.
+
+    Their connections are opened, for example, after lost packets.
+    """
+
+    async def scenario() -> None:
+        headers = [NOT_EXECUTED, statement]
+        handlers = (answering(headers, 503), answer_ok)
+        async with deployment(app=handlers) as system:
+            upstream = system.upstreams['app-0']
+            opened = asyncio.Event()
+            waiting = []
+            connect = connection_pool.connect
+
+            async def connect_late(host, port, timeout):
+                connection = await connect(host, port, timeout)
+                if port == upstream.port and waiting:
+                    await opened.wait()
+                if port == upstream.port:
+                    waiting.append(connection)
+                return connection
+
+            with mock.patch.object(connection_pool, 'connect', connect_late):
+                calls = [
+                    asyncio.ensure_future(system.call('/lookup/x'))
+                    for _ in range(12)
+                ]
+                await wait_until(lambda: bool(upstream.received_requests))
+                await asyncio.sleep(0.1)
+                opened.set()
+                responses = await asyncio.gather(*calls)
+            assert {response.status for response in responses} == {200}
+            assert len(upstream.received_requests) == 1
+
+    asyncio.run(scenario())
+
+
+def test_the_upstream_that_answers_gets_the_pause_not_the_one_at_fault():
+    async def scenario() -> None:
+        headers = [
+            NOT_EXECUTED,
+            (b'retry-after', b'20'),
+            (b'at-server', b'app-1'),
+        ]
+        handlers = (answering(headers, 503), answer_ok)
+        async with deployment(app=handlers) as system:
+            await call_until_received(system, 'app-0')
+            assert set(await call_often(system)) == {200}
+            assert not system.upstreams['app-0'].received_requests
+            assert len(system.upstreams['app-1'].received_requests) >= 40
+
+    asyncio.run(scenario())
