Keep a pause that an upstream wants until it ends

An upstream that had asked for a pause of 20 s got requests again as soon as its entry had disappeared from the store and come back, as it does when it lapses or is missing from an older copy. Cause: the record was discarded with the entry. It is kept until the pause ends; a new start of the upstream ends it as before.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -7,6 +7,7 @@
 import dataclasses
 import math
 import random
+import time
 from collections.abc import (
     Callable,
     Collection,
@@ -251,7 +252,7 @@
         """Discard the records of upstreams that no longer exist."""
         names = frozenset(self.registry.upstreams)
         self.health.retain(names)
-        self.limits.retain(names)
+        self.limits.retain(names, time.monotonic())
 
     def _select(
         self,
--- a/primroseyoke/gateway/notices.py
+++ b/primroseyoke/gateway/notices.py
@@ -135,8 +135,12 @@
         told.sort(key=lambda stated: -stated.stated_at)
         return tuple(told[:_MAX_TOLD_COUNT])
 
-    def retain(self, names: Collection[str]) -> None:
-        """Discard the statements of all upstreams but those in ``names``."""
+    def retain(self, names: Collection[str], now: float) -> None:
+        """Discard the statements of all upstreams but those in ``names``.
+
+        A pause is kept until it ends: the entry of an upstream can lapse and
+        come back while the upstream lives.
+        """
         self.limits = {
             name: stated
             for name, stated in self.limits.items()
@@ -145,7 +149,7 @@
         self.pauses = {
             name: stated
             for name, stated in self.pauses.items()
-            if name in names
+            if name in names or stated.until > now
         }
         self.loads = {
             name: load for name, load in self.loads.items() if name in names
--- a/primroseyoke/gateway/upstream_limits.py
+++ b/primroseyoke/gateway/upstream_limits.py
@@ -83,7 +83,7 @@
             for upstream in self.registry.upstreams.values()
         )
 
-    def retain(self, names: Collection[str]) -> None:
+    def retain(self, names: Collection[str], now: float) -> None:
         """Discard the records of all upstreams but those in ``names``."""
-        self.notices.retain(names)
+        self.notices.retain(names, now)
         self.sharing.retain(names)
