Explain crashes by another trait only if it was at each of them

Trace: with three upstreams the second request crashes all of them, so its own trait was at as many upstreams as the common one and excused it for good; where the first requests crash fewer upstreams, by the order of choice, the evidence holds. Names of upstreams were compared, not crashes. The traits that were at each single crash are now kept with the evidence.

Three new cases in tests/test_suspects.py failed first.

--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -52,10 +52,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Blame:
-    """Crashes that one trait may have caused."""
+    """Crashes that one trait may have caused.
+
+    ``companions`` are the traits that were there at each of these crashes.
+    """
 
     crashed_at: Mapping[str, float]
     is_certain: bool
+    companions: Traits = frozenset()
 
     @property
     def count(self) -> int:
@@ -185,9 +189,10 @@
         if not any(_is_current(blame[each], now) for each in suspected):
             return Classification.CLEAR
         for each in suspected:
-            if blame[each].is_sufficient and not self._is_explained_by_others(
-                each, traits, blame
-            ):
+            is_explained_by_others = any(
+                other in blame for other in blame[each].companions - traits
+            )
+            if blame[each].is_sufficient and not is_explained_by_others:
                 return Classification.REFUSED
         return Classification.SUSPECT
 
@@ -365,15 +370,22 @@
 
     def _count_crashes(self) -> dict[int, _Blame]:
         times: dict[int, dict[str, float]] = {}
+        companions: dict[int, Traits] = {}
         for upstream, traits, crashed_at in self._rows():
+            present = self._traits_at(upstream, crashed_at)
             for each in traits:
                 if crashed_at > self.cleared_at.get(each, _NEVER):
+                    companions[each] = present & companions.get(each, present)
                     by_upstream = times.setdefault(each, {})
                     by_upstream[upstream] = max(
                         crashed_at, by_upstream.get(upstream, crashed_at)
                     )
         return {
-            suspected: _Blame(found, self._is_certain(suspected, found))
+            suspected: _Blame(
+                found,
+                self._is_certain(suspected, found),
+                companions[suspected],
+            )
             for suspected, found in times.items()
         }
 
@@ -388,17 +400,14 @@
             for upstream, crash_time in crashed_at.items()
         )
 
-    def _is_explained_by_others(
-        self, each: int, traits: Traits, blame: Mapping[int, _Blame]
-    ) -> bool:
-        """Return whether another trait was there at all crashes of this one."""
-        crashed = blame[each].crashed_at.keys()
-        requests = tuple(self.crashes.get(next(iter(crashed)), ()))
-        others = {other for request in requests for other in request}
-        return any(
-            crashed <= blame[other].crashed_at.keys()
-            for other in others
-            if other in blame and other not in traits
+    def _traits_at(self, upstream: str, crash_time: float) -> Traits:
+        """Return all traits that may have caused one crash."""
+        return frozenset().union(
+            *(
+                traits
+                for traits, at in self.crashes[upstream].items()
+                if abs(at - crash_time) < _SAME_CRASH_SECONDS
+            )
         )
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -278,3 +278,22 @@
     assert table.blame
     table.expire(EVIDENCE_LIFETIME_SECONDS)
     assert (table.blame, table.crashes) == ({}, {})
+
+
+@pytest.mark.parametrize('again', ['abc', 'bca', 'cab'])
+def test_another_request_does_not_explain_crashes_that_it_was_not_at(again):
+    """Guards against a cause that is excused where upstreams are few.
+
+    The second request crashed all three upstreams, so its own trait was at as
+    many of them as the common one, but not at the crashes of the first.
+    """
+    table = SuspectTable()
+    common, first, second, third = range(1, 5)
+    for now, upstream in enumerate('ab'):
+        table.record_crash(upstream, [frozenset({common, first})], now * 5)
+    for now, upstream in enumerate(again):
+        table.record_crash(
+            upstream, [frozenset({common, second})], 20 + now * 5
+        )
+    classified = table.classify(frozenset({common, third}), 40)
+    assert classified is Classification.REFUSED
