--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -112,7 +112,9 @@
         self.groups = groups
         self.generator = generator
 
-    async def send_request(self, upstream, request, forwarding, retryable):
+    async def send_request(
+        self, upstream, request, forwarding, retryable, is_withdrawn
+    ):
         group, rank = map(int, upstream.name.split('-'))
         if not self.groups[group].is_up:
             await asyncio.sleep(1)
