Do not list a store in a loop that falls back without naming an era

A store that comes back from an older copy and names no era was listed and read in turns without a pause, since the listing ended before the known offset: more than 25 calls in 2 s (the new test fails so on the commit before). Such a listing proves nothing: it now counts as a failed read, with the usual back-off, and the configuration in force stays.

--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -255,8 +255,13 @@
         self._record_success(boot_time())
         replica = self.replica
         known = replica.next_position
-        self.needs_listing = False
         self.listing_count += 1
+        if known is not None and page.next_position < known:
+            # Without a later era, this is no order that records can follow.
+            raise ServiceUnavailable(
+                f'{self.name}: listing ends before the known position {known}',
+            )
+        self.needs_listing = False
         replica.replace(page.records, page.next_position)
         replica.read_at = sent_at
         log.info('topic listed', extra=self.log_fields | self.state())
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -58,6 +58,7 @@
     TypeError,
     ValueError,
 )
+_MAX_POSITION_DIGITS = 40
 _PATH_PREFIX = '/topics/'
 _OK = 200
 _NOT_FOUND = 404
@@ -313,12 +314,7 @@
             response.send_error(_UNAVAILABLE, 'topic not read yet', 'not_run')
             return
         query = parse_qs(urlsplit(request.target).query)
-        offset = query.get('from', [''])[0]
-        era = query.get('era', ['0'])[0]
-        position = None
-        if offset.isdecimal() and era.isdecimal():
-            position = Position(int(era), int(offset))
-        page = replica.page(position, boot_time())
+        page = replica.page(_parse_position(query), boot_time())
         response.respond(_OK, (), self._encode(name, page, replica.digest))
 
     def _replicas(self) -> Iterable[tuple[str, TopicReplica]]:
@@ -358,6 +354,18 @@
         )
 
 
+def _parse_position(query: Mapping[str, list[str]]) -> Position | None:
+    """Return the position that a gateway asks from; None for all records."""
+    offset = query.get('from', [''])[0]
+    # Gateways of an earlier build name no era.
+    era = query.get('era', ['0'])[0]
+    if not (offset + era).isdecimal() or not offset or not era:
+        return None
+    if len(offset + era) > _MAX_POSITION_DIGITS:
+        return None
+    return Position(int(era), int(offset))
+
+
 def decode_page(target: str, content: bytes) -> TopicPage:
     """Decode the response to ``target``.
 
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -120,6 +120,31 @@
     run_with_store(scenario)
 
 
+def test_a_store_that_falls_back_without_an_era_is_not_asked_in_a_loop() -> (
+    None
+):
+    """Guards against listings and refused reads that follow each other."""
+
+    async def scenario(store: StandInStore) -> None:
+        state = RoutingState()
+        store.era = None
+        follower = make_follower(store, 'keyed.op', OperatorFeed(state))
+        store.put('keyed.op', 'config', configuration(7))
+        store.put('keyed.op', 'config', configuration(15))
+        task = asyncio.ensure_future(follower.run())
+        await wait_until(lambda: state.configuration is not None)
+        del store.topics['keyed.op'][1:]
+        store.request_count = 0
+        await asyncio.sleep(2)
+        assert store.request_count < 25
+        assert state.configuration.version == 15
+        store.put('keyed.op', 'config', configuration(16))
+        await wait_until(lambda: state.configuration.version == 16)
+        task.cancel()
+
+    run_with_store(scenario)
+
+
 def test_orders_of_operators_outlast_a_loss_until_they_are_written_again() -> (
     None
 ):
