--- a/primroseyoke/configuration_distribution.py
+++ b/primroseyoke/configuration_distribution.py
@@ -115,6 +115,8 @@
         if isinstance(message, LogPage):
             return self._apply_page(message)
         if isinstance(message, StoredSnapshot):
+            if self.rebuilt is not None and self.rebuilt.era == message.era:
+                return self._restore_rebuilt(self.rebuilt, message.content)
             return self._restore(message.content, 0, message.era)
         if isinstance(message, PeerMessage):
             return self._handle_peer_message(message)
@@ -271,12 +273,17 @@
             self._update_confirmed_at(confirmed_at)
             self._announce_change()
 
+    def _restore_rebuilt(
+        self, rebuilt: ConfigurationStateMachine, content: bytes
+    ) -> None:
+        """Restore a snapshot whose later records are still to be read."""
+        try:
+            rebuilt.restore(content)
+        except ConfigurationInvalid as error:
+            log.warning('configuration: snapshot ignored: %s', error)
+
     def _restore_era(self, content: bytes, era: int) -> bool:
         """Restore a snapshot of some era; tell whether it is now in effect."""
-        if self.rebuilt is not None and self.rebuilt.era == era:
-            # The records after it are still to be read.
-            self.rebuilt.restore(content)
-            return False
         if era == self.state_machine.era:
             return self.state_machine.restore(content)
         if era < self.state_machine.era:
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -374,6 +374,19 @@
     assert actor.confirmed_at < 300
 
 
+def test_a_process_that_loses_the_log_while_reading_follows_its_peers():
+    """Guards against a process that waits for the log instead of its peers."""
+    actor, ahead = actor_at(1), actor_at(0)
+    ahead.state_machine.era = 1
+    actor.on_receive(LogPage((), 0, 1, 200.0, era=1))
+    answers = []
+    actor.on_receive(PeerMessage(Announce(0, 150.0, 1), answers.append))
+    ahead.on_receive(PeerMessage(answers.pop(), answers.append))
+    actor.on_receive(PeerMessage(answers.pop(), answers.append))
+    assert actor.state_machine.position == Position(1, 0)
+    assert actor.on_receive(ASK_READ_POSITION) == Position(1, 0)
+
+
 def test_messages_of_the_first_era_are_those_of_earlier_versions():
     """Guards against links between two builds that break."""
     for message in (Announce(3, 1.5), Pull(3), Snapshot(3, 1.5, b'x')):
