Test two safeguards that no test had failed without

Two of the others have a test now, which fails without them: positions of what another host confirmed in a later era, and that a withdrawn upstream costs no retry. Tests only; no code is changed.

--- a/tests/gateway/test_topic_replica.py
+++ b/tests/gateway/test_topic_replica.py
@@ -118,3 +118,17 @@
     replica.confirmed_at = 10
     page = replica.page(None, 12.5)
     assert (page.age, page.recovery_age) == (2.5, math.inf)
+
+
+def test_a_copy_listed_later_does_not_undo_what_was_confirmed():
+    """Guards against records of two eras that are compared by their offsets.
+
+    A host whose copy another one confirmed in a later era has not listed it.
+    """
+    replica = make_replica()
+    replica.replace([KeyedRecord('a', b'y', 3)], at(4))
+    replica.confirm(at(6, 1))
+    replica.replace([KeyedRecord('a', b'x', 1, 1)], at(6, 1))
+    assert effects(replica) == {'a': b'y'}
+    replica.update([KeyedRecord('a', b'z', 6, 1)], at(7, 1))
+    assert effects(replica) == {'a': b'z'}
--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -186,7 +186,10 @@
 
 
 @pytest.mark.parametrize('statement', [(b'retry-after', b'20'), LEAVING])
-def test_requests_that_wait_for_a_connection_are_held_back_too(statement):
+@pytest.mark.parametrize('is_spent', [False, True])
+def test_requests_that_wait_for_a_connection_are_held_back_too(
+    statement, is_spent
+):
     """Guards against requests that were chosen before the upstream's word.
 
     Their connections are opened, for example, after lost packets.
@@ -199,6 +202,9 @@
             upstream = system.upstreams['app-0']
             opened = asyncio.Event()
             waiting = []
+            if is_spent:
+                system.gateway.retry_budget.ratio = 0
+                system.gateway.retry_budget.slack = 0
             connect = connection_pool.connect
 
             async def connect_late(host, port, timeout):
@@ -218,8 +224,10 @@
                 await asyncio.sleep(0.1)
                 opened.set()
                 responses = await asyncio.gather(*calls)
-            assert {response.status for response in responses} == {200}
             assert len(upstream.received_requests) == 1
+            # Only the request that was sent and rejected needed a retry.
+            statuses = sorted(response.status for response in responses)
+            assert statuses == [200] * 11 + [503 if is_spent else 200]
 
     asyncio.run(scenario())
 
