--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -324,7 +324,7 @@
                     return await play(record, temporary, gateways)
 
             status = 1 if asyncio.run(bounded()) else 0
-        except (CouldNotRun, OSError, TimeoutError) as error:
+        except Exception as error:  # Nothing is known of the rule then.
             record(f'could not run: {error!r}')
         finally:
             for gateway in gateways:
