Bound the memory that all callers of a gateway use together

Callers saw: 61 callers sent bodies of 4 MiB at once, each within the operator's limit.

Cause: each body was limited, the sum was not. Copies added to it: a body and its encoded copy, what the transport buffered of it, and idle connections that kept the last body. The allocator added up to 66 MB, because buffers that grow side by side fragment the heap.

Change: everything held for callers shares one budget, which is a part of limits.memoryMb of the settings. Bodies are kept and sent in blocks of one size, idle connections keep nothing, and the kernel buffers have a fixed size. There are metrics for bytes held by use, refusals and the resident size.

--- a/bench/crash_evidence.py
+++ b/bench/crash_evidence.py
@@ -18,7 +18,7 @@
     _GOSSIP_PEER_COUNT,
     _MAX_MESSAGE_REQUESTS,
 )
-from primroseyoke.gateway.requests import CallerRequest
+from primroseyoke.gateway.requests import Body, CallerRequest
 from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
 
 HOST_COUNT = 390
@@ -39,7 +39,7 @@
         'h',
         (),
         f'{generator.getrandbits(60):x}',
-        body=BODY,
+        body=Body((BODY,)),
         prompt_parts=tuple(parts),
     )
 
--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -54,6 +54,7 @@
             'availability_zone': gateway.settings.availability_zone,
             'ready': gateway.ready,
             'requests': gateway.request_listener.requests_in_progress,
+            'memory': self._memory(),
             'configuration': configuration.version if configuration else None,
             'configuration_age': round(now - routing_state.confirmed_at, 3)
             if configuration
@@ -81,6 +82,11 @@
             'leads_expert_maps': gateway.peer_reporter.is_leader,
         }
 
+    def _memory(self) -> dict[str, int]:
+        budget = self.gateway.request_listener.budget
+        held = {use.value: size for use, size in budget.held.items()}
+        return {**held, 'limit': int(budget.limit)}
+
     def _topics(self) -> dict[str, dict[str, float]]:
         sharing = self.gateway.peer_reporter.sharing
         consumers = sharing.consumers if sharing else ()
--- a/primroseyoke/gateway/connection_pool.py
+++ b/primroseyoke/gateway/connection_pool.py
@@ -32,6 +32,8 @@
 # Subtracted from the Keep-Alive timeout of an upstream, for the transit time.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 _BAD_GATEWAY = 502
+# A longer request is not copied to the send buffer at once.
+_WRITE_AT_ONCE_BYTES = 65536
 
 
 class UpstreamConnection:
@@ -84,14 +86,14 @@
                 target=request.target,
                 headers=list(headers),
             ),
-            h11.Data(data=request.body),
+            *(h11.Data(data=block) for block in request.body.blocks),
             h11.EndOfMessage(),
         )
-        content = b''.join(self._encode(event) for event in self.request_events)
+        parts = [self._encode(event) for event in self.request_events]
         if not self.connection.idle:
             raise self._failure('the connection was closed while idle', False)
         try:
-            self.connection.write(content)
+            self._write(parts)
         except ConnectionError as error:
             raise self._failure(str(error), False) from error
         self.sent = True
@@ -138,6 +140,10 @@
         self.last_used_at = time.monotonic()
         self.reused = True
         self.sent = False
+        # An idle connection must not keep the body in memory.
+        self.request_events = ()
+        if self.connection.unsent:
+            return False
         if self.parser.our_state is not h11.DONE:
             return False
         if self.parser.their_state is not h11.DONE:
@@ -162,6 +168,12 @@
         """Abort the connection, which cancels a request in progress."""
         self.connection.abort()
 
+    def _write(self, parts: list[bytes]) -> None:
+        if sum(map(len, parts)) <= _WRITE_AT_ONCE_BYTES:
+            self.connection.write(b''.join(parts))
+        else:
+            self.connection.write_gradually(parts)
+
     def _encode(self, event: h11.Event) -> bytes:
         return self.parser.send(event) or b''
 
--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -1,17 +1,23 @@
 """TCP connections on top of asyncio transports."""
 
 import asyncio
+import collections
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
-__all__ = ('Connection', 'connect')
+__all__ = ('WRITE_BUFFER_LIMIT_BYTES', 'Connection', 'connect')
 
 # Reading from the socket pauses above this amount of unread data.
 _READ_BUFFER_LIMIT_BYTES = 65536
-# ``drain`` waits above this amount of data that the peer has not read.
-_WRITE_BUFFER_LIMIT_BYTES = 262144
+# ``drain`` waits above this amount of data that the peer has not read, unless
+# the limit of the connection is raised.
+WRITE_BUFFER_LIMIT_BYTES = 65536
+# Kernel buffers. The kernel would let those of each connection grow to
+# megabytes, and what it has received counts as memory of the process.
+_RECEIVE_BUFFER_BYTES = 65536
+_SEND_BUFFER_BYTES = 262144
 # Interval at which ``flush`` checks whether the send buffer is empty.
 _FLUSH_POLL_SECONDS = 0.05
 # How long sent data may stay unacknowledged before the connection is closed.
@@ -34,6 +40,8 @@
         error: the error that broke the connection, if any.
         state_changed: set when data arrives or the connection ends.
         writable: cleared while the send buffer is full.
+        write_limit: size in bytes above which the send buffer is full.
+        unsent: what ``write_gradually`` has not moved to the send buffer yet.
     """
 
     def __init__(
@@ -50,11 +58,13 @@
         self.state_changed = asyncio.Event()
         self.writable = asyncio.Event()
         self.writable.set()
+        self.write_limit = WRITE_BUFFER_LIMIT_BYTES
+        self.unsent: collections.deque[bytes] = collections.deque()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
         self.transport = transport
-        self.transport.set_write_buffer_limits(high=_WRITE_BUFFER_LIMIT_BYTES)
+        self.transport.set_write_buffer_limits(high=self.write_limit)
         _set_socket_options(self.transport.get_extra_info('socket'))
         if self.on_open is not None:
             self.on_open(self)
@@ -79,6 +89,7 @@
         self.error = self.error or error
         self.state_changed.set()
         self.writable.set()
+        self.unsent.clear()
 
     def pause_writing(self) -> None:
         """Block ``drain``: the send buffer is full."""
@@ -87,6 +98,7 @@
     def resume_writing(self) -> None:
         """Unblock ``drain``: the send buffer has room again."""
         self.writable.set()
+        self._write_unsent()
 
     @property
     def idle(self) -> bool:
@@ -126,6 +138,32 @@
             raise ConnectionResetError('the connection is closed')
         self.transport.write(content)
 
+    def write_gradually(self, blocks: Iterable[bytes]) -> None:
+        """Write ``blocks``, each when the send buffer has room for it.
+
+        Nothing else may be written before ``unsent`` is empty.
+
+        Raises:
+            ConnectionError: the connection is lost.
+        """
+        if self.closed:
+            raise ConnectionResetError('the connection is closed')
+        self.unsent.extend(blocks)
+        self._write_unsent()
+
+    @property
+    def write_buffer_size(self) -> int:
+        """Return the size of the send buffer in bytes."""
+        if self.closed:
+            return 0
+        return int(self.transport.get_write_buffer_size())
+
+    def limit_write_buffer(self, size: int) -> None:
+        """Let ``drain`` wait above ``size`` bytes in the send buffer."""
+        self.write_limit = size
+        if not self.closed:
+            self.transport.set_write_buffer_limits(high=size)
+
     async def drain(self) -> None:
         """Wait until the send buffer has room.
 
@@ -169,6 +207,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _write_unsent(self) -> None:
+        while self.unsent and self.writable.is_set() and not self.closed:
+            self.transport.write(self.unsent.popleft())
+
 
 async def connect(host: str, port: int, timeout: float) -> Connection:
     """Connect to an address; ``timeout`` in seconds.
@@ -194,6 +236,8 @@
 def _set_socket_options(sock: Any) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
     for option, seconds in _KEEP_ALIVE_OPTIONS:
         sock.setsockopt(socket.IPPROTO_TCP, option, seconds)
     sock.setsockopt(
--- a/primroseyoke/gateway/crash_detection.py
+++ b/primroseyoke/gateway/crash_detection.py
@@ -72,7 +72,7 @@
         request.method.encode(),
         request.host.encode(),
         request.target.encode(),
-        request.body,
+        *(request.body.blocks or (b'',)),
     )
     return frozenset((fingerprint, *_part_traits(request, service)))
 
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -129,7 +129,9 @@
             platform.codec,
             self.proxy.handle,
             lambda: self.routing_state.limits,
+            settings.memory_bytes,
         )
+        self.proxy.metrics.add_memory(self.request_listener.budget)
         self.admin_listener = HttpListener(
             platform.codec,
             AdminEndpoints(self).handle,
@@ -194,6 +196,7 @@
         self.retry_budget.ratio = settings.repeat_ratio
         self.retry_budget.slack = settings.repeat_slack
         self.retry_budget.window = settings.repeat_window
+        self.request_listener.budget.resize(settings.memory_bytes)
         self.peer_reporter.add_peers(settings.seeds)
         log.info('settings reloaded', extra={'changed': changed})
 
--- a/primroseyoke/gateway/listeners.py
+++ b/primroseyoke/gateway/listeners.py
@@ -1,8 +1,11 @@
 """HTTP server side: accepts connections and writes responses."""
 
 import asyncio
+import contextlib
 import dataclasses
+import functools
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
@@ -10,21 +13,27 @@
 import h11
 import msgspec
 
-from ..exceptions import RequestInvalid
+from ..exceptions import RequestFailed, RequestInvalid
+from ..verdicts import Verdict
 from .configuration import CallerLimits
-from .connections import Connection
+from .connections import WRITE_BUFFER_LIMIT_BYTES, Connection
+from .memory import SMALL_BODY_BYTES, MemoryBudget, RequestMemory
 from .parsing import next_event
-from .requests import CallerRequest, Codec
+from .requests import BLOCK_BYTES, Body, CallerRequest, Codec
 
 __all__ = ('HttpListener', 'ResponseWriter')
 
 log = logging.getLogger(__name__)
 
 # After an error response, the rest of the request is read for this long and up
-# to this size: closing with unread data could destroy the response.
+# to this size, or that of the largest body: closing with unread data could
+# destroy the response.
 _LINGER_SECONDS = 1.0
 _LINGER_BYTES = 2**20
+# Largest amount of a response that is kept for a slow caller.
+_MAX_WRITE_BUFFER_BYTES = 4 * 2**20
 _BAD_REQUEST = 400
+_TOO_LARGE = 413
 
 Handler = Callable[[CallerRequest, 'ResponseWriter'], Awaitable[None]]
 
@@ -42,9 +51,14 @@
         connection: Connection,
         parser: h11.Connection,
         should_close: Callable[[], bool],
+        memory: RequestMemory,
     ) -> None:
-        """Write to ``connection``; ``should_close`` adds Connection: close."""
+        """Write to ``connection``; ``should_close`` adds Connection: close.
+
+        ``memory`` is that of the request.
+        """
         self.connection = connection
+        self.memory = memory
         self.parser = parser
         self.should_close = should_close
         self.status = 0
@@ -65,7 +79,12 @@
         self._write(h11.Response(status_code=status, headers=fields))
 
     async def send(self, content: bytes) -> None:
-        """Send part of the body; wait until the send buffer has room."""
+        """Send part of the body; wait until the send buffer has room.
+
+        The buffer grows for a slow caller while there is memory for it, since
+        an upstream breaks off a response that is not read for some seconds.
+        """
+        self._extend_buffer(len(content))
         self._write(h11.Data(data=content))
         await self.connection.drain()
 
@@ -115,6 +134,16 @@
         """Reset the connection: a partial response must not look complete."""
         self.connection.abort()
 
+    def _extend_buffer(self, size: int) -> None:
+        connection = self.connection
+        needed = connection.write_buffer_size + size
+        limit = connection.write_limit
+        while limit < min(needed, _MAX_WRITE_BUFFER_BYTES):
+            if not self.memory.extend_response(limit):
+                return
+            limit *= 2
+            connection.limit_write_buffer(limit)
+
     def _write(self, event: h11.Event) -> None:
         content = self.parser.send(event)
         if content:
@@ -137,11 +166,17 @@
         codec: Codec,
         handler: Handler,
         limits: Callable[[], CallerLimits],
+        memory_bytes: float = math.inf,
     ) -> None:
-        """Pass each request that keeps to ``limits`` to ``handler``."""
+        """Pass each request that keeps to ``limits`` to ``handler``.
+
+        All requests share what a process that may use ``memory_bytes`` has for
+        callers.
+        """
         self.codec = codec
         self.handler = handler
         self.limits = limits
+        self.budget = MemoryBudget(memory_bytes)
         self.draining = False
         self.requests_in_progress = 0
         self.connections: set[Connection] = set()
@@ -169,6 +204,7 @@
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self.tasks.add(task)
         self.connections.add(connection)
+        self.budget.add_connection()
         task.add_done_callback(self.tasks.discard)
 
     async def _serve(self, connection: Connection) -> None:
@@ -186,6 +222,7 @@
         finally:
             self.connections.discard(connection)
             self.idle_connections.discard(connection)
+            self.budget.remove_connection()
             connection.close()
 
     async def _serve_request(
@@ -193,28 +230,60 @@
         connection: Connection,
         parser: h11.Connection,
     ) -> bool:
-        try:
-            request = await self._read(connection, parser)
-        except RequestInvalid as error:
-            response = ResponseWriter(connection, parser, lambda: True)
-            response.send_error(error.status, str(error), 'not_run')
-            await connection.linger(_LINGER_SECONDS, _LINGER_BYTES)
-            return False
-        if request is None:
-            return False
-        response = ResponseWriter(connection, parser, lambda: self.draining)
-        self.requests_in_progress += 1
-        try:
-            await self._handle(connection, request, response)
-            await connection.flush()
-        finally:
-            self.requests_in_progress -= 1
+        memory = RequestMemory(self.budget)
+        with contextlib.closing(memory):
+            request = await self._read_valid(connection, parser, memory)
+            if request is None:
+                return False
+            response = ResponseWriter(
+                connection, parser, lambda: self.draining, memory
+            )
+            self.requests_in_progress += 1
+            try:
+                await self._handle(connection, request, response)
+                await connection.flush()
+            finally:
+                self.requests_in_progress -= 1
+        connection.limit_write_buffer(WRITE_BUFFER_LIMIT_BYTES)
         if not response.finished:
             response.abort()
             return False
         reusable = parser.our_state is h11.DONE
         return reusable and parser.their_state is h11.DONE
 
+    async def _read_valid(
+        self,
+        connection: Connection,
+        parser: h11.Connection,
+        memory: RequestMemory,
+    ) -> CallerRequest | None:
+        """Return the next request, or None after the last one.
+
+        The last one may be a request that was answered with an error.
+        """
+        try:
+            return await self._read(connection, parser, memory)
+        except RequestInvalid as error:
+            failure = RequestFailed(str(error), Verdict.NOT_RUN, error.status)
+        except RequestFailed as error:
+            # A new one, since the traceback of ``error`` holds the body.
+            failure = RequestFailed(
+                str(error), error.verdict, error.status, error.retry_after
+            )
+        # Its caller may take long to read the error and to send the rest.
+        memory.close()
+        response = ResponseWriter(connection, parser, lambda: True, memory)
+        response.send_error(
+            failure.status,
+            str(failure),
+            failure.verdict.value,
+            failure.retry_after,
+        )
+        await connection.linger(
+            _LINGER_SECONDS, max(_LINGER_BYTES, self.limits().body_bytes)
+        )
+        return None
+
     async def _handle(
         self,
         connection: Connection,
@@ -245,6 +314,7 @@
         self,
         connection: Connection,
         parser: h11.Connection,
+        memory: RequestMemory,
     ) -> CallerRequest | None:
         """Return the next request, or None if the connection has ended."""
         limits = self.limits()
@@ -264,7 +334,17 @@
             list(head.headers),
             time.monotonic(),
         )
-        body = await self._read_body(connection, parser, limits)
+        try:
+            memory.start()
+            body = await _BodyReader(connection, parser, limits, memory).read(
+                _declared_length(head), request.timeout
+            )
+        except RequestFailed as error:
+            log.info(
+                'request refused before it was read',
+                extra={'request': request.request_id, 'reason': str(error)},
+            )
+            raise
         return dataclasses.replace(request, body=body)
 
     async def _wait_first_byte(
@@ -286,35 +366,85 @@
             self.idle_connections.discard(connection)
         return not (connection.ended and not parser.trailing_data[0])
 
-    async def _read_body(
+
+class _BodyReader:
+    """Reads the body of one request within limits of size, time and memory."""
+
+    def __init__(
         self,
         connection: Connection,
         parser: h11.Connection,
         limits: CallerLimits,
-    ) -> bytes:
-        if parser.they_are_waiting_for_100_continue:
+        memory: RequestMemory,
+    ) -> None:
+        self.connection = connection
+        self.parser = parser
+        self.limits = limits
+        self.memory = memory
+        self.blocks: list[bytes] = []
+        self.last_block = bytearray()
+        self.size = 0
+
+    async def read(self, declared: int | None, timeout: float) -> Body:
+        """Return the body.
+
+        Args:
+            declared: its length as the head states it, None if unknown.
+            timeout: how long the caller waits for the response, in seconds.
+
+        Raises:
+            RequestInvalid: the body exceeds a limit or is not valid HTTP.
+            RequestFailed: there is too little memory for it.
+            ConnectionError: the connection was lost.
+        """
+        limit = self.limits.body_bytes
+        expected = limit if declared is None else declared
+        if expected > limit:
+            raise RequestInvalid('the body is too large', _TOO_LARGE)
+        if self.parser.they_are_waiting_for_100_continue:
+            if expected > SMALL_BODY_BYTES:
+                await self._reserve(expected, timeout)
             interim = h11.InformationalResponse(status_code=100, headers=[])
-            connection.write(parser.send(interim) or b'')
-        chunks: list[bytes] = []
-        event = await self._read_body_event(connection, parser, limits)
+            self.connection.write(self.parser.send(interim) or b'')
+        event = await self._next_event()
         while isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
-            if sum(map(len, chunks)) > limits.body_bytes:
-                raise RequestInvalid('the body is too large', 413)
-            event = await self._read_body_event(connection, parser, limits)
-        return b''.join(chunks)
-
-    async def _read_body_event(
-        self,
-        connection: Connection,
-        parser: h11.Connection,
-        limits: CallerLimits,
-    ) -> Any:
+            self._add(event.data)
+            if self.size > SMALL_BODY_BYTES:
+                await self._reserve(expected, timeout)
+            event = await self._next_event()
+        self.memory.finish_body(self.size)
+        if self.last_block:
+            self.blocks.append(bytes(self.last_block))
+        return Body(tuple(self.blocks))
+
+    def _add(self, content: bytes) -> None:
+        self.last_block += content
+        while len(self.last_block) >= BLOCK_BYTES:
+            self.blocks.append(bytes(self.last_block[:BLOCK_BYTES]))
+            del self.last_block[:BLOCK_BYTES]  # noqa: WPS420 - keeps the rest
+        self.size += len(content)
+        self.memory.record_received(len(content))
+        if self.size > self.limits.body_bytes:
+            raise RequestInvalid('the body is too large', _TOO_LARGE)
+
+    async def _reserve(self, expected: int, timeout: float) -> None:
+        """Reserve memory for the whole body, once."""
+        if not self.memory.has_body:
+            await self.memory.reserve_body(expected, self.size, timeout)
+
+    async def _next_event(self) -> Any:
         try:
-            async with asyncio.timeout(limits.idle_timeout):
-                return await _next_event(connection, parser)
+            async with asyncio.timeout(self.limits.idle_timeout) as timer:
+                self.memory.on_revoke = functools.partial(
+                    timer.reschedule, asyncio.get_running_loop().time()
+                )
+                return await _next_event(self.connection, self.parser)
         except TimeoutError:
+            if self.memory.revoked:
+                raise self.memory.revoked_error() from None
             raise RequestInvalid('the body took too long', 408) from None
+        finally:
+            self.memory.on_revoke = None
 
 
 async def _next_event(connection: Connection, parser: h11.Connection) -> Any:
@@ -324,6 +454,16 @@
         raise RequestInvalid(str(error), error.error_status_hint) from error
 
 
+def _declared_length(head: h11.Request) -> int | None:
+    """Return the Content-Length of a request, None for a chunked body."""
+    for name, text in head.headers:
+        if name == b'transfer-encoding':
+            return None
+        if name == b'content-length':
+            return int(text)
+    return 0
+
+
 def _check_framing(head: h11.Request) -> None:
     """Reject a request whose end a proxy and a server may see differently.
 
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -1,14 +1,23 @@
 """Prometheus metrics of a gateway."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
     Gauge,
     Histogram,
+    ProcessCollector,
     generate_latest,
 )
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from .memory import MemoryBudget
 
 __all__ = ('Metrics',)
 
@@ -127,12 +136,18 @@
             ('topic', 'state'),
             registry=self.registry,
         )
+        # Resident size and open descriptors, where the system shows them.
+        ProcessCollector(registry=self.registry)
         self.upstreams = Gauge(
             'gateway_upstreams',
             'Upstreams known',
             registry=self.registry,
         )
 
+    def add_memory(self, budget: MemoryBudget) -> None:
+        """Add the metrics of the memory that is held for callers."""
+        self.registry.register(_MemoryCollector(budget))
+
     def record_topic(self, topic: str, state: Mapping[str, float]) -> None:
         """Set the gauges of one topic."""
         for name, number in state.items():
@@ -141,3 +156,35 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return bytes(generate_latest(self.registry))
+
+
+class _MemoryCollector(Collector):
+    """Reads the metrics of a memory budget when they are requested."""
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.budget = budget
+
+    def collect(self) -> Iterator[Metric]:
+        held = GaugeMetricFamily(
+            'gateway_held_bytes',
+            'Memory held for callers, by what it is held for',
+            labels=('use',),
+        )
+        for use, size in self.budget.held.items():
+            held.add_metric((use.value,), size)
+        yield held
+        yield GaugeMetricFamily(
+            'gateway_memory_limit_bytes',
+            'Memory that may be held for callers',
+            self.budget.limit,
+        )
+        yield GaugeMetricFamily(
+            'gateway_waiting_bodies',
+            'Requests whose body waits for memory',
+            len(self.budget.waiters),
+        )
+        yield CounterMetricFamily(
+            'gateway_memory_refusals',
+            'Requests refused for lack of memory',
+            self.budget.refusals,
+        )
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 
 __all__ = (
+    'BLOCK_BYTES',
+    'Body',
     'CallerRequest',
     'Codec',
     'ForwardingInfo',
@@ -16,6 +18,28 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Size of the blocks of a body.
+BLOCK_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Body:
+    """Content of a request in blocks of ``BLOCK_BYTES``; the last is shorter.
+
+    Blocks of one size can take each other's place in memory. Buffers that grow
+    with long bodies fragment it: the process then takes far more than it holds.
+    """
+
+    blocks: tuple[bytes, ...] = ()
+
+    def __len__(self) -> int:
+        """Return the size in bytes."""
+        return sum(map(len, self.blocks))
+
+    def __bytes__(self) -> bytes:
+        """Return the content in one piece."""
+        return b''.join(self.blocks)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -38,7 +62,7 @@
     timeout: float = math.inf
     last_event_id: str = ''
     arrived_at: float = 0
-    body: bytes = b''
+    body: Body = Body()
     prompt_parts: tuple[str, ...] = ()
 
 
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -5,7 +5,15 @@
 
 from ..settings import Address
 
-__all__ = ('GatewaySettings', 'ResponseLimits', 'StoreSettings')
+__all__ = (
+    'DEFAULT_MEMORY_BYTES',
+    'GatewaySettings',
+    'ResponseLimits',
+    'StoreSettings',
+)
+
+# Where the platform states no limit.
+DEFAULT_MEMORY_BYTES = 256 * 2**20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +54,7 @@
     the requests plus ``repeat_slack`` within ``repeat_window``. What operators
     and upstreams publish must be in force within ``max_update_delay``. Hosts
     know that an upstream has gone at most ``upstream_expiry`` after its crash.
+    ``memory_bytes`` is what the process may use before it is killed.
     """
 
     host: str
@@ -64,4 +73,5 @@
     repeat_window: float = 10.0
     max_update_delay: float = 2.0
     upstream_expiry: float = 6.6
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     response_limits: ResponseLimits = ResponseLimits()
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -7,13 +7,18 @@
 import yaml
 
 from ..exceptions import SettingsInvalid
-from ..gateway.settings import GatewaySettings, StoreSettings
+from ..gateway.settings import (
+    DEFAULT_MEMORY_BYTES,
+    GatewaySettings,
+    StoreSettings,
+)
 from ..settings import Address
 
 __all__ = ('load_platform_settings', 'settings_path')
 
 _PATH_VARIABLE = 'PRIMROSEYOKE_CONFIG'
 _MS_PER_SECOND = 1000
+_BYTES_PER_MB = 2**20
 _DEFAULT_PATH = '/etc/primroseyoke/settings.yaml'
 
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
@@ -36,6 +41,11 @@
     config_ms: _NonNegativeFloat = 2000
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    # Megabytes; 0 states no limit.
+    memory_mb: _NonNegativeFloat = 0
+
+
 class _Provider(msgspec.Struct):
     address: str
 
@@ -58,6 +68,7 @@
     internal_ports: tuple[_Port, ...] = ()
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     heartbeat_ms: _NonNegativeFloat = _DEFAULT_HEARTBEAT_MS
 
 
@@ -117,6 +128,8 @@
         * settings.heartbeat_ms
         / _MS_PER_SECOND
         + _REMOVAL_MARGIN_SECONDS,
+        memory_bytes=int(settings.limits.memory_mb * _BYTES_PER_MB)
+        or DEFAULT_MEMORY_BYTES,
     )
 
 
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -8,7 +8,7 @@
 
 from primroseyoke.gateway import crash_detection
 from primroseyoke.gateway.crash_detection import CrashDetector
-from primroseyoke.gateway.requests import CallerRequest
+from primroseyoke.gateway.requests import Body, CallerRequest
 from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
 from primroseyoke.evidence import NO_EVIDENCE
 
@@ -50,7 +50,7 @@
             'h',
             (),
             number,
-            body=number.encode(),
+            body=Body((number.encode(),)),
             prompt_parts=parts,
         )
 
--- a/tests/gateway/test_evidence_sharing.py
+++ b/tests/gateway/test_evidence_sharing.py
@@ -11,7 +11,7 @@
 from primroseyoke.gateway.evidence_sharing import EvidenceSharing
 from primroseyoke.gateway.peer_reports import Report, encode_message
 from primroseyoke.gateway.peers import PeerReporter
-from primroseyoke.gateway.requests import CallerRequest
+from primroseyoke.gateway.requests import Body, CallerRequest
 from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
 
 SERVICE = 'model'
@@ -111,7 +111,7 @@
 def request(*parts):
     body = b'%d' % random.getrandbits(60)
     return CallerRequest(
-        'POST', '/x', '/x', 'h', (), 'r', body=body, prompt_parts=parts
+        'POST', '/x', '/x', 'h', (), 'r', body=Body((body,)), prompt_parts=parts
     )
 
 
@@ -259,10 +259,24 @@
 def test_traits_are_the_same_at_all_hosts():
     """Guards against evidence that no other host can match."""
     first = CallerRequest(
-        'POST', '/a', '/a?b', 'h', (), 'r-1', body=b'x', prompt_parts=('5c',)
+        'POST',
+        '/a',
+        '/a?b',
+        'h',
+        (),
+        'r-1',
+        body=Body((b'x',)),
+        prompt_parts=('5c',),
     )
     resent = CallerRequest(
-        'POST', '/a', '/a?b', 'h', (), 'r-2', body=b'x', prompt_parts=('5c',)
+        'POST',
+        '/a',
+        '/a?b',
+        'h',
+        (),
+        'r-2',
+        body=Body((b'x',)),
+        prompt_parts=('5c',),
     )
     assert request_traits(first, 's', 'c') == request_traits(resent, 's', 'c')
     assert request_traits(first, 's', 'c') != request_traits(first, 's', 'd')
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -41,6 +41,24 @@
     assert str(settings.store.address) == '10.200.1.7:8223'
 
 
+@pytest.mark.parametrize(
+    ('limits', 'expected_mb'),
+    [
+        ('', 256),
+        ('limits: {}', 256),
+        ('limits: {memoryMb: 0}', 256),
+        ('limits: {memoryMb: 300, maxFds: 4100}', 300),
+        ('limits: {memoryMb: 0.5}', 0.5),
+    ],
+)
+def test_memory_limit_may_be_missing(
+    tmp_path: pathlib.Path, limits: str, expected_mb: float
+) -> None:
+    path = write_settings(tmp_path, SETTINGS + limits)
+    settings = load_platform_settings(path)
+    assert settings.memory_bytes == expected_mb * 2**20
+
+
 @pytest.mark.parametrize(
     ('before', 'after', 'expected_text'),
     [
@@ -51,6 +69,8 @@
         ('graceS: 8', 'graceS: soon', 'bounds.graceS'),
         ('budgetRatio: 0.2', 'budgetRatio: -1', 'bounds.budgetRatio'),
         ('[7340, 7355]', '[0, 7355]', 'internalPorts'),
+        ('unknown: {field: 1}', 'limits: {memoryMb: all}', 'limits.memoryMb'),
+        ('unknown: {field: 1}', 'limits: {memoryMb: -1}', 'limits.memoryMb'),
         ('node: "edge-1"', 'node: [', 'unreadable'),
     ],
 )
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -96,7 +96,7 @@
         elif request.path == '/log-read':
             await self._read(query, response)
         else:
-            self._append(query, request.body)
+            self._append(query, bytes(request.body))
             response.respond(200, self._headers(), b'{}')
 
     def _headers(self) -> list[tuple[bytes, bytes]]:
