Keep a silent upstream until another one has answered

Cause: a resumable stream without an event for 1.3 s gave up its upstream before another one had taken over. It then ended if no slot was free within 0.7 s, if the other upstream was silent or rejected it, if the route allowed no other attempt, or if only the end of the stream was missing.

That the users' streams ended so is suspected, not shown.

Change: the silent attempt is kept beside the next one. The first that has something for the caller goes on alone; the others are cancelled before its first byte is written. Silence alone never ends a response any more.

--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -16,6 +16,7 @@
     'ServiceRefused',
     'ServiceUnavailable',
     'SettingsInvalid',
+    'UpstreamSilent',
     'UpstreamWithdrawn',
 )
 
@@ -86,6 +87,10 @@
     """The upstream closed the connection before the response was complete."""
 
 
+class UpstreamSilent(RequestFailed):
+    """The upstream has sent nothing for long; it may still go on."""
+
+
 class UpstreamWithdrawn(RequestFailed):
     """The upstream asked for no more requests before this one was sent."""
 
--- /dev/null
+++ b/primroseyoke/gateway/attempts.py
@@ -0,0 +1,40 @@
+"""One attempt of a request at an upstream, with what has come of its answer."""
+
+import dataclasses
+
+from .balancer import Reservation
+from .connection_pool import UpstreamConnection
+from .crash_detection import Candidate
+from .events import EventSplitter
+from .requests import ResponseHead
+from .upstreams import Upstream
+
+__all__ = ('Attempt',)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Attempt:
+    """A request that was sent to an upstream and has not ended there.
+
+    Reading its answer may be interrupted and continued: all that was received
+    is kept here. ``sent_at`` is in monotonic seconds. ``splitter`` is None
+    unless the answer is a stream, ``body`` is what was received of any other
+    answer. ``event_count`` is the number of events sent to the caller.
+    ``may_have_run`` is whether it counts as an attempt that the upstream may
+    have run, which is so once it was silent for too long.
+    """
+
+    reservation: Reservation
+    connection: UpstreamConnection
+    candidate: Candidate
+    sent_at: float
+    head: ResponseHead | None = None
+    splitter: EventSplitter | None = None
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+    event_count: int = 0
+    may_have_run: bool = False
+
+    @property
+    def upstream(self) -> Upstream:
+        """Return the upstream that it was sent to."""
+        return self.reservation.upstream
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -1,12 +1,17 @@
 """Forwards one request to upstreams, with queueing and retries."""
 
+import asyncio
+import contextlib
 import logging
 import math
 import time
 from typing import TYPE_CHECKING, Any
 
-from ..exceptions import RequestFailed, UpstreamWithdrawn
+from ..exceptions import RequestFailed, UpstreamSilent, UpstreamWithdrawn
 from ..verdicts import Verdict
+from .attempt_history import AttemptHistory
+from .attempt_race import AttemptRace
+from .attempts import Attempt
 from .balancer import Reservation, SelectionCriteria
 from .configuration import Service
 from .listeners import ResponseWriter
@@ -19,6 +24,7 @@
     Progress,
     ResponseForwarder,
 )
+from .silence import silence_limit
 from .wait_queue import QueuePosition, Urgency
 
 if TYPE_CHECKING:
@@ -54,9 +60,8 @@
     """Sends one request to one upstream after another until one responds.
 
     Attributes:
-        may_have_run: number of attempts that an upstream may have run.
-        rejected: number of attempts that upstreams rejected without running.
-        tried_upstreams: names of the upstreams, in order of the attempts.
+        history: what has become of the attempts.
+        race: attempts that run side by side while an upstream is silent.
         waited_seconds: total time spent in the queue.
     """
 
@@ -69,13 +74,12 @@
         """Prepare to forward the request of ``authorized``."""
         self.proxy = proxy
         self.authorized = authorized
-        self.may_have_run = 0
-        self.rejected = 0
-        self.tried_upstreams: list[str] = []
+        self.history = AttemptHistory(authorized.request)
+        self.race = AttemptRace(self.history.log_failure)
         self.waited_seconds = 0.0
         self.progress = Progress(authorized.request.last_event_id)
         self.response_forwarder = ResponseForwarder(
-            proxy, authorized, response, self.progress
+            proxy, authorized, response, self.progress, self.race.end_others
         )
 
     async def run(self) -> None:
@@ -88,14 +92,16 @@
         self.proxy.retry_budget.record_request(
             self.authorized.service, time.monotonic()
         )
-        failure = await self._attempt()
-        while failure is not None:
-            self._raise_unless_retryable(failure)
+        try:
             failure = await self._attempt()
+            while failure is not None:
+                failure = await self._recover(failure)
+        finally:
+            self.response_forwarder.close()
 
     def timed_out(self) -> RequestFailed:
         """Return the failure to report when the deadline has passed."""
-        if self.tried_upstreams:
+        if self.history.upstreams:
             return RequestFailed(
                 'no upstream answered in time',
                 Verdict.MAY_HAVE_RUN,
@@ -122,9 +128,9 @@
             'service': authorized.service,
             'client': authorized.client.name if authorized.client else '',
             'configuration': authorized.configuration.version,
-            'upstreams': self.tried_upstreams,
-            'rejected': self.rejected,
-            'may_have_run': self.may_have_run,
+            'upstreams': self.history.upstreams,
+            'rejected': self.history.rejected,
+            'may_have_run': self.history.may_have_run,
             'waited_ms': _to_milliseconds(self.waited_seconds),
             'first_ms': _to_milliseconds(first_event_delay),
             'longest_gap_ms': _to_milliseconds(self.progress.longest_gap),
@@ -133,22 +139,94 @@
     async def _attempt(self) -> RequestFailed | None:
         """Send the request once; return the failure, or None on success."""
         reservation = await self._acquire()
-        self.tried_upstreams.append(reservation.upstream.name)
+        self.history.upstreams.append(reservation.upstream.name)
         if reservation.rates:
             self._log_limited_send(reservation)
         try:
-            await self.response_forwarder.run(
-                reservation, self._is_last_attempt()
+            attempt = await self.response_forwarder.send(reservation)
+        except RequestFailed as failure:
+            self._count_attempt(failure.verdict.value)
+            self.history.record_failure(failure)
+            return failure
+        return await self._forward(attempt, limited=True)
+
+    async def _forward(
+        self, attempt: Attempt, limited: bool
+    ) -> RequestFailed | None:
+        """Forward the answer to an attempt; return the failure, if any."""
+        try:
+            await self.response_forwarder.forward(
+                attempt, self._is_last_attempt(attempt), limited
             )
+        except UpstreamSilent as silence:
+            self.history.record_possible_run(attempt)
+            if len(self.response_forwarder.attempts) > 1:
+                return await self._forward(attempt, limited=False)
+            return silence
         except RequestFailed as failure:
             self._count_attempt(failure.verdict.value)
+            self.history.record_failure(failure, attempt)
             return failure
-        finally:
-            self.proxy.balancer.release(reservation)
-            self.proxy.queue(self.authorized.service).wake_next()
+        except asyncio.CancelledError:
+            self.history.record_possible_run(attempt)
+            raise
         self._count_attempt('answered')
         return None
 
+    async def _recover(self, failure: RequestFailed) -> RequestFailed | None:
+        """Go on after a failure; return the next one, or None on success.
+
+        Raises:
+            RequestFailed: the request must not be sent again.
+        """
+        if self.response_forwarder.attempts:
+            self.history.log_silence(failure, self.progress.last_event_id)
+            return await self._wait_for_silent()
+        self._raise_unless_retryable(failure)
+        return await self._attempt()
+
+    async def _wait_for_silent(self) -> RequestFailed | None:
+        """Wait until a silent upstream goes on, or another one takes over.
+
+        A silent upstream is given up only for one that has answered: until
+        then it may be the first to go on.
+        """
+        for attempt in tuple(self.response_forwarder.attempts):
+            self.race.add(self._forward(attempt, limited=False))
+        if self._may_retry(time.monotonic()):
+            self.race.add(self._replace())
+        return await self.race.run()
+
+    async def _replace(self) -> RequestFailed | None:
+        """Send the request to another upstream beside a silent one.
+
+        Raises:
+            RequestFailed: no other upstream is free, and the silent one has
+                failed.
+        """
+        failure = await self._attempt_beside_silent()
+        while failure is not None and failure.verdict is Verdict.NOT_RUN:
+            if not self._may_retry(time.monotonic()):
+                return failure
+            self.history.log_failure(failure, sent_again=True)
+            failure = await self._attempt_beside_silent()
+        return failure
+
+    async def _attempt_beside_silent(self) -> RequestFailed | None:
+        """Send the request as soon as an upstream is free."""
+        while True:
+            try:
+                return await self._attempt()
+            except RequestFailed as failure:
+                if not self.response_forwarder.attempts:
+                    raise
+                self.history.log_not_replaced(failure)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    silence_limit(self.authorized.route)
+                ):
+                    await self.race.failure_seen.wait()
+
     def _log_limited_send(self, reservation: Reservation) -> None:
         service = self.authorized.service
         self.proxy.metrics.limited_sends.labels(service).inc()
@@ -166,10 +244,13 @@
         attempts_metric = self.proxy.metrics.upstream_attempts
         attempts_metric.labels(self.authorized.service, outcome).inc()
 
-    def _is_last_attempt(self) -> bool:
-        """Return whether a failure of the next attempt is final."""
+    def _is_last_attempt(self, attempt: Attempt) -> bool:
+        """Return whether a failure of an attempt is final."""
+        if len(self.response_forwarder.attempts) > 1:
+            return False
         route = self.authorized.route
-        if not route.retryable or self.may_have_run + 1 >= route.attempts:
+        runs = self.history.may_have_run + (not attempt.may_have_run)
+        if not route.retryable or runs >= route.attempts:
             return True
         return (
             self.authorized.deadline - time.monotonic() <= MIN_REMAINING_SECONDS
@@ -215,6 +296,12 @@
         Raises:
             RequestFailed: it is not sent to an upstream, or to no other one.
         """
+        if self.response_forwarder.blamed:
+            raise RequestFailed(
+                'the request may have crashed an upstream',
+                Verdict.MAY_HAVE_RUN,
+                BAD_GATEWAY,
+            )
         authorized = self.authorized
         delay = self.proxy.crash_detector.refusal_delay(
             authorized.request,
@@ -225,7 +312,7 @@
             return
         self.proxy.metrics.refused_suspects.labels(authorized.service).inc()
         reason = 'requests like this one have crashed upstreams'
-        if self.may_have_run:
+        if self.history.may_have_run:
             raise RequestFailed(reason, Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
         raise RequestFailed(reason, Verdict.NOT_RUN, UNAVAILABLE, delay)
 
@@ -235,7 +322,7 @@
         A started stream waits anyway, because its caller already has part of
         the response.
         """
-        if self.may_have_run:
+        if self.history.may_have_run:
             return False
         return (
             self.proxy.balancer.is_unavailable(self.authorized.service, now)
@@ -270,7 +357,7 @@
     def _try_acquire(self, now: float) -> Reservation | None:
         self._refuse_suspect()
         authorized = self.authorized
-        if not self.may_have_run:
+        if not self.history.may_have_run:
             self.proxy.authorizer.check_time_left(authorized.deadline, now)
         position = self._queue_position(now)
         if not self.proxy.queue(authorized.service).is_next(position):
@@ -280,7 +367,7 @@
             authorized.service,
             now,
             SelectionCriteria(
-                excluded=tuple(self.tried_upstreams),
+                excluded=tuple(self.history.upstreams),
                 regions=authorized.regions,
                 urgency=position.urgency,
                 longest_gap=authorized.route.gap_objective,
@@ -291,7 +378,7 @@
         cause = self.proxy.balancer.explain_no_capacity(
             self._service(), time.monotonic()
         )
-        if self.may_have_run:
+        if self.history.may_have_run:
             return RequestFailed(
                 f'no other upstream is free: {cause}',
                 Verdict.MAY_HAVE_RUN,
@@ -325,35 +412,12 @@
     def _raise_unless_retryable(self, failure: RequestFailed) -> None:
         """Raise the failure unless the request may be sent again."""
         if isinstance(failure, UpstreamWithdrawn):
-            # Nothing was sent, so this counts as no attempt.
-            log.info(
-                'upstream withdrew before the request was sent',
-                extra={
-                    'request': self.authorized.request.request_id,
-                    'upstream': self.tried_upstreams.pop(),
-                },
-            )
             return
-        if failure.verdict is Verdict.NOT_RUN:
-            self.rejected += 1
-        else:
-            self.may_have_run += 1
         retry = self._may_retry(time.monotonic())
-        log.info(
-            'upstream attempt failed',
-            extra={
-                'request': self.authorized.request.request_id,
-                'upstream': self.tried_upstreams[-1],
-                'reason': str(failure),
-                'verdict': failure.verdict.value,
-                'sent_again': retry,
-                'events': self.progress.attempt_events,
-                'prompt_parts': self.authorized.request.prompt_parts,
-            },
-        )
+        self.history.log_failure(failure, sent_again=retry)
         if retry:
             return
-        if self.may_have_run and failure.verdict is Verdict.NOT_RUN:
+        if self.history.may_have_run and failure.verdict is Verdict.NOT_RUN:
             raise RequestFailed(
                 str(failure),
                 Verdict.MAY_HAVE_RUN,
@@ -363,7 +427,7 @@
 
     def _may_retry(self, now: float) -> bool:
         authorized = self.authorized
-        if self.may_have_run and not authorized.route.retryable:
+        if self.history.may_have_run and not authorized.route.retryable:
             return False
         if self.response_forwarder.unbuffered:
             # Part of a body was sent, which another response cannot continue.
@@ -372,10 +436,10 @@
             # It would crash the next upstream if it is the cause. Its caller
             # may send it again, which shows whether it is.
             return False
-        if self.may_have_run >= authorized.route.attempts:
+        if self.history.may_have_run >= authorized.route.attempts:
             return False
         if (
-            self.rejected > _REJECTED_ATTEMPTS_LIMIT
+            self.history.rejected > _REJECTED_ATTEMPTS_LIMIT
             or authorized.deadline - now <= MIN_REMAINING_SECONDS
         ):
             return False
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -18,6 +18,7 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_SUCCESS_STATUSES = range(200, 300)
 # Size of the blocks of a body.
 BLOCK_BYTES = 65536
 
@@ -115,6 +116,17 @@
     leaving: bool = False
     pause: float = 0
 
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the status is 2xx."""
+        return self.status in _SUCCESS_STATUSES
+
+    @property
+    def content_type(self) -> bytes:
+        """Return the content type in lower case, b'' if there is none."""
+        fields = {name.lower(): text for name, text in self.headers}
+        return fields.get(b'content-type', b'').lower()
+
 
 class Codec(Protocol):
     """Translates between HTTP headers and the types of this module."""
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import dataclasses
-import math
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ..exceptions import (
@@ -11,23 +11,29 @@
     RequestFailed,
     RequestRejected,
     ResponseInvalid,
+    UpstreamSilent,
     UpstreamWithdrawn,
 )
 from ..verdicts import Verdict
+from .attempts import Attempt
 from .balancer import Reservation
-from .configuration import Execution, Route
+from .configuration import Execution
 from .connection_pool import UpstreamConnection
-from .crash_detection import Candidate
 from .events import Event, EventSplitter
 from .listeners import ResponseWriter
 from .requests import ForwardingInfo, Headers, ResponseHead
+from .silence import silence_limit
 from .upstreams import Upstream
 
 if TYPE_CHECKING:
     from .authorization import AuthorizedRequest
     from .proxy import Proxy
 
-__all__ = ('RETRY_AFTER_BUSY_SECONDS', 'Progress', 'ResponseForwarder')
+__all__ = (
+    'RETRY_AFTER_BUSY_SECONDS',
+    'Progress',
+    'ResponseForwarder',
+)
 
 # Retry-After while all upstreams are busy: about the time in which a tenth of
 # the slots become free.
@@ -35,17 +41,8 @@
 # Responses up to this size are buffered completely before any byte is sent to
 # the caller, so that a truncated response can be retried.
 _BUFFERED_BODY_LIMIT_BYTES = 262144
-# A resumable stream without a complete event for this share of the time after
-# which its caller abandons it continues at another upstream.
-_SILENCE_SHARE = 0.65
-# Callers abandon a stream after a gap of this time, or of these multiples of
-# the objectives for the first event and for gaps, whichever is longest.
-_MIN_PATIENCE_SECONDS = 2.0
-_OBJECTIVE_PATIENCE_FACTOR = 4
-_GAP_PATIENCE_FACTOR = 8
 # No attempt is made with less time left: an upstream could not respond.
 MIN_REMAINING_SECONDS = 0.05
-_SUCCESS_STATUSES = range(200, 300)
 _FIRST_SERVER_ERROR_STATUS = 500
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -57,65 +54,62 @@
     """How much of the response the caller has; times in monotonic seconds.
 
     ``last_event_id`` is the ID of the last event that was sent to the caller.
-    ``sent_at`` is the start of the current attempt. ``longest_gap`` is the
-    longest time between two parts of a stream, in seconds. ``attempt_events``
-    is the number of events that the current attempt has delivered.
+    ``longest_gap`` is the longest time between two parts of a stream, in
+    seconds.
     """
 
     last_event_id: str
-    sent_at: float = 0
     first_event_at: float = 0
     last_event_at: float = 0
     longest_gap: float = 0
-    attempt_events: int = 0
 
 
 class ResponseForwarder:
     """Sends a request to an upstream and forwards the response.
 
-    It is used for each attempt of one request.
+    It is used for each attempt of one request. While an upstream is silent,
+    another attempt may run beside its own; the first one that has something
+    for the caller goes on alone.
 
     Attributes:
         unbuffered: whether a response without events exceeded the buffer and
             is forwarded as it arrives.
-        candidate: the current attempt, until it is known not to crash the upstream.
         blamed: whether the request alone may have crashed an upstream.
         stream_type: content type of the stream that was started.
+        attempts: the attempts that have not ended.
+        on_progress: called before an attempt sends something to the caller; it
+            must end all others.
     """
 
-    candidate: Candidate
-
     def __init__(
         self,
         proxy: 'Proxy',
         authorized: 'AuthorizedRequest',
         response: ResponseWriter,
         progress: Progress,
+        on_progress: Callable[[], None],
     ) -> None:
         """Write responses to the request of ``authorized`` to ``response``."""
         self.proxy = proxy
         self.authorized = authorized
         self.response = response
         self.progress = progress
+        self.on_progress = on_progress
         self.unbuffered = False
         self.blamed = False
         self.stream_type = b''
+        self.attempts: list[Attempt] = []
 
-    async def run(self, reservation: Reservation, last_attempt: bool) -> None:
-        """Send the request and forward the response.
+    async def send(self, reservation: Reservation) -> Attempt:
+        """Send the request; return the attempt, whose answer is due.
 
-        Args:
-            reservation: the slot at the upstream to send to.
-            last_attempt: whether to forward a server error of the upstream
-                instead of raising it.
+        The slot of ``reservation`` is released when the attempt ends.
 
         Raises:
-            RequestFailed: no complete response was forwarded.
-            ConnectionError: the caller closed the connection.
+            RequestFailed: the request was not sent.
         """
         upstream = reservation.upstream
-        self.progress.sent_at = time.monotonic()
-        self.progress.attempt_events = 0
+        sent_at = time.monotonic()
         try:
             connection = await self.proxy.pool.send_request(
                 upstream,
@@ -124,42 +118,92 @@
                 self.authorized.route.retryable,
                 self.proxy.balancer.is_withdrawn,
             )
-        except RequestFailed as failure:
-            if not isinstance(failure, UpstreamWithdrawn):
+        except BaseException as error:
+            self._release(reservation)
+            if isinstance(error, RequestFailed) and not isinstance(
+                error, UpstreamWithdrawn
+            ):
                 self.proxy.balancer.health.record_unreachable(
                     upstream, time.monotonic()
                 )
             raise
-        self.candidate = self.proxy.crash_detector.start(
+        candidate = self.proxy.crash_detector.start(
             upstream,
             self.authorized.request,
             self.authorized.service,
             self.authorized.client.name if self.authorized.client else '',
         )
+        attempt = Attempt(reservation, connection, candidate, sent_at)
+        self.attempts.append(attempt)
+        return attempt
+
+    async def forward(
+        self, attempt: Attempt, last_attempt: bool, limited: bool
+    ) -> None:
+        """Forward the answer to an attempt.
+
+        Args:
+            attempt: the attempt.
+            last_attempt: whether to forward a server error of the upstream
+                instead of raising it.
+            limited: whether to raise ``UpstreamSilent`` if no event comes for
+                long. After an event, that is done in any case.
+
+        Raises:
+            UpstreamSilent: no event came; the attempt has not ended.
+            RequestFailed: no complete response was forwarded.
+            ConnectionError: the caller closed the connection.
+        """
         try:
-            await self._receive(connection, last_attempt)
+            await self._receive(attempt, last_attempt, limited)
+        except UpstreamSilent:
+            raise
         except RequestRejected:
-            self.proxy.pool.release(connection)
+            self.proxy.pool.release(attempt.connection)
+            self._end(attempt)
             raise
         except BaseException as error:
-            await self._close_broken(connection, error)
+            await self._close_broken(attempt, error)
             raise
-        finally:
-            self.proxy.crash_detector.end(self.candidate)
-        self.proxy.pool.release(connection)
+        self.proxy.pool.release(attempt.connection)
+        self._end(attempt)
+
+    def close(self) -> None:
+        """Cancel the attempts that have not ended."""
+        for attempt in tuple(self.attempts):
+            attempt.connection.close()
+            self._end(attempt)
 
     async def _close_broken(
-        self, connection: UpstreamConnection, error: BaseException
+        self, attempt: Attempt, error: BaseException
     ) -> None:
         """Close a connection and record what its end says of the upstream."""
+        connection = attempt.connection
         ended_by_upstream = connection.ended
         connection.close()
-        name = connection.upstream.name
-        if isinstance(error, ConnectionBroken) and not connection.reused:
-            self.proxy.balancer.health.record_failure(name, time.monotonic())
-        if ended_by_upstream and isinstance(error, RequestFailed):
-            detector = self.proxy.crash_detector
-            self.blamed = await detector.record_break(self.candidate)
+        name = attempt.upstream.name
+        try:
+            if isinstance(error, ConnectionBroken) and not connection.reused:
+                self.proxy.balancer.health.record_failure(
+                    name, time.monotonic()
+                )
+            if ended_by_upstream and isinstance(error, RequestFailed):
+                detector = self.proxy.crash_detector
+                self.blamed = await detector.record_break(attempt.candidate)
+        finally:
+            self._end(attempt)
+
+    def _end(self, attempt: Attempt) -> None:
+        if attempt.splitter is not None:
+            groups = self.proxy.balancer.groups
+            groups.record_stream_end(attempt.upstream.name)
+        self.attempts.remove(attempt)
+        self.proxy.crash_detector.end(attempt.candidate)
+        self._release(attempt.reservation)
+
+    def _release(self, reservation: Reservation) -> None:
+        self.proxy.balancer.release(reservation)
+        self.proxy.queue(self.authorized.service).wake_next()
 
     def _forwarding_info(self, name: str) -> ForwardingInfo:
         client = self.authorized.client
@@ -171,34 +215,39 @@
         )
 
     async def _receive(
-        self, connection: UpstreamConnection, last_attempt: bool
+        self, attempt: Attempt, last_attempt: bool, limited: bool
     ) -> None:
-        name = connection.upstream.name
+        name = attempt.upstream.name
         stream = self.authorized.route.execution is Execution.STREAM
-        silence_timeout = (
-            _silence_timeout(self.authorized.route)
-            if self.authorized.route.retryable and stream
-            else None
-        )
+        limit = silence_limit(self.authorized.route)
         try:
-            async with asyncio.timeout(silence_timeout) as timer:
-                head = await connection.receive_head(
-                    self.proxy.pool.codec,
-                    self.authorized.request.request_id,
-                )
-                self._record_statements(connection.upstream, head)
-                if stream and head.signed and head.status in _SUCCESS_STATUSES:
-                    await self._forward_stream(connection, head, timer)
+            async with asyncio.timeout(limit if limited else None) as timer:
+                head = attempt.head or await self._receive_head(attempt)
+                if stream and head.signed and head.is_success:
+                    await self._forward_stream(attempt, head, timer)
                 else:
-                    await self._forward_body(connection, head, last_attempt)
+                    await self._forward_body(attempt, head, last_attempt)
         except TimeoutError as error:
-            raise ConnectionBroken(
-                f'{name}: silent for {silence_timeout} s',
+            if not attempt.connection.reused:
+                self.proxy.balancer.health.record_failure(
+                    name, time.monotonic()
+                )
+            raise UpstreamSilent(
+                f'{name}: silent for {limit} s',
                 Verdict.MAY_HAVE_RUN,
                 GATEWAY_TIMEOUT,
             ) from error
         self.proxy.balancer.health.record_success(name)
-        self.proxy.crash_detector.record_sound(self.candidate)
+        self.proxy.crash_detector.record_sound(attempt.candidate)
+
+    async def _receive_head(self, attempt: Attempt) -> ResponseHead:
+        head = await attempt.connection.receive_head(
+            self.proxy.pool.codec,
+            self.authorized.request.request_id,
+        )
+        attempt.head = head
+        self._record_statements(attempt.upstream, head)
+        return head
 
     def _record_statements(
         self, upstream: Upstream, head: ResponseHead
@@ -210,38 +259,35 @@
             pauses.labels(self.authorized.service).inc()
 
     async def _forward_stream(
-        self,
-        connection: UpstreamConnection,
-        head: ResponseHead,
-        timer: asyncio.Timeout,
+        self, attempt: Attempt, head: ResponseHead, timer: asyncio.Timeout
     ) -> None:
-        groups = self.proxy.balancer.groups
-        upstream = connection.upstream
-        content_type = _content_type(head.headers)
+        connection = attempt.connection
+        content_type = head.content_type
         if self.response.started and content_type != self.stream_type:
             # For example an error with a success status.
             raise _broken_response(
                 connection, f'continued with {content_type!r}'
             )
-        self.stream_type = content_type
-        groups.record_stream_start(upstream.name, time.monotonic())
-        splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
+        if attempt.splitter is None:
+            self.proxy.balancer.groups.record_stream_start(
+                attempt.upstream.name, time.monotonic()
+            )
+            attempt.splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
         try:
             async for content in connection.body():
-                events = splitter.feed(content)
-                await self._forward_events(upstream, head, events, timer)
+                events = attempt.splitter.feed(content)
+                await self._forward_events(attempt, head, events, timer)
         except ResponseInvalid as error:
             raise _broken_response(connection, str(error)) from error
-        finally:
-            groups.record_stream_end(upstream.name)
-        if splitter.pending or not self.progress.attempt_events:
+        if attempt.splitter.pending or not attempt.event_count:
             # Without an event, what is missing may be all after the break.
             raise _broken_response(connection, 'ended within an event')
+        self.on_progress()
         self.response.finish()
 
     async def _forward_events(
         self,
-        upstream: Upstream,
+        attempt: Attempt,
         head: ResponseHead,
         events: list[Event],
         timer: asyncio.Timeout,
@@ -249,35 +295,32 @@
         if not events:
             # Only complete events are progress.
             return
-        self._record_content(upstream, time.monotonic())
-        deadline = timer.when()
+        self.on_progress()
+        self._record_content(attempt.upstream, time.monotonic())
         # Time spent writing to a slow caller does not count as silence of the
         # upstream.
         timer.reschedule(None)
         for event in events:
             if not self.response.started:
-                self._record_first_event()
-                self.response.start(
-                    head.status, _without_content_length(head.headers)
-                )
+                self._start_stream(attempt, head)
             await self.response.send(event.content)
-            self.progress.attempt_events += 1
+            attempt.event_count += 1
             self.proxy.crash_detector.record_event(
-                self.candidate, self.progress.attempt_events
+                attempt.candidate, attempt.event_count
             )
             if event.event_id:
                 self.progress.last_event_id = event.event_id
-        if deadline is not None:
-            loop = asyncio.get_running_loop()
-            timer.reschedule(
-                loop.time() + _silence_timeout(self.authorized.route)
-            )
+        limit = silence_limit(self.authorized.route)
+        if limit is not None:
+            timer.reschedule(asyncio.get_running_loop().time() + limit)
 
-    def _record_first_event(self) -> None:
+    def _start_stream(self, attempt: Attempt, head: ResponseHead) -> None:
         now = time.monotonic()
         self.progress.first_event_at = now
         estimate = self.proxy.first_event_estimate(self.authorized.service)
-        estimate.observe(now - self.progress.sent_at)
+        estimate.observe(now - attempt.sent_at)
+        self.stream_type = head.content_type
+        self.response.start(head.status, _without_content_length(head.headers))
 
     def _record_content(self, upstream: Upstream, now: float) -> None:
         progress = self.progress
@@ -289,38 +332,34 @@
         progress.last_event_at = now
 
     async def _forward_body(
-        self,
-        connection: UpstreamConnection,
-        head: ResponseHead,
-        last_attempt: bool,
+        self, attempt: Attempt, head: ResponseHead, last_attempt: bool
     ) -> None:
-        body = b''
-        async for content in connection.body():
+        body = attempt.body
+        async for content in attempt.connection.body():
             body += content
             if len(body) > _BUFFERED_BODY_LIMIT_BYTES:
-                await self._forward_part(connection, head, last_attempt, body)
-                body = b''
+                await self._forward_part(attempt, head, last_attempt)
         if self.unbuffered:
-            await self.response.send(body)
+            await self.response.send(bytes(body))
             self.response.finish()
             return
-        self._check_forwardable(connection, head, last_attempt)
+        self._check_forwardable(attempt.connection, head, last_attempt)
+        self.on_progress()
         self.progress.first_event_at = time.monotonic()
-        self.response.respond(head.status, head.headers, body)
+        self.response.respond(head.status, head.headers, bytes(body))
 
     async def _forward_part(
-        self,
-        connection: UpstreamConnection,
-        head: ResponseHead,
-        last_attempt: bool,
-        part: bytes,
+        self, attempt: Attempt, head: ResponseHead, last_attempt: bool
     ) -> None:
         """Forward part of a response that is too large to be buffered."""
         if not self.unbuffered:
-            self._check_forwardable(connection, head, last_attempt)
+            self._check_forwardable(attempt.connection, head, last_attempt)
+            self.on_progress()
             self.unbuffered = True
             self.progress.first_event_at = time.monotonic()
             self.response.start(head.status, head.headers)
+        part = bytes(attempt.body)
+        attempt.body.clear()
         await self.response.send(part)
 
     def _check_forwardable(
@@ -357,20 +396,6 @@
         )
 
 
-def _silence_timeout(route: Route) -> float:
-    """Return the time after which a stream continues elsewhere, in seconds."""
-    patience = max(
-        _MIN_PATIENCE_SECONDS,
-        _OBJECTIVE_PATIENCE_FACTOR * route.objective,
-        _GAP_PATIENCE_FACTOR * _finite(route.gap_objective),
-    )
-    return _SILENCE_SHARE * patience
-
-
-def _finite(seconds: float) -> float:
-    return seconds if math.isfinite(seconds) else 0
-
-
 def _broken_response(
     connection: UpstreamConnection, detail: str
 ) -> RequestFailed:
@@ -378,11 +403,6 @@
     return RequestFailed(f'{name}: {detail}', Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
 
 
-def _content_type(headers: Headers) -> bytes:
-    fields = {name.lower(): text for name, text in headers}
-    return fields.get(b'content-type', b'').lower()
-
-
 def _without_content_length(headers: Headers) -> Headers:
     """Drop Content-Length: events are forwarded in chunked encoding."""
     return tuple(
--- a/tests/gateway/test_stream_progress.py
+++ b/tests/gateway/test_stream_progress.py
@@ -151,3 +151,183 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def pausing_stream(first: int, last: int, pause: float):
+    """Return a handler that pauses after its first ``first`` events."""
+
+    async def respond(
+        upstream: StandInUpstream,
+        request: CallerRequest,
+        response: ResponseWriter,
+    ) -> None:
+        start = int(request.last_event_id or 0)
+        response.start(200, upstream.signature_headers(request))
+        await response.send(events(start + 1, start + first))
+        await asyncio.sleep(pause)
+        if start + first < last:
+            await response.send(events(start + first + 1, last))
+        response.finish()
+
+    return respond
+
+
+async def reject(
+    upstream: StandInUpstream,
+    request: CallerRequest,
+    response: ResponseWriter,
+) -> None:
+    headers = upstream.signature_headers(request)
+    response.respond(
+        503, [*headers, (b'x-primroseyoke-not-executed', b'1')], b''
+    )
+
+
+async def hang(
+    upstream: StandInUpstream,
+    request: CallerRequest,
+    response: ResponseWriter,
+) -> None:
+    await asyncio.sleep(60)
+
+
+async def call_draft(system, **overrides: object):
+    """Call a resumable stream; model-0 gets it first."""
+    system.gateway.balancer.in_flight.record_start('model-1')
+    return await system.call('/draft/', 'POST', timeout_ms=4000, **overrides)
+
+
+def test_the_last_attempt_of_a_stream_is_not_cut_for_its_silence() -> None:
+    """Guards against a stream that ends although nobody else takes it over.
+
+    Its route allows one upstream, which pauses for longer than another one
+    would be asked.
+    """
+
+    async def scenario() -> None:
+        pausing = pausing_stream(2, 6, 1.7)
+        async with deployment(model=(pausing,)) as system:
+            changed = configuration(2)
+            for each in changed['routes']:
+                each['attempts'] = 1
+            system.store.put('keyed.op', 'config', changed)
+            state = system.gateway.routing_state
+            await wait_until(lambda: state.configuration.version == 2)
+            received = await system.call('/draft/', 'POST', timeout_ms=4000)
+            assert received.complete
+            assert received.body == events(1, 6)
+
+    asyncio.run(scenario())
+
+
+def test_a_silent_stream_goes_on_if_no_other_upstream_is_free() -> None:
+    """Guards against a stream that ends while it waits for another slot."""
+
+    async def scenario() -> None:
+        handlers = (pausing_stream(2, 6, 2.5),)
+        async with deployment(model=handlers) as system:
+            received = await system.call('/draft/', 'POST', timeout_ms=4000)
+            assert received.complete
+            assert received.body == events(1, 6)
+
+    asyncio.run(scenario())
+
+
+def test_a_silent_stream_goes_on_if_the_other_upstreams_reject_it() -> None:
+    async def scenario() -> None:
+        handlers = (pausing_stream(2, 6, 2.0), reject)
+        async with deployment(model=handlers) as system:
+            received = await call_draft(system)
+            assert received.complete
+            assert received.body == events(1, 6)
+
+    asyncio.run(scenario())
+
+
+def test_the_first_upstream_to_go_on_has_the_stream_alone() -> None:
+    """Guards against events of two upstreams in one response."""
+
+    async def scenario() -> None:
+        for first, second in (
+            (pausing_stream(2, 6, 1.7), hang),
+            (hang, pausing_stream(2, 6, 0.2)),
+            (pausing_stream(2, 6, 1.7), pausing_stream(1, 6, 0.1)),
+        ):
+            async with deployment(model=(first, second)) as system:
+                received = await call_draft(system)
+                assert received.complete
+                assert received.body == events(1, 6)
+                requests = [
+                    upstream.received_requests[0]
+                    for upstream in system.upstreams.values()
+                ]
+                await wait_until(
+                    lambda: any(each.cancelled for each in requests)
+                )
+                balancer = system.gateway.balancer
+                await wait_until(
+                    lambda: balancer.in_flight.total('model-0') == 0
+                )
+
+    asyncio.run(scenario())
+
+
+def test_a_stream_whose_end_alone_is_late_ends_whole() -> None:
+    """Guards against a break after the last event.
+
+    Another upstream has nothing to add to such a stream, which cannot be told
+    from one that lost the rest.
+    """
+
+    async def scenario() -> None:
+        async def nothing_more(upstream, request, response) -> None:
+            response.start(200, upstream.signature_headers(request))
+            response.finish()
+
+        handlers = (pausing_stream(6, 6, 1.7), nothing_more)
+        async with deployment(model=handlers) as system:
+            received = await call_draft(system)
+            assert received.complete
+            assert received.body == events(1, 6)
+
+    asyncio.run(scenario())
+
+
+def test_a_silent_upstream_that_rejects_in_the_end_does_not_use_an_attempt():
+    """An upstream that stands still says after a while what it did not run."""
+
+    async def scenario() -> None:
+        async def reject_late(upstream, request, response) -> None:
+            await asyncio.sleep(1.5)
+            await reject(upstream, request, response)
+
+        async with deployment(model=(reject_late, reject_late)) as system:
+            received = await call_draft(system)
+            assert received.status == 503
+            assert b'not_run' in received.body
+
+    asyncio.run(scenario())
+
+
+def test_attempts_that_wait_end_with_their_caller() -> None:
+    async def scenario() -> None:
+        async with deployment(model=(hang, hang)) as system:
+            call = asyncio.ensure_future(call_draft(system))
+            await wait_until(
+                lambda: all(
+                    upstream.received_requests
+                    for upstream in system.upstreams.values()
+                )
+            )
+            call.cancel()
+            await wait_until(
+                lambda: all(
+                    upstream.received_requests[0].cancelled
+                    for upstream in system.upstreams.values()
+                ),
+                1,
+            )
+            balancer = system.gateway.balancer
+            assert balancer.in_flight.total('model-0') == 0
+
+    asyncio.run(scenario())
--- a/tests/standins/gateway_process.py
+++ b/tests/standins/gateway_process.py
@@ -39,6 +39,7 @@
         self.log_path = folder / f'gateway-{number}.log'
         self.settings_path = folder / f'gateway-{number}.yaml'
         self.process: subprocess.Popen[bytes] | None = None
+        self.stopping = False
         self.settings = {
             'node': f'edge-{number}',
             'ip': self.address,
@@ -132,6 +133,7 @@
         self.reader = reader
         self.writer = writer
         self.parser = h11.Connection(h11.CLIENT)
+        self.received_bytes = 0
 
     @classmethod
     async def open(cls, gateway: GatewayProcess) -> 'CallerConnection':
@@ -210,7 +212,9 @@
     async def _next_event(self) -> object:
         event = self.parser.next_event()
         while event is h11.NEED_DATA:
-            self.parser.receive_data(await self.reader.read(65536))
+            content = await self.reader.read(65536)
+            self.received_bytes += len(content)
+            self.parser.receive_data(content)
             event = self.parser.next_event()
         return event
 
