Let others run while a body in tiny chunks is read

Cause: for each chunk the sizes of all chunks before it were added up, and the loop yielded only when all received data was used up.

Change: other tasks run after each 64 parts of a body.

--- a/primroseyoke/gateway/listeners.py
+++ b/primroseyoke/gateway/listeners.py
@@ -32,6 +32,9 @@
 _LINGER_BYTES = 2**20
 # Largest amount of a response that is kept for a slow caller.
 _MAX_WRITE_BUFFER_BYTES = 4 * 2**20
+# Parts of a body that are read before other tasks may run. Tiny chunks arrive by
+# the thousand.
+_EVENTS_PER_TURN = 64
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 
@@ -384,6 +387,7 @@
         self.blocks: list[bytes] = []
         self.last_block = bytearray()
         self.size = 0
+        self.event_count = 0
 
     async def read(self, declared: int | None, timeout: float) -> Body:
         """Return the body.
@@ -408,7 +412,7 @@
             self.connection.write(self.parser.send(interim) or b'')
         event = await self._next_event()
         while isinstance(event, h11.Data):
-            self._add(event.data)
+            await self._add(event.data)
             if self.size > SMALL_BODY_BYTES:
                 await self._reserve(expected, timeout)
             event = await self._next_event()
@@ -417,7 +421,7 @@
             self.blocks.append(bytes(self.last_block))
         return Body(tuple(self.blocks))
 
-    def _add(self, content: bytes) -> None:
+    async def _add(self, content: bytes) -> None:
         self.last_block += content
         while len(self.last_block) >= BLOCK_BYTES:
             self.blocks.append(bytes(self.last_block[:BLOCK_BYTES]))
@@ -426,6 +430,9 @@
         self.memory.record_received(len(content))
         if self.size > self.limits.body_bytes:
             raise RequestInvalid('the body is too large', _TOO_LARGE)
+        self.event_count += 1
+        if self.event_count % _EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
 
     async def _reserve(self, expected: int, timeout: float) -> None:
         """Reserve memory for the whole body, once."""
