Do not take silent streams for a group that stands still

Cause, one of them by reading: a kept attempt counted as a stream of its group, so a group looked stalled, and was avoided, for as long as a stream that had been lost in a cut was waited for.

Change: an attempt counts until it is silent for too long, and again when it goes on. Its test failed before.

--- a/primroseyoke/gateway/attempts.py
+++ b/primroseyoke/gateway/attempts.py
@@ -33,6 +33,7 @@
     body: bytearray = dataclasses.field(default_factory=bytearray)
     event_count: int = 0
     may_have_run: bool = False
+    tracked: bool = False
 
     @property
     def upstream(self) -> Upstream:
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -140,6 +140,8 @@
         try:
             await self._receive(attempt, last_attempt, limited)
         except UpstreamSilent:
+            # It may have been lost, which says nothing of the group.
+            self._untrack(attempt)
             raise
         except RequestRejected:
             self.proxy.pool.release(attempt.connection)
@@ -176,10 +178,20 @@
         finally:
             self._end(attempt)
 
+    def _track(self, attempt: Attempt) -> None:
+        if not attempt.tracked:
+            attempt.tracked = True
+            self.proxy.balancer.groups.record_stream_start(
+                attempt.upstream.name, time.monotonic()
+            )
+
+    def _untrack(self, attempt: Attempt) -> None:
+        if attempt.tracked:
+            attempt.tracked = False
+            self.proxy.balancer.groups.record_stream_end(attempt.upstream.name)
+
     def _end(self, attempt: Attempt) -> None:
-        if attempt.splitter is not None:
-            groups = self.proxy.balancer.groups
-            groups.record_stream_end(attempt.upstream.name)
+        self._untrack(attempt)
         self.attempts.remove(attempt)
         self.proxy.crash_detector.end(attempt.candidate)
         self._release(attempt.reservation)
@@ -252,9 +264,7 @@
                 connection, f'continued with {content_type!r}'
             )
         if attempt.splitter is None:
-            self.proxy.balancer.groups.record_stream_start(
-                attempt.upstream.name, time.monotonic()
-            )
+            self._track(attempt)
             attempt.splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
         try:
             async for content in connection.body():
@@ -279,6 +289,7 @@
             # Only complete events are progress.
             return
         self.on_progress()
+        self._track(attempt)
         self._record_content(attempt.upstream, time.monotonic())
         # Time spent writing to a slow caller does not count as silence of the
         # upstream.
--- a/tests/gateway/test_stream_progress.py
+++ b/tests/gateway/test_stream_progress.py
@@ -331,3 +331,27 @@
             assert balancer.in_flight.total('model-0') == 0
 
     asyncio.run(scenario())
+
+
+def test_a_silent_stream_does_not_tell_that_its_group_stands_still() -> None:
+    """Guards against a group that is avoided for streams that were lost.
+
+    A stream whose connection was cut is silent while its group goes on.
+    """
+
+    async def scenario() -> None:
+        async with deployment(model=(pausing_stream(2, 6, 1.7),)) as system:
+            groups = system.gateway.balancer.groups
+            running = []
+            groups.record_stream_start = lambda name, now: running.append(name)
+            groups.record_stream_end = running.remove
+            call = asyncio.ensure_future(
+                system.call('/draft/', 'POST', timeout_ms=4000)
+            )
+            await wait_until(lambda: running == ['model-0'])
+            await wait_until(lambda: not running, 1.5)
+            await wait_until(lambda: running == ['model-0'], 1)
+            assert (await call).complete
+            assert not running
+
+    asyncio.run(scenario())
