Close connections to engines of upstreams that have gone

Cause: a client for reports and one for orders was kept for each upstream name that was ever used, and nothing closed them.

Change: they are closed when their upstream is no longer known, each second and at each change, but not within a call. An upstream that has moved under its name is called at its new address.

--- a/primroseyoke/gateway/connection_pool.py
+++ b/primroseyoke/gateway/connection_pool.py
@@ -111,9 +111,6 @@
             RequestFailed: no response arrived, it cannot be told to be for this
                 request, or it is not valid HTTP or exceeds the limits.
         """
-        if self.discarding:
-            # Reading was interrupted within that response.
-            await self._discard_response()
         for _ in range(self.limits.discarded_count + 1):
             head = await self._next_response()
             response_head = codec.decode_response(
@@ -189,6 +186,9 @@
 
     async def _next_response(self) -> Any:
         """Return the next head that is not informational."""
+        if self.discarding:
+            # Reading was interrupted within that response.
+            await self._discard_response()
         for _ in range(self.limits.informational_count + 1):
             head = await self._next_event()
             if not isinstance(head, h11.InformationalResponse):
--- a/primroseyoke/gateway/engines.py
+++ b/primroseyoke/gateway/engines.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Collection
 from typing import Protocol
 
 from .placement import Placement
@@ -157,3 +158,6 @@
         timeout: float,
     ) -> OrderResult:
         """Send an order and wait up to ``timeout`` seconds for its result."""
+
+    def retain(self, names: Collection[str]) -> None:
+        """Close what is open to all upstreams but those in ``names``."""
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -296,7 +296,13 @@
 
     def _on_upstreams_changed(self) -> None:
         self.balancer.prune()
-        self.pool.close_idle(frozenset(self.routing_state.registry.upstreams))
+        self._close_unused()
+
+    def _close_unused(self) -> None:
+        """Close idle connections, and all to upstreams that have gone."""
+        names = frozenset(self.routing_state.registry.upstreams)
+        self.pool.close_idle(names)
+        self.platform.engines.retain(names)
 
     async def _register(self) -> None:
         """Register, and again whenever the store may have lost that.
@@ -322,9 +328,7 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
             self.routing_state.registry.expire(time.monotonic())
-            self.pool.close_idle(
-                frozenset(self.routing_state.registry.upstreams)
-            )
+            self._close_unused()
             self._refute_false_crashes()
             self._update_hosts()
 
--- a/primroseyoke/gateway/http_client.py
+++ b/primroseyoke/gateway/http_client.py
@@ -38,6 +38,11 @@
         self.parser = h11.Connection(h11.CLIENT)
         self.lock = asyncio.Lock()
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a call is in progress."""
+        return self.lock.locked()
+
     async def call(
         self,
         method: str,
--- a/primroseyoke/platform/engines.py
+++ b/primroseyoke/platform/engines.py
@@ -2,6 +2,7 @@
 
 import functools
 import types
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -167,6 +168,17 @@
             return OrderResult.UNKNOWN
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.CONFLICT)
 
+    def retain(self, names: Collection[str]) -> None:
+        """Close the connections to all upstreams but those in ``names``.
+
+        One with a call in progress is kept: an order that is cut off may have
+        been executed.
+        """
+        for connections in (self.report_connections, self.order_connections):
+            for name in connections.keys() - set(names):
+                if not connections[name].busy:
+                    connections.pop(name).close()
+
     async def _get(self, upstream: Upstream, target: str) -> HttpResponse:
         answer = await _connection_to(self.report_connections, upstream).call(
             'GET',
@@ -187,7 +199,10 @@
     upstream: Upstream,
 ) -> HttpClient:
     connection = connections.get(upstream.name)
-    if connection is None:
+    address = (upstream.host, upstream.port)
+    if connection is None or (connection.host, connection.port) != address:
+        if connection is not None:
+            connection.close()
         connection = HttpClient(upstream.host, upstream.port)
         connections[upstream.name] = connection
     return connection
--- /dev/null
+++ b/tests/platform/test_engines.py
@@ -0,0 +1,98 @@
+"""Connections to model engines."""
+
+import asyncio
+import json
+
+from primroseyoke.gateway.listeners import ResponseWriter
+from primroseyoke.gateway.requests import CallerRequest
+from primroseyoke.gateway.upstreams import Upstream
+from primroseyoke.platform.engines import HttpEngines
+from tests.gateway.deployment import deployment, wait_until
+from tests.standins.platform import StandInUpstream, answer_ok
+
+REPORT = json.dumps({'group': None}).encode()
+
+
+async def report(
+    upstream: StandInUpstream, request: CallerRequest, response: ResponseWriter
+) -> None:
+    await asyncio.sleep(0.1)
+    response.respond(200, (), REPORT)
+
+
+def known(upstream: StandInUpstream) -> Upstream:
+    return Upstream(
+        name=upstream.name,
+        service='model',
+        host='127.0.0.1',
+        port=upstream.port,
+        availability_zone='zone-a',
+    )
+
+
+def test_connections_to_upstreams_that_have_gone_are_closed() -> None:
+    """Guards against a socket that is kept for each upstream ever known."""
+
+    async def scenario() -> None:
+        engines = HttpEngines()
+        upstreams = [StandInUpstream(f'rank-{n}', report) for n in range(3)]
+        for upstream in upstreams:
+            await upstream.start()
+            await engines.report(known(upstream))
+        engines.retain({'rank-1'})
+        for upstream, count in zip(upstreams, (0, 1, 0), strict=True):
+            await wait_until(
+                lambda upstream=upstream, count=count: (
+                    len(upstream.listener.connections) == count
+                ),
+            )
+        assert set(engines.report_connections) == {'rank-1'}
+        for upstream in upstreams:
+            upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_call_in_progress_is_not_cut_off() -> None:
+    async def scenario() -> None:
+        engines = HttpEngines()
+        upstream = StandInUpstream('rank-0', report)
+        await upstream.start()
+        call = asyncio.ensure_future(engines.report(known(upstream)))
+        await wait_until(lambda: bool(upstream.received_requests))
+        engines.retain(())
+        assert await call is None
+        engines.retain(())
+        assert not engines.report_connections
+        upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_an_upstream_that_has_moved_is_called_at_its_new_address() -> None:
+    async def scenario() -> None:
+        engines = HttpEngines()
+        first = StandInUpstream('rank-0', report)
+        second = StandInUpstream('rank-0', report)
+        for upstream in (first, second):
+            await upstream.start()
+            await engines.report(known(upstream))
+        assert len(second.received_requests) == 1
+        await wait_until(lambda: not first.listener.connections)
+        for upstream in (first, second):
+            upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_gateway_closes_connections_to_engines_that_have_gone() -> None:
+    async def scenario() -> None:
+        async with deployment(app=(answer_ok, report)) as system:
+            gone = system.upstreams['app-1']
+            engines = system.gateway.platform.engines
+            await engines.report(known(gone))
+            assert engines.report_connections
+            system.store.put('keyed.servers', 'app-1', b'')
+            await wait_until(lambda: not engines.report_connections, 8)
+
+    asyncio.run(scenario())
--- a/tests/standins/fake_rank_group.py
+++ b/tests/standins/fake_rank_group.py
@@ -163,6 +163,9 @@
             slowdown=self.slowdowns[int(upstream.name)],
         )
 
+    def retain(self, names) -> None:
+        """Nothing is open."""
+
     async def counts(self, upstream: Upstream) -> ExpertCounts:
         self.selection_counts = [
             before + chosen
