--- a/tests/gateway/test_stream_progress.py
+++ b/tests/gateway/test_stream_progress.py
@@ -342,16 +342,15 @@
     async def scenario() -> None:
         async with deployment(model=(pausing_stream(2, 6, 1.7),)) as system:
             groups = system.gateway.balancer.groups
-            running = []
-            groups.record_stream_start = lambda name, now: running.append(name)
-            groups.record_stream_end = running.remove
+            calls = []
+            groups.record_stream_start = lambda name, now: calls.append('start')
+            groups.record_stream_end = lambda name: calls.append('end')
             call = asyncio.ensure_future(
                 system.call('/draft/', 'POST', timeout_ms=4000)
             )
-            await wait_until(lambda: running == ['model-0'])
-            await wait_until(lambda: not running, 1.5)
-            await wait_until(lambda: running == ['model-0'], 1)
+            await wait_until(lambda: calls == ['start', 'end'])
+            assert not call.done()
             assert (await call).complete
-            assert not running
+            assert calls == ['start', 'end', 'start', 'end']
 
     asyncio.run(scenario())
