Pause between attempts beside a silent one after a failure, too

Found on reading: once an attempt had failed, the next one beside a silent upstream was made without a pause, again and again if each was refused at once. A withdrawn upstream was logged as a failed attempt of another one.

--- a/primroseyoke/gateway/attempt_history.py
+++ b/primroseyoke/gateway/attempt_history.py
@@ -61,6 +61,8 @@
 
     def log_failure(self, failure: RequestFailed, sent_again: bool) -> None:
         """Log the last failure, and whether the request is sent again."""
+        if isinstance(failure, UpstreamWithdrawn):
+            return
         attempt = self.failed_attempt
         self._log(
             'upstream attempt failed',
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -204,6 +204,7 @@
                 if not self.response_forwarder.attempts:
                     raise
                 self.history.log_not_replaced(failure)
+            self.race.failure_seen.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
                     silence_limit(self.authorized.route)
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -127,6 +127,15 @@
         fields = {name.lower(): text for name, text in self.headers}
         return fields.get(b'content-type', b'').lower()
 
+    @property
+    def stream_headers(self) -> Headers:
+        """Return the headers without Content-Length: events are chunked."""
+        return tuple(
+            (name, text)
+            for name, text in self.headers
+            if name.lower() != b'content-length'
+        )
+
 
 class Codec(Protocol):
     """Translates between HTTP headers and the types of this module."""
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -20,7 +20,7 @@
 from .connection_pool import UpstreamConnection
 from .events import Event, EventSplitter
 from .listeners import ResponseWriter
-from .requests import ForwardingInfo, Headers, ResponseHead
+from .requests import ForwardingInfo, ResponseHead
 from .silence import silence_limit
 from .upstreams import Upstream
 
@@ -314,7 +314,7 @@
         estimate = self.proxy.first_event_estimate(self.authorized.service)
         estimate.observe(now - attempt.sent_at)
         self.stream_type = head.content_type
-        self.response.start(head.status, _without_content_length(head.headers))
+        self.response.start(head.status, head.stream_headers)
 
     def _record_content(self, upstream: Upstream, now: float) -> None:
         progress = self.progress
@@ -395,12 +395,3 @@
 ) -> RequestFailed:
     name = connection.upstream.name
     return RequestFailed(f'{name}: {detail}', Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
-
-
-def _without_content_length(headers: Headers) -> Headers:
-    """Drop Content-Length: events are forwarded in chunked encoding."""
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() != b'content-length'
-    )
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -195,6 +195,7 @@
         await small.send_part(b'ok')
         response = await asyncio.wait_for(small.receive(), 1)
         assert response.status == 200
+        assert await asyncio.wait_for(gateway.is_ready(), 1)
         await asyncio.sleep(1.5)
         responses = await serve_all(6, functools.partial(send_long, gateway))
         assert statuses(responses) == [200]
