End a slow upload also when it is not waiting for data

Found on reading: a body that makes room for others was told so while it waited for data; between two reads that was forgotten, and it kept its memory.

--- a/primroseyoke/gateway/attempts.py
+++ b/primroseyoke/gateway/attempts.py
@@ -21,7 +21,8 @@
     unless the answer is a stream, ``body`` is what was received of any other
     answer. ``event_count`` is the number of events sent to the caller.
     ``may_have_run`` is whether it counts as an attempt that the upstream may
-    have run, which is so once it was silent for too long.
+    have run, which is so once it was silent for too long. ``tracked`` is
+    whether its events tell whether the group of its upstream stands still.
     """
 
     reservation: Reservation
--- a/primroseyoke/gateway/body_reading.py
+++ b/primroseyoke/gateway/body_reading.py
@@ -31,6 +31,7 @@
         limits: CallerLimits,
         memory: RequestMemory,
     ) -> None:
+        """Read from ``connection``; hold ``memory`` for what was read."""
         self.connection = connection
         self.parser = parser
         self.limits = limits
@@ -91,6 +92,8 @@
             await self.memory.reserve_body(expected, self.size, timeout)
 
     async def _next_event(self) -> Any:
+        if self.memory.revoked:
+            raise self.memory.revoked_error()
         try:
             async with asyncio.timeout(self.limits.idle_timeout) as timer:
                 self.memory.on_revoke = functools.partial(
--- a/primroseyoke/gateway/memory.py
+++ b/primroseyoke/gateway/memory.py
@@ -17,7 +17,6 @@
 from ..verdicts import Verdict
 
 __all__ = (
-    'CONNECTION_BYTES',
     'SMALL_BODY_BYTES',
     'MemoryBudget',
     'MemoryUse',
@@ -25,12 +24,12 @@
 )
 
 # What an open connection takes in the program while it is idle.
-CONNECTION_BYTES = 16384
+_CONNECTION_BYTES = 16384
 # Bodies up to this size need no memory beyond that of every request.
 SMALL_BODY_BYTES = 65536
 # Head, small body, read buffers and the first part of the response.
 _REQUEST_BYTES = 131072
-# Received data of a long body that has not been joined to it yet.
+# Received data that is not part of a long body yet, and what is being sent.
 _BODY_OVERHEAD_BYTES = 262144
 # Bodies over this size leave a share of the budget to shorter ones.
 _LONG_BODY_BYTES = 2**20
@@ -42,8 +41,8 @@
 _RESPONSE_SHARE = 0.5
 # The program itself, with its configuration and the reports of its peers.
 _PROGRAM_BYTES = 48 * 2**20
-# Share of the remaining memory that may be planned with: the allocator returns
-# memory late, and a joined body exists twice for a moment.
+# Share of the remaining memory that may be planned with: the allocator holds
+# more than is in use.
 _USABLE_SHARE = 0.85
 # Share of a very small memory that is used for callers in any case.
 _MIN_SHARE = 0.125
@@ -83,6 +82,7 @@
         limit: the size of the budget, infinite for no limit.
         held: the memory in use.
         refusals: number of requests that got no memory.
+        waiters: bodies that wait for memory, longest waiting first.
         uploads: requests whose long body is being read.
     """
 
@@ -106,11 +106,11 @@
 
     def add_connection(self) -> None:
         """Record a new connection; descriptors limit their number."""
-        self.held[MemoryUse.CONNECTIONS] += CONNECTION_BYTES
+        self.held[MemoryUse.CONNECTIONS] += _CONNECTION_BYTES
 
     def remove_connection(self) -> None:
         """Record that a connection was closed."""
-        self.held[MemoryUse.CONNECTIONS] -= CONNECTION_BYTES
+        self.held[MemoryUse.CONNECTIONS] -= _CONNECTION_BYTES
         self.grant_waiting()
 
     def fits(self, size: int, share: float = 1) -> bool:
@@ -207,6 +207,7 @@
         held: the memory in use, in bytes.
         missing: largest size of the rest of the body, in bytes.
         received: how much of the body arrived since memory was reserved.
+        reading_since: when that was, in monotonic seconds.
         revoked: whether the body must not be read any further.
         on_revoke: called when that happens.
     """
