--- a/tests/soak.py
+++ b/tests/soak.py
@@ -296,9 +296,12 @@
         await asyncio.sleep(1.5)
         restarts = []
         while time.monotonic() < self.end_at - GRACE_SECONDS:
-            gateway = self.generator.choice(
-                [each for each in self.gateways if not each.stopping]
-            )
+            serving = [each for each in self.gateways if not each.stopping]
+            if not serving:
+                # All stops overlap.
+                await asyncio.sleep(0.1)
+                continue
+            gateway = self.generator.choice(serving)
             restart = asyncio.ensure_future(self._restart(gateway))
             restarts.append(restart)
             if self.generator.random() < 0.3:
--- a/tests/standins/gateway_process.py
+++ b/tests/standins/gateway_process.py
@@ -14,7 +14,7 @@
 
 import h11
 
-from tests.gateway.deployment import API_KEY, VIRTUAL_HOST, free_port
+from tests.gateway.deployment import API_KEY, VIRTUAL_HOST
 
 ROOT = pathlib.Path(__file__).parents[2]
 READY_SECONDS = 20
@@ -223,8 +223,3 @@
     with socket.socket() as sock:
         sock.bind((address, 0))
         return int(sock.getsockname()[1])
-
-
-def free_peer_port() -> int:
-    """Return a port whose successor is probably free, too."""
-    return free_port() - 1
