--- a/tests/soak.py
+++ b/tests/soak.py
@@ -198,6 +198,10 @@
                 grace_s=GRACE_SECONDS,
             )
             self.gateways.append(gateway)
+        for gateway in self.gateways:
+            gateway.settings['seeds'] = [
+                f'{each.address}:{peer_port}' for each in self.gateways
+            ]
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
         await asyncio.sleep(1)
 
@@ -280,6 +284,7 @@
         while time.monotonic() < self.end_at:
             await asyncio.sleep(self.generator.uniform(1, 3))
             self.store.delay = self.generator.choice((0, 0, 0.3, 1.5))
+        self.store.delay = 0
 
     async def _reload_and_reconfigure(self) -> None:
         while time.monotonic() < self.end_at:
