Read on after a refusal for as long as the caller sends

Cause: after a refusal the rest of the body was read for 1 s. On a busy host 4 MiB take longer; closing with unread data resets the connection, and the refusal, with its promise that the request has not run, is lost.

Change: it is read while it arrives without a pause of 1 s, up to 5 s and the size of the largest body. The new test in test_listeners.py failed before. The other checks are as before.

--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -179,11 +179,13 @@
         while not self.ended and self.transport.get_write_buffer_size():
             await asyncio.sleep(_FLUSH_POLL_SECONDS)
 
-    async def linger(self, seconds: float, max_bytes: int) -> None:
+    async def linger(
+        self, idle_seconds: float, seconds: float, max_bytes: int
+    ) -> None:
         """Close the sending side; discard what the peer still sends.
 
-        Ends when the peer closes its side, after ``seconds`` or after
-        ``max_bytes``.
+        Ends when the peer closes its side or sends nothing for
+        ``idle_seconds``, after ``seconds`` or after ``max_bytes``.
 
         Raises:
             ConnectionError: the connection was lost with an error.
@@ -195,7 +197,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 while not self.ended and size <= max_bytes:
-                    size += len(await self.read())
+                    async with asyncio.timeout(idle_seconds):
+                        size += len(await self.read())
 
     def close(self) -> None:
         """Close the connection after the send buffer has been sent."""
--- a/primroseyoke/gateway/listeners.py
+++ b/primroseyoke/gateway/listeners.py
@@ -23,10 +23,11 @@
 
 log = logging.getLogger(__name__)
 
-# After an error response, the rest of the request is read for this long and up
-# to this size, or that of the largest body: closing with unread data could
-# destroy the response.
-_LINGER_SECONDS = 1.0
+# After an error response, the rest of the request is read for this long, while
+# it arrives without such a pause, and up to this size, or that of the largest
+# body: closing with unread data could destroy the response.
+_LINGER_SECONDS = 5.0
+_LINGER_IDLE_SECONDS = 1.0
 _LINGER_BYTES = 2**20
 # Largest amount of a response that is kept for a slow caller.
 _MAX_WRITE_BUFFER_BYTES = 4 * 2**20
@@ -277,7 +278,9 @@
             failure.retry_after,
         )
         await connection.linger(
-            _LINGER_SECONDS, max(_LINGER_BYTES, self.limits().body_bytes)
+            _LINGER_IDLE_SECONDS,
+            _LINGER_SECONDS,
+            max(_LINGER_BYTES, self.limits().body_bytes),
         )
         return None
 
--- a/tests/gateway/test_listeners.py
+++ b/tests/gateway/test_listeners.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 
-from primroseyoke.gateway.listeners import ResponseWriter
+from primroseyoke.gateway.configuration import CallerLimits
+from primroseyoke.gateway.listeners import HttpListener, ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
+from primroseyoke.platform.headers import HeaderCodec
 from tests.gateway.deployment import wait_until
 from tests.standins.platform import StandInUpstream
 
@@ -61,3 +63,39 @@
         upstream.stop()
 
     asyncio.run(scenario())
+
+
+def test_a_refusal_reaches_a_caller_that_is_still_sending() -> None:
+    """Guards against a refusal that a reset destroys.
+
+    Its caller sends the whole body before it reads; on a busy host that takes
+    seconds.
+    """
+
+    async def unused(request: CallerRequest, response: ResponseWriter) -> None:
+        response.respond(200, (), b'')
+
+    async def scenario() -> None:
+        listener = HttpListener(
+            HeaderCodec(), unused, CallerLimits, memory_bytes=4 * 2**20
+        )
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            listener.create_protocol, '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4194304\r\n\r\n'
+        )
+        for _ in range(64):
+            writer.write(b'x' * 65536)
+            await writer.drain()
+            await asyncio.sleep(0.03)
+        response = await asyncio.wait_for(reader.read(), 2)
+        assert response.startswith(b'HTTP/1.1 503')
+        assert b'not_run' in response
+        writer.close()
+        server.close()
+
+    asyncio.run(scenario())
