Keep the blame of an attempt when the next one fails, too

Found on reading: two attempts may fail one after the other now before the request is sent again. The second one's failure, without blame, took back the first one's, and a request that had crashed an upstream could reach a third. The test failed before.

--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -174,7 +174,8 @@
                 )
             if ended_by_upstream and isinstance(error, RequestFailed):
                 detector = self.proxy.crash_detector
-                self.blamed = await detector.record_break(attempt.candidate)
+                if await detector.record_break(attempt.candidate):
+                    self.blamed = True
         finally:
             self._end(attempt)
 
--- a/tests/gateway/test_stream_progress.py
+++ b/tests/gateway/test_stream_progress.py
@@ -354,3 +354,44 @@
             assert calls == ['start', 'end', 'start', 'end']
 
     asyncio.run(scenario())
+
+
+def test_blame_of_one_attempt_outlasts_the_failure_of_the_next() -> None:
+    """Guards against a request that crashes a third upstream.
+
+    The first one crashed while it was silent, and the second one broke off.
+    """
+
+    async def scenario() -> None:
+        async def break_late(upstream, request, response) -> None:
+            await asyncio.sleep(1.6)
+            response.abort()
+
+        async def break_later(upstream, request, response) -> None:
+            await asyncio.sleep(0.6)
+            response.abort()
+
+        handlers = (break_late, break_later, stream)
+        async with deployment(model=handlers) as system:
+            changed = configuration(2)
+            for each in changed['routes']:
+                each['attempts'] = 3
+            system.store.put('keyed.op', 'config', changed)
+            state = system.gateway.routing_state
+            await wait_until(lambda: state.configuration.version == 2)
+            in_flight = system.gateway.balancer.in_flight
+            for name, count in (('model-1', 1), ('model-2', 2)):
+                for _ in range(count):
+                    in_flight.record_start(name)
+            verdicts = [True, False]
+
+            async def record_break(candidate) -> bool:
+                return verdicts.pop(0)
+
+            system.gateway.proxy.crash_detector.record_break = record_break
+            received = await system.call('/draft/', 'POST', timeout_ms=4000)
+            assert not verdicts
+            assert received.status == 502
+            assert not system.upstreams['model-2'].received_requests
+
+    asyncio.run(scenario())
