Send no SIGHUP to a gateway of the soak that is just starting

Cause: the soak sent SIGHUP to a process that had no handler yet, which ends it. Shown by a gateway that gets SIGHUP 50 ms after its start: return code -1 and an empty log. On the platform, such a process is started again.

Change: SIGHUP goes to gateways that were ready since their start, also while they stop. The checks are as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -293,7 +293,8 @@
                 self._publish()
                 continue
             gateway = self.generator.choice(self.gateways)
-            if gateway.running:
+            # SIGHUP ends a program that is just starting.
+            if gateway.running and gateway.handles_signals:
                 gateway.send_signal(signal.SIGHUP)
 
     async def _stop_gateways(self) -> None:
--- a/tests/standins/gateway_process.py
+++ b/tests/standins/gateway_process.py
@@ -40,6 +40,7 @@
         self.settings_path = folder / f'gateway-{number}.yaml'
         self.process: subprocess.Popen[bytes] | None = None
         self.stopping = False
+        self.handles_signals = False
         self.settings = {
             'node': f'edge-{number}',
             'ip': self.address,
@@ -58,6 +59,7 @@
 
     async def start(self) -> None:
         """Start the program and wait until it is ready."""
+        self.handles_signals = False
         self.settings_path.write_text(json.dumps(self.settings))
         environment = {
             **os.environ,
@@ -75,6 +77,7 @@
         while not await self.is_ready():
             assert time.monotonic() < deadline, self.log_path.read_text()
             await asyncio.sleep(0.05)
+        self.handles_signals = True
 
     @property
     def running(self) -> bool:
