--- a/tests/soak.py
+++ b/tests/soak.py
@@ -151,6 +151,7 @@
         ]
         self.gateways: list[GatewayProcess] = []
         self.stops: list[tuple[GatewayProcess, float]] = []
+        self.restarts: list[asyncio.Task[None]] = []
         self.calls: list[Call] = []
         self.end_at = 0.0
         self.version = 1
@@ -172,8 +173,9 @@
         try:
             await asyncio.gather(*tasks)
         finally:
-            for task in tasks:
+            for task in (*tasks, *self.restarts):
                 task.cancel()
+            await asyncio.gather(*tasks, *self.restarts, return_exceptions=True)
             for gateway in self.gateways:
                 gateway.kill()
             for server in (self.store, *self.upstreams):
@@ -300,7 +302,6 @@
     async def _stop_gateways(self) -> None:
         """Stop the gateways in series; some stops overlap."""
         await asyncio.sleep(1.5)
-        restarts = []
         while time.monotonic() < self.end_at - GRACE_SECONDS:
             serving = [each for each in self.gateways if not each.stopping]
             if not serving:
@@ -309,12 +310,12 @@
                 continue
             gateway = self.generator.choice(serving)
             restart = asyncio.ensure_future(self._restart(gateway))
-            restarts.append(restart)
+            self.restarts.append(restart)
             if self.generator.random() < 0.3:
                 await asyncio.sleep(self.generator.uniform(0.2, 2))
             else:
                 await restart
-        await asyncio.gather(*restarts)
+        await asyncio.gather(*self.restarts)
 
     async def _restart(self, gateway: GatewayProcess) -> None:
         gateway.stopping = True
