Add fields for the duty lease and for waiting work to peer reports

Callers see no difference yet: nothing fills the fields. They are added at once, at the end of the report, so that the parts that use them can be built side by side and hosts of either version understand each other.

--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -47,6 +47,12 @@
     heartbeats have it. ``sequence`` is the boot time of the host in milliseconds
     when it was sent. The receiver passes the report on if ``pass_on`` is set.
     ``limits`` has what upstreams recently stated; only heartbeats have it.
+    ``lease`` is the fencing number of the duty lease that the sender holds, 0
+    if none. ``waiting`` has the number of on-time requests that wait at the
+    sender, by service and priority. ``clients`` has the client accounts with
+    the most work at the sender lately, and how much each has. ``work`` has the
+    work left of its requests in progress by upstream, in milliseconds at
+    reference speed.
     """
 
     host: str
@@ -58,6 +64,10 @@
     sequence: int = 0
     pass_on: bool = False
     limits: tuple[ToldLimit, ...] = ()
+    lease: _Count = 0
+    waiting: Mapping[str, Mapping[int, _Count]] = {}
+    clients: Mapping[str, _Count] = {}
+    work: Mapping[str, _Count] = {}
 
 
 class RelayedReport(msgspec.Struct, array_like=True, frozen=True):
