Move the order of waiting requests to primroseyoke.scheduling

Nothing changes for callers or operators.

Cause: the rule for the next slot was part of the asyncio queue, and SlotAcquisition took the whole Proxy, which imports it in turn through request_forwarding; the cycle was hidden behind TYPE_CHECKING.

Change: Urgency, QueuePosition and the comparison are in scheduling/admission.py, which imports nothing of the gateway. Requests share a ForwardingContext in place of the Proxy. SlotAcquisition gets a SlotSource (queue, balancer, estimate, two checks); SuspectRefusal refuses suspects.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -16,6 +16,7 @@
     Mapping,
 )
 
+from ..scheduling.admission import Urgency
 from ..shared_rates import SharedRate
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
@@ -25,7 +26,6 @@
 from .rank_groups import RankGroupMonitor
 from .upstream_limits import UpstreamLimits
 from .upstreams import Upstream, UpstreamRegistry
-from .wait_queue import Urgency
 
 __all__ = ('Balancer', 'Reservation', 'SelectionCriteria')
 
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -9,21 +9,16 @@
 from .authorization import Authorizer
 from .balancer import Balancer
 from .connection_pool import ConnectionPool
-from .crash_detection import CrashDetector
-from .estimates import Estimate
+from .forwarding_context import ForwardingContext
 from .listeners import ResponseWriter
-from .metrics import Metrics
 from .request_forwarding import RequestForwarder
 from .requests import CallerRequest
 from .retry_budget import RetryBudget
-from .wait_queue import WaitQueue
 
 __all__ = ('Proxy',)
 
 log = logging.getLogger(__name__)
 
-# Assumed time to the first event until a service has measurements.
-_INITIAL_FIRST_EVENT_SECONDS = 0.2
 # Hosts retry within this interval at random times after capacity was freed, so
 # that they do not all take the same slot. A load report takes up to 2 ms.
 _WAKE_JITTER_SECONDS = 0.03
@@ -40,16 +35,13 @@
         retry_budget: RetryBudget,
     ) -> None:
         """Forward requests through ``pool`` to the choices of ``balancer``."""
-        self.crash_detector = CrashDetector(
-            balancer.registry, balancer.generator
+        self.context = ForwardingContext(
+            authorizer, balancer, pool, retry_budget
         )
+        self.crash_detector = self.context.crash_detector
+        self.metrics = self.context.metrics
         self.authorizer = authorizer
         self.balancer = balancer
-        self.pool = pool
-        self.retry_budget = retry_budget
-        self.metrics = Metrics()
-        self.queues: dict[str, WaitQueue] = {}
-        self.first_event_estimates: dict[str, Estimate] = {}
         self.timers: set[asyncio.Timeout] = set()
         self.exit_at = math.inf
 
@@ -64,7 +56,7 @@
             _send_error(response, error)
             _log_request_end(request, None, response, str(error), started)
             return
-        forwarder = RequestForwarder(self, authorized, response)
+        forwarder = RequestForwarder(self.context, authorized, response)
         detail = 'the caller disconnected'
         try:
             detail = await self._run(forwarder, response)
@@ -88,10 +80,6 @@
             if not timer.expired():
                 timer.reschedule(min(timer.when() or exit_at, exit_at))
 
-    def queue(self, service: str) -> WaitQueue:
-        """Return the queue of requests that wait for a service."""
-        return self.queues.setdefault(service, WaitQueue())
-
     def wake_waiting(self) -> None:
         """Retry queued requests after another gateway reported its load.
 
@@ -99,16 +87,11 @@
         a random delay, so that the first one can report the slot as taken
         before the others try.
         """
-        for queue in self.queues.values():
-            delay = self.balancer.generator.random() * _WAKE_JITTER_SECONDS
+        generator = self.balancer.generator
+        for queue in self.context.queues.values():
+            delay = generator.random() * _WAKE_JITTER_SECONDS
             queue.wake_next_within(delay)
 
-    def first_event_estimate(self, service: str) -> Estimate:
-        """Return the estimated time to the first event of a service."""
-        return self.first_event_estimates.setdefault(
-            service, Estimate(_INITIAL_FIRST_EVENT_SECONDS)
-        )
-
     async def _run(
         self, forwarder: RequestForwarder, response: ResponseWriter
     ) -> str:
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -4,14 +4,16 @@
 import contextlib
 import logging
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ..exceptions import RequestFailed, UpstreamSilent, UpstreamWithdrawn
 from ..verdicts import Verdict
 from .attempt_history import AttemptHistory
 from .attempt_race import AttemptRace
 from .attempts import Attempt, Progress
+from .authorization import AuthorizedRequest
 from .balancer import Reservation
+from .forwarding_context import ForwardingContext
 from .listeners import ResponseWriter
 from .response_forwarding import (
     BAD_GATEWAY,
@@ -22,11 +24,8 @@
     ResponseForwarder,
 )
 from .silence import silence_limit
-from .slot_acquisition import SlotAcquisition
-
-if TYPE_CHECKING:
-    from .authorization import AuthorizedRequest
-    from .proxy import Proxy
+from .slot_acquisition import SlotAcquisition, SlotSource
+from .suspect_refusal import SuspectRefusal
 
 __all__ = ('RequestForwarder',)
 
@@ -48,21 +47,37 @@
 
     def __init__(
         self,
-        proxy: 'Proxy',
-        authorized: 'AuthorizedRequest',
+        context: ForwardingContext,
+        authorized: AuthorizedRequest,
         response: ResponseWriter,
     ) -> None:
         """Prepare to forward the request of ``authorized``."""
-        self.proxy = proxy
+        self.context = context
         self.authorized = authorized
         self.history = AttemptHistory(authorized.request)
         self.race = AttemptRace(self.history.log_failure)
         self.progress = Progress(authorized.request.last_event_id)
         self.response_forwarder = ResponseForwarder(
-            proxy, authorized, response, self.progress, self.race.end_others
+            context, authorized, response, self.progress, self.race.end_others
+        )
+        suspects = SuspectRefusal(
+            context.crash_detector,
+            context.metrics,
+            authorized,
+            self.history,
+            self.response_forwarder,
         )
         self.slots = SlotAcquisition(
-            proxy, authorized, self.history, self.response_forwarder
+            SlotSource(
+                context.queue(authorized.service),
+                context.balancer,
+                context.first_event_estimate(authorized.service),
+                suspects.check,
+                context.authorizer.check_time_left,
+            ),
+            authorized,
+            self.history,
+            self.progress,
         )
 
     async def run(self) -> None:
@@ -72,7 +87,7 @@
             RequestFailed: no upstream response can be forwarded.
             ConnectionError: the caller closed the connection.
         """
-        self.proxy.retry_budget.record_request(
+        self.context.retry_budget.record_request(
             self.authorized.service, time.monotonic()
         )
         try:
@@ -213,7 +228,7 @@
 
     def _log_limited_send(self, reservation: Reservation) -> None:
         service = self.authorized.service
-        self.proxy.metrics.limited_sends.labels(service).inc()
+        self.context.metrics.limited_sends.labels(service).inc()
         log.info(
             'request sent to an upstream with a shared rate',
             extra={
@@ -225,7 +240,7 @@
         )
 
     def _count_attempt(self, outcome: str) -> None:
-        attempts_metric = self.proxy.metrics.upstream_attempts
+        attempts_metric = self.context.metrics.upstream_attempts
         attempts_metric.labels(self.authorized.service, outcome).inc()
 
     def _is_last_attempt(self, attempt: Attempt) -> bool:
@@ -274,7 +289,7 @@
             or authorized.deadline - now <= MIN_REMAINING_SECONDS
         ):
             return False
-        return self.proxy.retry_budget.try_spend(authorized.service, now)
+        return self.context.retry_budget.try_spend(authorized.service, now)
 
 
 def _to_milliseconds(seconds: float | None) -> float | None:
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ..exceptions import (
     ConnectionBroken,
@@ -15,19 +14,17 @@
 )
 from ..verdicts import Verdict
 from .attempts import Attempt, Progress
+from .authorization import AuthorizedRequest
 from .balancer import Reservation
 from .configuration import Execution
 from .connection_pool import UpstreamConnection
 from .events import Event, EventSplitter
+from .forwarding_context import ForwardingContext
 from .listeners import ResponseWriter
 from .requests import ForwardingInfo, ResponseHead
 from .silence import silence_limit
 from .upstreams import Upstream
 
-if TYPE_CHECKING:
-    from .authorization import AuthorizedRequest
-    from .proxy import Proxy
-
 __all__ = (
     'RETRY_AFTER_BUSY_SECONDS',
     'ResponseForwarder',
@@ -66,14 +63,14 @@
 
     def __init__(
         self,
-        proxy: 'Proxy',
-        authorized: 'AuthorizedRequest',
+        context: ForwardingContext,
+        authorized: AuthorizedRequest,
         response: ResponseWriter,
         progress: Progress,
         on_progress: Callable[[], None],
     ) -> None:
         """Write responses to the request of ``authorized`` to ``response``."""
-        self.proxy = proxy
+        self.context = context
         self.authorized = authorized
         self.response = response
         self.progress = progress
@@ -94,23 +91,23 @@
         upstream = reservation.upstream
         sent_at = time.monotonic()
         try:
-            connection = await self.proxy.pool.send_request(
+            connection = await self.context.pool.send_request(
                 upstream,
                 self.authorized.request,
                 self._forwarding_info(upstream.name),
                 self.authorized.route.retryable,
-                self.proxy.balancer.is_withdrawn,
+                self.context.balancer.is_withdrawn,
             )
         except BaseException as error:
             self._release(reservation)
             if isinstance(error, RequestFailed) and not isinstance(
                 error, UpstreamWithdrawn
             ):
-                self.proxy.balancer.health.record_unreachable(
+                self.context.balancer.health.record_unreachable(
                     upstream, time.monotonic()
                 )
             raise
-        candidate = self.proxy.crash_detector.start(
+        candidate = self.context.crash_detector.start(
             upstream,
             self.authorized.request,
             self.authorized.service,
@@ -144,13 +141,13 @@
             self._untrack(attempt)
             raise
         except RequestRejected:
-            self.proxy.pool.release(attempt.connection)
+            self.context.pool.release(attempt.connection)
             self._end(attempt)
             raise
         except BaseException as error:
             await self._close_broken(attempt, error)
             raise
-        self.proxy.pool.release(attempt.connection)
+        self.context.pool.release(attempt.connection)
         self._end(attempt)
 
     def close(self) -> None:
@@ -169,11 +166,11 @@
         name = attempt.upstream.name
         try:
             if isinstance(error, ConnectionBroken) and not connection.reused:
-                self.proxy.balancer.health.record_failure(
+                self.context.balancer.health.record_failure(
                     name, time.monotonic()
                 )
             if ended_by_upstream and isinstance(error, RequestFailed):
-                detector = self.proxy.crash_detector
+                detector = self.context.crash_detector
                 if await detector.record_break(attempt.candidate):
                     self.blamed = True
         finally:
@@ -182,24 +179,26 @@
     def _track(self, attempt: Attempt) -> None:
         if not attempt.tracked:
             attempt.tracked = True
-            self.proxy.balancer.groups.record_stream_start(
+            self.context.balancer.groups.record_stream_start(
                 attempt.upstream.name, time.monotonic()
             )
 
     def _untrack(self, attempt: Attempt) -> None:
         if attempt.tracked:
             attempt.tracked = False
-            self.proxy.balancer.groups.record_stream_end(attempt.upstream.name)
+            self.context.balancer.groups.record_stream_end(
+                attempt.upstream.name
+            )
 
     def _end(self, attempt: Attempt) -> None:
         self._untrack(attempt)
         self.attempts.remove(attempt)
-        self.proxy.crash_detector.end(attempt.candidate)
+        self.context.crash_detector.end(attempt.candidate)
         self._release(attempt.reservation)
 
     def _release(self, reservation: Reservation) -> None:
-        self.proxy.balancer.release(reservation)
-        self.proxy.queue(self.authorized.service).wake_next()
+        self.context.balancer.release(reservation)
+        self.context.queue(self.authorized.service).wake_next()
 
     def _forwarding_info(self, name: str) -> ForwardingInfo:
         client = self.authorized.client
@@ -225,7 +224,7 @@
                     await self._forward_body(attempt, head, last_attempt)
         except TimeoutError as error:
             if not attempt.connection.reused:
-                self.proxy.balancer.health.record_failure(
+                self.context.balancer.health.record_failure(
                     name, time.monotonic()
                 )
             raise UpstreamSilent(
@@ -233,12 +232,12 @@
                 Verdict.MAY_HAVE_RUN,
                 GATEWAY_TIMEOUT,
             ) from error
-        self.proxy.balancer.health.record_success(name)
-        self.proxy.crash_detector.record_sound(attempt.candidate)
+        self.context.balancer.health.record_success(name)
+        self.context.crash_detector.record_sound(attempt.candidate)
 
     async def _receive_head(self, attempt: Attempt) -> ResponseHead:
         head = await attempt.connection.receive_head(
-            self.proxy.pool.codec,
+            self.context.pool.codec,
             self.authorized.request.request_id,
         )
         attempt.head = head
@@ -248,10 +247,10 @@
     def _record_statements(
         self, upstream: Upstream, head: ResponseHead
     ) -> None:
-        notices = self.proxy.balancer.limits.notices
+        notices = self.context.balancer.limits.notices
         notices.record_response(upstream, head, time.monotonic())
         if head.pause:
-            pauses = self.proxy.metrics.wanted_pauses
+            pauses = self.context.metrics.wanted_pauses
             pauses.labels(self.authorized.service).inc()
 
     async def _forward_stream(
@@ -266,7 +265,9 @@
             )
         if attempt.splitter is None:
             self._track(attempt)
-            attempt.splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
+            attempt.splitter = EventSplitter(
+                self.context.pool.limits.event_bytes
+            )
         try:
             async for content in connection.body():
                 events = attempt.splitter.feed(content)
@@ -300,7 +301,7 @@
                 self._start_stream(attempt, head)
             await self.response.send(event.content)
             attempt.event_count += 1
-            self.proxy.crash_detector.record_event(
+            self.context.crash_detector.record_event(
                 attempt.candidate, attempt.event_count
             )
             if event.event_id:
@@ -312,7 +313,7 @@
     def _start_stream(self, attempt: Attempt, head: ResponseHead) -> None:
         now = time.monotonic()
         self.progress.first_event_at = now
-        estimate = self.proxy.first_event_estimate(self.authorized.service)
+        estimate = self.context.first_event_estimate(self.authorized.service)
         estimate.observe(now - attempt.sent_at)
         self.stream_type = head.content_type
         self.response.start(head.status, head.stream_headers)
@@ -320,7 +321,7 @@
     def _record_content(self, upstream: Upstream, now: float) -> None:
         progress = self.progress
         gap = now - progress.last_event_at if progress.last_event_at else 0
-        self.proxy.balancer.record_event(
+        self.context.balancer.record_event(
             upstream, self.authorized.engine, gap, now
         )
         progress.longest_gap = max(progress.longest_gap, gap)
@@ -378,7 +379,7 @@
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> RequestFailed:
         name = connection.upstream.name
-        balancer = self.proxy.balancer
+        balancer = self.context.balancer
         if head.failed_upstream and head.failed_upstream != name:
             balancer.groups.record_rejection(name, time.monotonic())
         else:
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -1,27 +1,27 @@
 """Waits for a slot at an upstream on behalf of one request."""
 
+import dataclasses
 import math
 import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from ..exceptions import RequestFailed
+from ..scheduling.admission import QueuePosition, Urgency
 from ..verdicts import Verdict
 from .attempt_history import AttemptHistory
-from .balancer import Reservation, SelectionCriteria
+from .attempts import Progress
+from .authorization import AuthorizedRequest
+from .balancer import Balancer, Reservation, SelectionCriteria
 from .configuration import Service
+from .estimates import Estimate
 from .response_forwarding import (
     BAD_GATEWAY,
     RETRY_AFTER_BUSY_SECONDS,
     UNAVAILABLE,
-    ResponseForwarder,
 )
-from .wait_queue import QueuePosition, Urgency
+from .wait_queue import WaitQueue
 
-if TYPE_CHECKING:
-    from .authorization import AuthorizedRequest
-    from .proxy import Proxy
-
-__all__ = ('SlotAcquisition',)
+__all__ = ('SlotAcquisition', 'SlotSource')
 
 # Maximum queueing time of a first submission. It slightly exceeds the time in
 # which the response can still meet its objective.
@@ -41,6 +41,23 @@
 _RETRY_AFTER_SHARE = 0.33
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotSource:
+    """Where the slots of one request come from.
+
+    ``first_event`` estimates the time from sending a request to its first
+    event, in seconds. ``check_suspect`` and ``check_time_left`` raise
+    ``RequestFailed`` if the request must not be sent; the latter takes the
+    deadline of the request and the time, both in monotonic seconds.
+    """
+
+    queue: WaitQueue
+    balancer: Balancer
+    first_event: Estimate
+    check_suspect: Callable[[], None]
+    check_time_left: Callable[[float, float], None]
+
+
 class SlotAcquisition:
     """Acquires the slots of one request, one for each attempt.
 
@@ -50,16 +67,16 @@
 
     def __init__(
         self,
-        proxy: 'Proxy',
-        authorized: 'AuthorizedRequest',
+        source: SlotSource,
+        authorized: AuthorizedRequest,
         history: AttemptHistory,
-        response_forwarder: ResponseForwarder,
+        progress: Progress,
     ) -> None:
         """Acquire slots for the request of ``authorized``."""
-        self.proxy = proxy
+        self.source = source
         self.authorized = authorized
         self.history = history
-        self.response_forwarder = response_forwarder
+        self.progress = progress
         self.waited_seconds = 0.0
 
     async def acquire(self) -> Reservation:
@@ -70,7 +87,7 @@
         """
         authorized = self.authorized
         started = time.monotonic()
-        queue = self.proxy.queue(authorized.service)
+        queue = self.source.queue
         wait_limit = _INITIAL_WAIT_LIMIT_SECONDS
         if authorized.first_attempt_at < authorized.request.arrived_at:
             wait_limit = _RESUBMITTED_WAIT_LIMIT_SECONDS
@@ -96,32 +113,6 @@
             queue.wake_next()
         return reservation
 
-    def _refuse_suspect(self) -> None:
-        """Refuse a request that is blamed for crashes of upstreams.
-
-        Raises:
-            RequestFailed: it is not sent to an upstream, or to no other one.
-        """
-        if self.response_forwarder.blamed:
-            raise RequestFailed(
-                'the request may have crashed an upstream',
-                Verdict.MAY_HAVE_RUN,
-                BAD_GATEWAY,
-            )
-        authorized = self.authorized
-        delay = self.proxy.crash_detector.refusal_delay(
-            authorized.request,
-            authorized.service,
-            authorized.client.name if authorized.client else '',
-        )
-        if delay is None:
-            return
-        self.proxy.metrics.refused_suspects.labels(authorized.service).inc()
-        reason = 'requests like this one have crashed upstreams'
-        if self.history.may_have_run:
-            raise RequestFailed(reason, Verdict.MAY_HAVE_RUN, BAD_GATEWAY)
-        raise RequestFailed(reason, Verdict.NOT_RUN, UNAVAILABLE, delay)
-
     def _should_not_wait(self, now: float, wait_until: float) -> bool:
         """Return whether no upstream will be free in time.
 
@@ -131,12 +122,12 @@
         if self.history.may_have_run:
             return False
         return (
-            self.proxy.balancer.is_unavailable(self.authorized.service, now)
+            self.source.balancer.is_unavailable(self.authorized.service, now)
             or now + self._delay(now) > wait_until
         )
 
     def _delay(self, now: float) -> float:
-        return self.proxy.balancer.delay(
+        return self.source.balancer.delay(
             self._service(), self.authorized.regions, now
         )
 
@@ -148,11 +139,9 @@
     def _queue_position(self, now: float) -> QueuePosition:
         authorized = self.authorized
         late_at = authorized.first_attempt_at + authorized.route.objective
-        late_at -= self.proxy.first_event_estimate(
-            authorized.service
-        ).upper_bound
+        late_at -= self.source.first_event.upper_bound
         urgency = Urgency.ON_TIME
-        if self.response_forwarder.progress.first_event_at:
+        if self.progress.first_event_at:
             urgency = Urgency.RESUMED
         elif now > late_at:
             urgency = Urgency.LATE
@@ -161,14 +150,14 @@
         )
 
     def _try_acquire(self, now: float) -> Reservation | None:
-        self._refuse_suspect()
+        self.source.check_suspect()
         authorized = self.authorized
         if not self.history.may_have_run:
-            self.proxy.authorizer.check_time_left(authorized.deadline, now)
+            self.source.check_time_left(authorized.deadline, now)
         position = self._queue_position(now)
-        if not self.proxy.queue(authorized.service).is_next(position):
+        if not self.source.queue.is_next(position):
             return None
-        return self.proxy.balancer.acquire(
+        return self.source.balancer.acquire(
             authorized.configuration,
             authorized.service,
             now,
@@ -181,7 +170,7 @@
         )
 
     def _no_capacity(self) -> RequestFailed:
-        cause = self.proxy.balancer.explain_no_capacity(
+        cause = self.source.balancer.explain_no_capacity(
             self._service(), time.monotonic()
         )
         if self.history.may_have_run:
@@ -206,7 +195,7 @@
         """
         now = time.monotonic()
         max_delay = (self.authorized.deadline - now) * _RETRY_AFTER_SHARE
-        if self.proxy.balancer.is_unavailable(self.authorized.service, now):
+        if self.source.balancer.is_unavailable(self.authorized.service, now):
             return max_delay
         delay = self._delay(now)
         if math.isinf(delay):
--- a/primroseyoke/gateway/wait_queue.py
+++ b/primroseyoke/gateway/wait_queue.py
@@ -3,48 +3,10 @@
 import asyncio
 import bisect
 import dataclasses
-import enum
 
-__all__ = ('QueuePosition', 'Urgency', 'WaitQueue')
+from ..scheduling.admission import QueuePosition, precedes_all
 
-
-class Urgency(enum.IntEnum):
-    """How much a waiting request gains from a slot, most first."""
-
-    #: The response can still be on time.
-    ON_TIME = 0
-    #: The caller has part of the response and will soon give up.
-    RESUMED = 1
-    #: The response will be late.
-    LATE = 2
-
-
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class QueuePosition:
-    """Sort key of a waiting request; the lowest is served first.
-
-    Requests are sorted by urgency, then by priority. On-time requests are
-    served last in, first out: under overload, a first-in, first-out queue would
-    answer each of them just too late. All others are served first in, first
-    out; their callers may be retrying after a rejection.
-    """
-
-    urgency: Urgency
-    priority: int
-    #: Time of the first attempt in monotonic seconds, negated for LIFO order.
-    order: float
-
-    @classmethod
-    def of(
-        cls, urgency: Urgency, priority: int, first_attempt_at: float
-    ) -> 'QueuePosition':
-        """Return the position of a request first made at a monotonic time."""
-        newest_first = urgency is Urgency.ON_TIME
-        return cls(
-            urgency,
-            priority,
-            -first_attempt_at if newest_first else first_attempt_at,
-        )
+__all__ = ('WaitQueue',)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -65,7 +27,8 @@
 
     def is_next(self, position: QueuePosition) -> bool:
         """Tell whether ``position`` precedes all waiting requests."""
-        return not self.waiters or position < self.waiters[0].position
+        first = self.waiters[0].position if self.waiters else None
+        return precedes_all(position, first)
 
     def wake_next(self) -> None:
         """Wake the first waiting request to try to reserve a slot."""
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -13,7 +13,7 @@
 )
 from primroseyoke.gateway.requests import Load
 from primroseyoke.gateway.upstreams import UpstreamRegistry
-from primroseyoke.gateway.wait_queue import Urgency
+from primroseyoke.scheduling.admission import Urgency
 from tests.gateway.test_upstreams import make_upstream
 from tests.standins.simulated_engines import ENGINE
 
--- a/tests/gateway/test_wait_queue.py
+++ b/tests/gateway/test_wait_queue.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from primroseyoke.gateway.wait_queue import QueuePosition, Urgency, WaitQueue
+from primroseyoke.gateway.wait_queue import WaitQueue
+from primroseyoke.scheduling.admission import QueuePosition, Urgency
 from tests.event_loop import run
 
 
