--- a/primroseyoke/gateway/configuration.py
+++ b/primroseyoke/gateway/configuration.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 __all__ = (
+    'Autoscale',
     'CallerLimits',
     'Configuration',
     'Client',
@@ -102,18 +103,38 @@
         return self.layers > 0 and self.experts > 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Autoscale:
+    """Bounds of the number of upstreams that can be ordered for a service.
+
+    The platform clamps a number ordered for an availability zone to
+    ``min_count`` .. ``max_count``. ``boot_time`` is the time until a new
+    upstream serves, in seconds.
+    """
+
+    min_count: int
+    max_count: int
+    boot_time: float
+
+    def clamp(self, count: int) -> int:
+        """Return the number that an order of ``count`` results in."""
+        return min(max(count, self.min_count), self.max_count)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A set of upstreams.
 
     ``cold_rate`` is the maximum number of requests per second that all hosts
-    together send to an upstream that is still cold.
+    together send to an upstream that is still cold. ``autoscale`` is None if
+    upstreams cannot be ordered.
     """
 
     name: str
     max_connections: int
     cold_rate: float = 0
     engine: Engine | None = None
+    autoscale: Autoscale | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/platforms.py
+++ b/primroseyoke/gateway/platforms.py
@@ -1,5 +1,6 @@
 """Interface between a gateway and the platform that it runs on."""
 
+import enum
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -10,7 +11,15 @@
 from .settings import GatewaySettings
 from .topic_consumers import TopicConsumer
 
-__all__ = ('Platform',)
+__all__ = ('ApiResult', 'Platform')
+
+
+class ApiResult(enum.Enum):
+    """How the platform's API answered a call."""
+
+    ACCEPTED = 'accepted'
+    BUSY = 'busy'
+    INVALID = 'invalid'
 
 
 class Platform(Protocol):
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -1,6 +1,7 @@
 """Reverse proxy: authorizes, forwards, measures and logs requests."""
 
 import asyncio
+import collections
 import logging
 import math
 import time
@@ -27,10 +28,16 @@
 # Hosts retry within this interval at random times after capacity was freed, so
 # that they do not all take the same slot. A load report takes up to 2 ms.
 _WAKE_JITTER_SECONDS = 0.03
+_UNAVAILABLE = 503
 
 
 class Proxy:
-    """Forwards callers' requests from this gateway to upstreams."""
+    """Forwards callers' requests from this gateway to upstreams.
+
+    Attributes:
+        arrivals: requests since the start, by service.
+        refusals: those of them that were answered 503, by service.
+    """
 
     def __init__(
         self,
@@ -52,6 +59,8 @@
         self.first_event_estimates: dict[str, Estimate] = {}
         self.timers: set[asyncio.Timeout] = set()
         self.exit_at = math.inf
+        self.arrivals: collections.Counter[str] = collections.Counter()
+        self.refusals: collections.Counter[str] = collections.Counter()
 
     async def handle(
         self, request: CallerRequest, response: ResponseWriter
@@ -64,6 +73,7 @@
             _send_error(response, error)
             _log_request_end(request, None, response, str(error), started)
             return
+        self.arrivals[authorized.service] += 1
         forwarder = RequestForwarder(self, authorized, response)
         detail = 'the caller disconnected'
         try:
@@ -148,6 +158,8 @@
         progress = forwarder.progress
         metrics = self.metrics
         metrics.responses.labels(response.status, response.finished).inc()
+        if response.status == _UNAVAILABLE:
+            self.refusals[service] += 1
         metrics.waiting.labels(service).observe(forwarder.slots.waited_seconds)
         if progress.first_event_at:
             first_event_delay = (
--- a/primroseyoke/platform/entries.py
+++ b/primroseyoke/platform/entries.py
@@ -1,5 +1,6 @@
 """Decodes upstream entries and configurations of the platform's store."""
 
+import logging
 import math
 from collections.abc import Iterable
 from typing import Annotated, Any
@@ -8,6 +9,7 @@
 
 from ..exceptions import ConfigurationInvalid
 from ..gateway.configuration import (
+    Autoscale,
     CallerLimits,
     Client,
     Configuration,
@@ -22,6 +24,8 @@
 
 __all__ = ('decode_configuration', 'decode_upstream')
 
+log = logging.getLogger(__name__)
+
 _MS_PER_SECOND = 1000
 _BYTES_PER_MB = 1e6
 _BYTES_PER_MBIT = 1e6 / 8
@@ -106,12 +110,22 @@
     )
 
 
+class _Autoscale(_CamelCaseStruct):
+    # Bounds of the number of upstreams in each availability zone.
+    min: _NonNegativeInt
+    max: _NonNegativeInt
+    # Seconds until a new upstream serves.
+    boot_s: _NonNegativeFloat = 0
+
+
 class _Service(_CamelCaseStruct):
     name: str
     max_conns: _NonNegativeInt = 0
     # Maximum requests per second to an upstream that is warming up.
     cold_per_s: _NonNegativeFloat = 0
     engine: _Engine | None = None
+    # Decoded on its own: requests are served also if it is invalid.
+    autoscale: msgspec.Raw = msgspec.Raw(b'null')
 
 
 class _Client(_CamelCaseStruct):
@@ -138,6 +152,7 @@
 
 _upstream_entry_decoder = msgspec.json.Decoder(_UpstreamEntry)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
+_autoscale_decoder = msgspec.json.Decoder(_Autoscale | None)
 
 
 def decode_upstream(name: str, content: bytes, now: float) -> Upstream:
@@ -236,6 +251,33 @@
         max_connections=service.max_conns,
         cold_rate=service.cold_per_s,
         engine=_to_engine(service.engine) if service.engine else None,
+        autoscale=_to_autoscale(service),
+    )
+
+
+def _to_autoscale(service: _Service) -> Autoscale | None:
+    """Return the bounds of orders; None if there are none or they are invalid.
+
+    Invalid bounds are logged. They do not make the configuration invalid,
+    since hosts route without them.
+    """
+    try:
+        bounds = _autoscale_decoder.decode(service.autoscale)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        _log_invalid_autoscale(service.name, str(error))
+        return None
+    if bounds is None:
+        return None
+    if bounds.min > bounds.max:
+        _log_invalid_autoscale(service.name, 'min exceeds max')
+        return None
+    return Autoscale(bounds.min, bounds.max, bounds.boot_s)
+
+
+def _log_invalid_autoscale(service: str, reason: str) -> None:
+    log.warning(
+        'autoscale of a service invalid; no upstreams are ordered for it',
+        extra={'service': service, 'reason': reason},
     )
 
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -5,7 +5,11 @@
 import pytest
 
 from primroseyoke.exceptions import ConfigurationInvalid
-from primroseyoke.gateway.configuration import Execution
+from primroseyoke.gateway.configuration import (
+    Autoscale,
+    Execution,
+    Service,
+)
 from primroseyoke.platform.entries import decode_configuration, decode_upstream
 from tests.gateway.deployment import configuration, route
 
@@ -141,3 +145,37 @@
 def test_invalid_configuration_is_rejected(content: bytes) -> None:
     with pytest.raises(ConfigurationInvalid):
         decode_configuration(content)
+
+
+def decode_service(**overrides: object) -> Service:
+    service = {'name': 'model', **overrides}
+    content = json.dumps(configuration(services=[service])).encode()
+    return decode_configuration(content).services['model']
+
+
+def test_autoscale_is_decoded() -> None:
+    autoscale = {'min': 26, 'max': 60, 'bootS': 20, 'other': 1}
+    service = decode_service(autoscale=autoscale)
+    assert service.autoscale == Autoscale(26, 60, 20)
+    assert decode_service().autoscale is None
+    assert decode_service(autoscale=None).autoscale is None
+
+
+@pytest.mark.parametrize(
+    'autoscale',
+    [
+        {},
+        True,
+        [26, 60],
+        {'min': 26},
+        {'min': 60, 'max': 26, 'bootS': 20},
+        {'min': -1, 'max': 26, 'bootS': 20},
+        {'min': 1, 'max': 26, 'bootS': 'soon'},
+    ],
+)
+def test_invalid_autoscale_does_not_end_routing(
+    autoscale: object, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a configuration that is refused for its scaling bounds."""
+    assert decode_service(autoscale=autoscale).autoscale is None
+    assert 'autoscale of a service invalid' in caplog.text
