Order waiting requests by priority over all hosts

Callers of urgent kinds saw the smallest share of their requests served in a burst of less urgent ones, which may wait longer.

Cause: priority was applied only inside the queue of one host, while all hosts take slots of the same group.

Change: reports tell how many on-time requests wait for each service, by priority (Report.waiting). A request takes a slot only if more are free than more urgent on-time requests wait at other hosts; reports count for 0.5 s. A priority with less than 0.3 of the share of all over 10 s counts as the most urgent. Late requests that were refused before go before other late ones. A release is reported at once while requests wait elsewhere. All of it is on only for services whose routes or clients have more than one priority.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -10,20 +10,19 @@
 import time
 from collections.abc import (
     Callable,
-    Collection,
     Iterable,
     Iterator,
     Mapping,
 )
 
 from ..scheduling.admission import Urgency
-from ..shared_rates import SharedRate
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
 from .configuration import Configuration, Engine, Service
 from .health import HealthTracker
 from .in_flight import InFlightRequests
 from .rank_groups import RankGroupMonitor
+from .selection import GroupCapacity, Reservation, SelectionCriteria
 from .upstream_limits import UpstreamLimits
 from .upstreams import Upstream, UpstreamRegistry
 
@@ -49,50 +48,6 @@
 _RESERVED_SLOT_SHARE = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SelectionCriteria:
-    """Constraints on the upstream that a request is sent to.
-
-    ``excluded`` names the upstreams that were tried before, ``regions`` the
-    regions that the request is restricted to (empty for any). ``urgency``
-    decides whether reserved slots and slow groups may be used: late requests
-    leave the reserved slots free, and only on-time requests avoid slow groups.
-    ``longest_gap`` is the longest gap between events that still meets the
-    objective, in seconds.
-    """
-
-    excluded: Collection[str] = ()
-    regions: frozenset[str] = frozenset()
-    urgency: Urgency = Urgency.ON_TIME
-    longest_gap: float = math.inf
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reservation:
-    """A slot at an upstream that is held by one request.
-
-    ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
-    the number of hosts that this host shares them with, itself included.
-    """
-
-    upstream: Upstream
-    rates: tuple[SharedRate, ...] = ()
-    host_count: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _GroupCapacity:
-    """Whether a rank group accepts a request, and its time per pass.
-
-    ``slow`` tells that ``pass_time``, in seconds, exceeds the longest gap that
-    the request allows.
-    """
-
-    has_room: bool
-    slow: bool
-    pass_time: float
-
-
 class Balancer:
     """Tracks the load of upstreams and selects the least loaded one.
 
@@ -101,7 +56,8 @@
         limits: shared rates and pauses, from what upstreams state.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
-        on_acquire: called after a slot was reserved.
+        on_acquire: called when other hosts are to be told the load at once:
+            after a slot was reserved, or while requests wait.
     """
 
     def __init__(
@@ -260,6 +216,38 @@
         self.health.retain(names)
         self.limits.retain(names, time.monotonic())
 
+    def free_slots(
+        self,
+        service: Service,
+        now: float,
+        criteria: SelectionCriteria,
+        enough: int,
+    ) -> int:
+        """Return how many slots are free for requests with ``criteria``.
+
+        That is the limit of a rank group minus its requests in progress;
+        upstreams in no group are counted one by one, up to ``enough`` slots.
+        """
+        candidates = self.candidates.find(service.name, criteria.regions)
+        capacities = self._group_capacities(candidates, service, criteria, now)
+        unlimited = capacities.pop('', None)
+        free = sum(
+            max(math.ceil(capacity.room), 0) for capacity in capacities.values()
+        )
+        if unlimited is None:
+            return free
+        group_of = self.groups.group_by_upstream
+        for upstream in candidates.upstreams:
+            if free >= enough:
+                break
+            if group_of.get(upstream.name) is None and self._is_usable(
+                upstream, service, now
+            ):
+                limit = self._slot_limit(upstream, service, criteria)
+                taken = self.in_flight.total(upstream.name)
+                free += max(limit - taken, 0)
+        return free
+
     def _select(
         self,
         service: Service,
@@ -281,7 +269,7 @@
     def _scored(
         self,
         upstreams: Iterable[Upstream],
-        capacities: Mapping[str, _GroupCapacity],
+        capacities: Mapping[str, GroupCapacity],
         service: Service,
         now: float,
         criteria: SelectionCriteria,
@@ -314,7 +302,7 @@
         service: Service,
         criteria: SelectionCriteria,
         now: float,
-    ) -> dict[str, _GroupCapacity]:
+    ) -> dict[str, GroupCapacity]:
         """Return the capacity of each rank group; the key '' is for no group.
 
         Stalled and broken groups are left out. A request that can be on time is
@@ -334,7 +322,7 @@
             capacities = {
                 group: dataclasses.replace(
                     capacity,
-                    has_room=capacity.has_room and not capacity.slow,
+                    room=0 if capacity.slow else capacity.room,
                 )
                 for group, capacity in capacities.items()
             }
@@ -347,12 +335,12 @@
         engine: Engine | None,
         criteria: SelectionCriteria,
         now: float,
-    ) -> _GroupCapacity:
+    ) -> GroupCapacity:
         """Return the capacity of a group with ``ranks`` accepting requests."""
         members = self.groups.ranks_by_group.get(group)
         if engine is None or not members:
-            return _GroupCapacity(
-                has_room=True, slow=False, pass_time=DEFAULT_PASS_SECONDS
+            return GroupCapacity(
+                room=math.inf, slow=False, pass_time=DEFAULT_PASS_SECONDS
             )
         estimator = self.groups.group_estimator(group)
         limit = estimator.max_requests(
@@ -363,14 +351,14 @@
         if criteria.urgency is Urgency.LATE:
             limit *= 1 - _RESERVED_SLOT_SHARE
         pass_time = estimator.pass_time(now)
-        return _GroupCapacity(
-            has_room=self.in_flight.total_of(members) < limit,
+        return GroupCapacity(
+            room=limit - self.in_flight.total_of(members),
             slow=pass_time > criteria.longest_gap,
             pass_time=pass_time,
         )
 
     def _score(
-        self, upstream: Upstream, taken: int, capacity: _GroupCapacity
+        self, upstream: Upstream, taken: int, capacity: GroupCapacity
     ) -> float:
         """Return the score of an upstream; the lowest is selected.
 
--- a/primroseyoke/gateway/configuration.py
+++ b/primroseyoke/gateway/configuration.py
@@ -162,6 +162,25 @@
         """Return the client account with an API key, if any."""
         return self._clients_by_key.get(key)
 
+    def priorities(self, service: str) -> frozenset[int]:
+        """Return the priorities that requests of a service may have."""
+        return self._priorities_by_service.get(service, frozenset())
+
+    @functools.cached_property
+    def _priorities_by_service(self) -> dict[str, frozenset[int]]:
+        of_clients = {client.priority for client in self.clients}
+        services: dict[str, frozenset[int]] = {}
+        for route in self.routes:
+            stated = set() if route.public else of_clients
+            priorities = {
+                route.priority if priority is None else priority
+                for priority in stated or {None}
+            }
+            for target in route.targets:
+                known = services.get(target.service, frozenset())
+                services[target.service] = known | priorities
+        return services
+
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
         hosts: dict[str, list[Route]] = {}
--- a/primroseyoke/gateway/forwarding_context.py
+++ b/primroseyoke/gateway/forwarding_context.py
@@ -1,7 +1,11 @@
 """Parts of a gateway that all its requests share."""
 
+import time
+
+from ..scheduling.admission import ServiceAdmission
+from ..scheduling.backlog import Backlog
 from .authorization import Authorizer
-from .balancer import Balancer
+from .balancer import Balancer, Reservation
 from .connection_pool import ConnectionPool
 from .crash_detection import CrashDetector
 from .estimates import Estimate
@@ -22,6 +26,8 @@
         crash_detector: evidence of requests that crash upstreams.
         metrics: the metrics of this gateway.
         queues: queue of waiting requests by service.
+        admissions: decides who gets the next slot, by service.
+        backlog: requests that wait at other hosts.
         first_event_estimates: time to the first event by service, in seconds.
     """
 
@@ -42,12 +48,43 @@
         )
         self.metrics = Metrics()
         self.queues: dict[str, WaitQueue] = {}
+        self.admissions: dict[str, ServiceAdmission] = {}
+        self.backlog = Backlog()
         self.first_event_estimates: dict[str, Estimate] = {}
 
     def queue(self, service: str) -> WaitQueue:
         """Return the queue of requests that wait for a service."""
         return self.queues.setdefault(service, WaitQueue())
 
+    def admission(self, service: str) -> ServiceAdmission:
+        """Return what decides who gets the next slot of a service."""
+        admission = self.admissions.get(service)
+        if admission is None:
+            admission = ServiceAdmission(
+                service, self.backlog, lambda: self.balancer.on_acquire()
+            )
+            self.admissions[service] = admission
+        return admission
+
+    def release(self, service: str, reservation: Reservation) -> None:
+        """Release a slot, and retry the request that is next.
+
+        Other hosts are told at once if requests wait there: a slot that this
+        host leaves to them is idle until they know.
+        """
+        self.balancer.release(reservation)
+        if self.backlog.by_priority(service, time.monotonic()):
+            self.balancer.on_acquire()
+        self.queue(service).wake_next()
+
+    def waiting(self) -> dict[str, dict[int, int]]:
+        """Return the on-time requests that wait, by service and priority."""
+        return {
+            service: dict(+admission.waiting)
+            for service, admission in self.admissions.items()
+            if admission.enabled and +admission.waiting
+        }
+
     def first_event_estimate(self, service: str) -> Estimate:
         """Return the estimated time to the first event of a service."""
         return self.first_event_estimates.setdefault(
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -116,6 +116,8 @@
         )
         self.peer_reporter.balancer = self.balancer
         self.peer_reporter.on_report = self.proxy.wake_waiting
+        self.peer_reporter.backlog = self.proxy.context.backlog
+        self.peer_reporter.waiting = self.proxy.context.waiting
         self.balancer.on_acquire = self.peer_reporter.report_requested.set
         self.expert_rebalancer = ExpertRebalancer(
             settings.host,
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -10,13 +10,14 @@
 import logging
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
 
 from ..exceptions import MessageInvalid
 from ..evidence import Evidence
+from ..scheduling.backlog import Backlog
 from .balancer import Balancer
 from .clocks import boot_time
 from .membership import PEER_LIFETIME_SECONDS, Membership, Peer
@@ -36,6 +37,8 @@
 
 log = logging.getLogger(__name__)
 
+Waiting = Mapping[str, Mapping[int, int]]
+
 # Minimum interval between reports. A report is sent at once when a request
 # starts, so that other hosts do not reserve the same slot.
 _MIN_REPORT_INTERVAL_SECONDS = 0.01
@@ -60,6 +63,9 @@
     Attributes:
         draining: whether this host is shutting down.
         report_requested: set to send a report without delay.
+        waiting: returns the on-time requests that wait on this host, by
+            service and priority.
+        backlog: requests that wait at other hosts.
     """
 
     def __init__(
@@ -79,7 +85,10 @@
         self.on_evidence: Callable[[Evidence, str], None] = _ignore_evidence
         self.on_peer: Callable[[str], None] = _ignore_peer
         self.transport: Any = None
+        self.waiting: Callable[[], Waiting] = dict
+        self.backlog = Backlog()
         self.last_sent: dict[str, int] = {}
+        self.last_sent_waiting: Waiting = {}
         self.last_heartbeat_at = -math.inf
         self.draining = False
         self.report_requested = asyncio.Event()
@@ -147,7 +156,10 @@
         if now - self.last_heartbeat_at >= _HEARTBEAT_INTERVAL_SECONDS:
             self.last_heartbeat_at = now
             self._send_heartbeat(relay_address, balancer)
-        elif balancer.in_flight.running != self.last_sent:
+        elif (
+            balancer.in_flight.running != self.last_sent
+            or self.waiting() != self.last_sent_waiting
+        ):
             self._send_change(relay_address, balancer)
         self.relay.flush(self.active_by_zone(), self.availability_zone)
 
@@ -225,12 +237,14 @@
 
     def _report(self, balancer: Balancer) -> Report:
         self.last_sent = dict(balancer.in_flight.running)
+        self.last_sent_waiting = self.waiting()
         return Report(
             self.host,
             self.last_sent,
             self.draining,
             availability_zone=self.availability_zone,
             sequence=int(boot_time() * _MS_PER_SECOND),
+            waiting=self.last_sent_waiting,
         )
 
     def _send_message(
@@ -278,6 +292,7 @@
         if report.gone:
             self.peers.pop(address, None)
             balancer.in_flight.drop_report(report.host)
+            self.backlog.drop_report(report.host)
             return
         now = time.monotonic()
         known = self.peers.get(address)
@@ -300,6 +315,7 @@
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
         balancer.in_flight.apply_report(report.host, report.running, now)
+        self.backlog.apply_report(report.host, report.waiting, now - held)
         for told in report.limits:
             balancer.limits.notices.record_told(
                 _limit_statement(told, held, now)
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -70,6 +70,7 @@
         self.slots = SlotAcquisition(
             SlotSource(
                 context.queue(authorized.service),
+                context.admission(authorized.service),
                 context.balancer,
                 context.first_event_estimate(authorized.service),
                 suspects.check,
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -197,8 +197,7 @@
         self._release(attempt.reservation)
 
     def _release(self, reservation: Reservation) -> None:
-        self.context.balancer.release(reservation)
-        self.context.queue(self.authorized.service).wake_next()
+        self.context.release(self.authorized.service, reservation)
 
     def _forwarding_info(self, name: str) -> ForwardingInfo:
         client = self.authorized.client
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..exceptions import RequestFailed
-from ..scheduling.admission import QueuePosition, Urgency
+from ..scheduling.admission import QueuePosition, ServiceAdmission, Urgency
 from ..verdicts import Verdict
 from .attempt_history import AttemptHistory
 from .attempts import Progress
@@ -52,6 +52,7 @@
     """
 
     queue: WaitQueue
+    admission: ServiceAdmission
     balancer: Balancer
     first_event: Estimate
     check_suspect: Callable[[], None]
@@ -87,9 +88,9 @@
         """
         authorized = self.authorized
         started = time.monotonic()
-        queue = self.source.queue
+        self._update_priorities()
         wait_limit = _INITIAL_WAIT_LIMIT_SECONDS
-        if authorized.first_attempt_at < authorized.request.arrived_at:
+        if self._is_retried:
             wait_limit = _RESUBMITTED_WAIT_LIMIT_SECONDS
         wait_until = started + min(
             wait_limit, _WAIT_SHARE * (authorized.deadline - started)
@@ -102,17 +103,46 @@
                     raise self._no_capacity()
                 # Poll, since a queue position changes with time and a load
                 # report of another gateway may be lost.
-                await queue.wait(
-                    self._queue_position(now),
-                    min(wait_until - now, _POLL_INTERVAL_SECONDS),
+                await self._wait(
+                    now, min(wait_until - now, _POLL_INTERVAL_SECONDS)
                 )
                 now = time.monotonic()
                 reservation = self._try_acquire(now)
         finally:
-            self.waited_seconds += time.monotonic() - started
-            queue.wake_next()
+            self._record_end(reservation is not None, started)
         return reservation
 
+    @property
+    def _is_retried(self) -> bool:
+        return self.authorized.first_attempt_at < (
+            self.authorized.request.arrived_at
+        )
+
+    def _record_end(self, granted: bool, started: float) -> None:
+        now = time.monotonic()
+        self.waited_seconds += now - started
+        if not self.history.upstreams:
+            self.source.admission.record_decision(
+                self.authorized.priority, granted, now
+            )
+        self.source.queue.wake_next()
+
+    def _update_priorities(self) -> None:
+        authorized = self.authorized
+        self.source.admission.priorities = authorized.configuration.priorities(
+            authorized.service
+        )
+
+    async def _wait(self, now: float, timeout: float) -> None:
+        """Wait in the queue, and count as waiting for other hosts."""
+        admission = self.source.admission
+        position = self._queue_position(now)
+        admission.start_waiting(position)
+        try:
+            await self.source.queue.wait(position, timeout)
+        finally:
+            admission.stop_waiting(position)
+
     def _should_not_wait(self, now: float, wait_until: float) -> bool:
         """Return whether no upstream will be free in time.
 
@@ -145,8 +175,12 @@
             urgency = Urgency.RESUMED
         elif now > late_at:
             urgency = Urgency.LATE
-        return QueuePosition.of(
-            urgency, authorized.priority, authorized.first_attempt_at
+        return self.source.admission.position(
+            urgency,
+            authorized.priority,
+            authorized.first_attempt_at,
+            self._is_retried,
+            now,
         )
 
     def _try_acquire(self, now: float) -> Reservation | None:
@@ -157,17 +191,30 @@
         position = self._queue_position(now)
         if not self.source.queue.is_next(position):
             return None
+        criteria = SelectionCriteria(
+            excluded=tuple(self.history.upstreams),
+            regions=authorized.regions,
+            urgency=position.urgency,
+            longest_gap=authorized.route.gap_objective,
+        )
+        if self._is_left_to_others(position, criteria, now):
+            return None
         return self.source.balancer.acquire(
-            authorized.configuration,
-            authorized.service,
-            now,
-            SelectionCriteria(
-                excluded=tuple(self.history.upstreams),
-                regions=authorized.regions,
-                urgency=position.urgency,
-                longest_gap=authorized.route.gap_objective,
-            ),
+            authorized.configuration, authorized.service, now, criteria
+        )
+
+    def _is_left_to_others(
+        self, position: QueuePosition, criteria: SelectionCriteria, now: float
+    ) -> bool:
+        """Tell whether requests at other hosts go before this one."""
+        contention = self.source.admission.contention(position, now)
+        if not (contention.ahead or contention.beside):
+            return False
+        balancer = self.source.balancer
+        free = balancer.free_slots(
+            self._service(), now, criteria, contention.slots_to_count
         )
+        return not contention.allows(free, balancer.generator.random())
 
     def _no_capacity(self) -> RequestFailed:
         cause = self.source.balancer.explain_no_capacity(
--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -251,6 +251,8 @@
         reports = PeerReporter(address, address, 1)
         reports.balancer = balancer
         reports.on_report = proxy.wake_waiting
+        reports.backlog = proxy.context.backlog
+        reports.waiting = proxy.context.waiting
         balancer.on_acquire = reports.report_requested.set
         peers[address] = reports
         self.proxies.append(proxy)
