Let routes decide among accounts of the same priority

Callers of the most urgent route waited behind the least urgent one: each account of the deployment has a priority, which replaced that of the route, so 24 accounts had two priorities and the three routes none. The priority of an account still comes first; that of the route now decides among accounts that have the same one.

--- a/primroseyoke/gateway/authorization.py
+++ b/primroseyoke/gateway/authorization.py
@@ -43,9 +43,9 @@
     @property
     def priority(self) -> int:
         """Return the priority of the request; 0 is the highest."""
-        if self.client is not None and self.client.priority is not None:
-            return self.client.priority
-        return self.route.priority
+        return self.route.priority_for(
+            self.client.priority if self.client else None
+        )
 
     @property
     def engine(self) -> Engine | None:
--- a/primroseyoke/gateway/configuration.py
+++ b/primroseyoke/gateway/configuration.py
@@ -19,6 +19,10 @@
 )
 
 
+# Priorities of routes that are told apart within one priority of accounts.
+_ROUTE_PRIORITY_COUNT = 10
+
+
 class Execution(enum.Enum):
     """Whether a request may be executed more than once."""
 
@@ -70,6 +74,21 @@
             return self.resumable
         return self.execution is Execution.IDEMPOTENT
 
+    def priority_for(self, client_priority: int | None) -> int:
+        """Return the priority of a request of a client account.
+
+        That of the account takes precedence. Among requests whose accounts
+        have the same one, that of their routes decides: otherwise it would
+        have no effect where each account has a priority.
+
+        Args:
+            client_priority: priority of the account, None if it has none.
+        """
+        account = self.priority if client_priority is None else client_priority
+        return account * _ROUTE_PRIORITY_COUNT + min(
+            self.priority, _ROUTE_PRIORITY_COUNT - 1
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
@@ -194,8 +213,7 @@
         for route in self.routes:
             stated = set() if route.public else of_clients
             priorities = {
-                route.priority if priority is None else priority
-                for priority in stated or {None}
+                route.priority_for(priority) for priority in stated or {None}
             }
             for target in route.targets:
                 known = services.get(target.service, frozenset())
