Add the lease of the duties that one host has for all

Operators and callers see no difference yet: no duty is added, and without `cloud` in the settings no call to the store is made. With it, one gateway at a time holds the lease and shows it in /state and /metrics.

Usage reports and scaling orders must come from one host at a time, with fencing numbers that never fall, while the store may be slow, away or restored, and hosts may be suspended. The API does not check the numbers.

The client of the API checks the lease again immediately before it sends, and resets its connection after a time-out, so that the kernel does not deliver a call later.

--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -80,6 +80,7 @@
             },
             'peers': sorted(gateway.peer_reporter.peers),
             'leads_expert_maps': gateway.peer_reporter.is_leader,
+            'duties': gateway.duties.state(),
         }
 
     def _memory(self) -> dict[str, int]:
--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import socket
+import struct
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -28,6 +29,8 @@
 _KEEP_ALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 2), (socket.TCP_KEEPINTVL, 1))
 # Unanswered probes after which the connection is closed.
 _KEEP_ALIVE_PROBE_COUNT = 3
+# SO_LINGER on, with 0 s.
+_LINGER_RESET = struct.pack('ii', 1, 0)
 
 
 class Connection(asyncio.Protocol):
@@ -210,6 +213,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset_on_close(self) -> None:
+        """Let a close send a reset and discard what was not yet delivered."""
+        if self.transport is not None:
+            self.transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+
     def _write_unsent(self) -> None:
         while self.unsent and self.writable.is_set() and not self.closed:
             self.transport.write(self.unsent.popleft())
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -7,8 +7,6 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 from ..exceptions import ServiceUnavailable, SettingsInvalid
 from ..settings import Address
@@ -16,6 +14,7 @@
 from .authorization import Authorizer
 from .balancer import Balancer
 from .connection_pool import ConnectionPool
+from .duty_setup import create_duties
 from .evidence_sharing import EvidenceSharing
 from .expert_rebalancing import ExpertRebalancer
 from .group_sharing import GroupSharing
@@ -27,6 +26,7 @@
 from .retry_budget import RetryBudget
 from .routing_state import RoutingState
 from .settings import GatewaySettings
+from .tasks import TaskFactory, run_with_restarts
 from .topic_sharing import TopicSharing
 from .zones import ZoneProber
 
@@ -51,22 +51,6 @@
 # Rate at which all hosts together register again after a loss of the store,
 # each with two calls. The store serves some hundreds of writes a second.
 _REGISTRATIONS_PER_SECOND = 40
-# Keeps a task that fails immediately from filling the log.
-_RESTART_DELAY_SECONDS = 1.0
-
-TaskFactory = Callable[[], Coroutine[Any, Any, None]]
-
-
-async def run_with_restarts(task_factory: TaskFactory) -> None:
-    """Run a background task to completion; restart it if it raises."""
-    while True:
-        try:
-            await task_factory()
-        except Exception:
-            log.exception('background task failed; restarting it')
-            await asyncio.sleep(_RESTART_DELAY_SECONDS)
-        else:
-            return
 
 
 class Gateway:
@@ -86,16 +70,15 @@
             settings.address,
         )
         self.pool = ConnectionPool(platform.codec, settings.response_limits)
-        self.retry_budget = RetryBudget(
-            settings.repeat_ratio,
-            settings.repeat_slack,
-            settings.repeat_window,
-        )
         self.proxy = Proxy(
             Authorizer(self.routing_state, self.generator),
             self.balancer,
             self.pool,
-            self.retry_budget,
+            RetryBudget(
+                settings.repeat_ratio,
+                settings.repeat_slack,
+                settings.repeat_window,
+            ),
         )
         self.peer_reporter = PeerReporter(
             settings.host,
@@ -145,6 +128,7 @@
             PeerEndpoints(topic_sharing, self.group_sharing).handle,
             lambda: self.routing_state.limits,
         )
+        self.duties = create_duties(self)
         self.servers: list[asyncio.Server] = []
         self.stopping = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -155,6 +139,11 @@
         configured = self.routing_state.configuration is not None
         return configured and not self.stopping.is_set()
 
+    @property
+    def retry_budget(self) -> RetryBudget:
+        """Return the budget of retries that the requests share."""
+        return self.proxy.retry_budget
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and close."""
         self._handle_signals()
@@ -255,6 +244,7 @@
             ).run,
             self.expert_rebalancer.run,
             self.evidence_sharing.run,
+            *self.duties.background_tasks(),
             RankGroupPoller(
                 self.platform.engines,
                 self.routing_state,
@@ -364,6 +354,7 @@
         )
         started = loop.time()
         self.request_listener.draining = True
+        self.duties.drain()
         self._limit_new_requests(time.monotonic())
         self.peer_reporter.announce_drain()
         with contextlib.suppress(ServiceUnavailable):
--- a/primroseyoke/gateway/http_client.py
+++ b/primroseyoke/gateway/http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import h11
 
@@ -18,6 +18,10 @@
 _MAX_BODY_BYTES = 2**25
 
 
+def _allow() -> None:
+    """Allow each call."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
     """Status, body and headers (by lower-case name) of a response."""
@@ -30,9 +34,14 @@
 class HttpClient:
     """Calls one address over a persistent connection, one call at a time."""
 
-    def __init__(self, host: str, port: int) -> None:
-        """Call the service at ``host`` and ``port``; connect on first use."""
+    def __init__(self, host: str, port: int, resets: bool = False) -> None:
+        """Call the service at ``host`` and ``port``; connect on first use.
+
+        With ``resets``, closing the connection discards what the kernel has not
+        yet sent, so that a call that timed out is not delivered later.
+        """
         self.host = host
+        self.resets = resets
         self.port = port
         self.connection: Connection | None = None
         self.parser = h11.Connection(h11.CLIENT)
@@ -50,9 +59,13 @@
         body: bytes = b'',
         timeout: float = 2,
         headers: Mapping[str, str] | None = None,
+        before_send: Callable[[], None] = _allow,
     ) -> HttpResponse:
         """Return the response to a call; ``timeout`` in seconds.
 
+        ``before_send`` is called immediately before the call is sent, and may
+        raise ``ServiceRefused`` to prevent that.
+
         Raises:
             ServiceRefused: no connection; the call was not sent.
             ServiceUnavailable: no complete response arrived; the service may
@@ -60,7 +73,9 @@
         """
         try:
             async with asyncio.timeout(timeout), self.lock:
-                return await self._call(method, target, body, headers or {})
+                return await self._call(
+                    method, target, body, headers or {}, before_send
+                )
         except TimeoutError as error:
             raise ServiceUnavailable(
                 f'{target}: no response within {timeout} s',
@@ -78,13 +93,14 @@
         target: str,
         body: bytes,
         headers: Mapping[str, str],
+        before_send: Callable[[], None],
     ) -> HttpResponse:
         """Make a call while holding the lock of the connection."""
         complete = False
         try:
             await self._open()
             response = await self._send_and_receive(
-                method, target, body, headers
+                method, target, body, headers, before_send
             )
             complete = True
         except (ConnectionError, h11.ProtocolError) as error:
@@ -109,6 +125,8 @@
             raise ServiceRefused(
                 f'{self.host}:{self.port}: connection failed: {error!r}',
             ) from error
+        if self.resets:
+            self.connection.reset_on_close()
         self.parser = h11.Connection(h11.CLIENT)
 
     async def _send_and_receive(
@@ -117,6 +135,7 @@
         target: str,
         body: bytes,
         headers: Mapping[str, str],
+        before_send: Callable[[], None],
     ) -> HttpResponse:
         fields = [
             ('Host', f'{self.host}:{self.port}'),
@@ -128,6 +147,7 @@
         connection = self.connection
         if connection is None:
             raise ServiceRefused(f'{target}: not connected')
+        before_send()
         content = self.parser.send(head) or b''
         content += self.parser.send(h11.Data(data=body)) or b''
         content += self.parser.send(h11.EndOfMessage()) or b''
--- a/primroseyoke/gateway/membership.py
+++ b/primroseyoke/gateway/membership.py
@@ -131,6 +131,14 @@
             for address in present
         )
 
+    @property
+    def lower_host_count(self) -> int:
+        """Return the number of active hosts with a lower address."""
+        return sum(
+            address < self.address and not self.peers[address].draining
+            for address in self.reported_within(LEADERSHIP_TIMEOUT_SECONDS)
+        )
+
     @property
     def reader_rank(self) -> int:
         """Return the position of this host in the order of readers.
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -60,6 +60,9 @@
     Attributes:
         draining: whether this host is shutting down.
         report_requested: set to send a report without delay.
+        held_lease: returns the fencing number of the duty lease while this host
+            holds it.
+        on_lease: called with the fencing number that another host holds.
     """
 
     def __init__(
@@ -78,6 +81,8 @@
         self.on_report: Callable[[], None] = _do_nothing
         self.on_evidence: Callable[[Evidence, str], None] = _ignore_evidence
         self.on_peer: Callable[[str], None] = _ignore_peer
+        self.held_lease: Callable[[], int | None] = _hold_no_lease
+        self.on_lease: Callable[[int], None] = _ignore_lease
         self.transport: Any = None
         self.last_sent: dict[str, int] = {}
         self.last_heartbeat_at = -math.inf
@@ -231,6 +236,7 @@
             self.draining,
             availability_zone=self.availability_zone,
             sequence=int(boot_time() * _MS_PER_SECOND),
+            lease=self.held_lease() or 0,
         )
 
     def _send_message(
@@ -297,6 +303,8 @@
             report.availability_zone,
             report.sequence,
         )
+        if report.lease:
+            self.on_lease(report.lease)
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
         balancer.in_flight.apply_report(report.host, report.running, now)
@@ -341,3 +349,11 @@
 
 def _ignore_peer(address: str) -> None:
     """Allow new peers before a callback is set."""
+
+
+def _hold_no_lease() -> int | None:
+    """Report that this host holds no lease, where it takes part in none."""
+
+
+def _ignore_lease(number: int) -> None:
+    """Allow reports of a lease before a callback is set."""
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -1,12 +1,16 @@
 """Settings of a gateway process."""
 
 import dataclasses
+import enum
 from collections.abc import Mapping
 
+from ..leases import lease_margin
 from ..settings import Address
 
 __all__ = (
     'DEFAULT_MEMORY_BYTES',
+    'DutyKind',
+    'DutySettings',
     'GatewaySettings',
     'ResponseLimits',
     'StoreSettings',
@@ -23,6 +27,44 @@
     address: Address
 
 
+class DutyKind(enum.Enum):
+    """Calls to the platform's API that one host makes for all."""
+
+    USAGE = 'usage'
+    SCALING = 'scaling'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Duties of one host at a time; times in seconds.
+
+    ``api`` is the address of the platform's API, which accepts
+    ``calls_per_second`` of all hosts together. A holder of the lease that does
+    not renew it is replaced after ``lease_duration``. A host that was suspended
+    must not act on what it knew before later than ``resume_bound`` after it
+    continues. The report of a window of ``report_window`` is due
+    ``report_delay`` after its end, and its counts may differ from the true ones
+    by the share ``report_tolerance``.
+    """
+
+    api: Address
+    kinds: frozenset[DutyKind]
+    calls_per_second: float = 2.0
+    lease_duration: float = 3.0
+    resume_bound: float = 0.3
+    report_window: float = 5.0
+    report_delay: float = 10.0
+    report_tolerance: float = 0.05
+
+    @property
+    def call_timeout(self) -> float:
+        """Return the longest time of a call to the API, in seconds.
+
+        It ends before the lease does if the call is sent while it is held.
+        """
+        return lease_margin(self.lease_duration) / 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseLimits:
     """Limits on the responses of upstreams; sizes in bytes.
@@ -54,7 +96,9 @@
     the requests plus ``repeat_slack`` within ``repeat_window``. What operators
     and upstreams publish must be in force within ``max_update_delay``. Hosts
     know that an upstream has gone at most ``upstream_expiry`` after its crash.
-    ``memory_bytes`` is what the process may use before it is killed.
+    ``memory_bytes`` is what the process may use before it is killed. ``duties``
+    is None if the platform asks for no duty that is known; ``unknown_duties``
+    are the names of others that it asks for.
     """
 
     host: str
@@ -75,3 +119,5 @@
     upstream_expiry: float = 6.6
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     response_limits: ResponseLimits = ResponseLimits()
+    duties: DutySettings | None = None
+    unknown_duties: tuple[str, ...] = ()
--- a/primroseyoke/gateway/topics.py
+++ b/primroseyoke/gateway/topics.py
@@ -3,10 +3,12 @@
 import dataclasses
 from typing import Protocol
 
-from ..exceptions import PrimroseyokeError
+from ..exceptions import PrimroseyokeError, ServiceUnavailable
 from ..positions import EraTracker, Position
 
 __all__ = (
+    'AppendConflict',
+    'ConditionalTopic',
     'KeyedPage',
     'KeyedRecord',
     'KeyedTopic',
@@ -14,6 +16,7 @@
     'StoreReconnected',
     'TopicChanges',
     'TopicListing',
+    'TopicMissing',
     'TopicUpdate',
 )
 
@@ -22,6 +25,19 @@
     """The store no longer has the records at an offset: read the topic anew."""
 
 
+class AppendConflict(PrimroseyokeError):
+    """The topic does not end at the offset that a record was meant for."""
+
+    def __init__(self, end_offset: int) -> None:
+        """Store the offset at which the topic ends."""
+        super().__init__(f'the topic ends at offset {end_offset}')
+        self.end_offset = end_offset
+
+
+class TopicMissing(ServiceUnavailable):
+    """The store has no such topic; it is created by the first append."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """The record of a key; an empty value removes the key."""
@@ -73,6 +89,24 @@
         """
 
 
+class ConditionalTopic(KeyedTopic, Protocol):
+    """Keyed topic with appends that depend on its end."""
+
+    async def append_at(
+        self, key: str, content: bytes, offset: int
+    ) -> Position:
+        """Set the value of a key if the topic ends at ``offset``.
+
+        Returns:
+            The place of the record, in the era of the response.
+
+        Raises:
+            AppendConflict: the topic ends elsewhere; nothing was appended.
+            ServiceUnavailable: no valid response; the record may have been
+                appended, or may be later while the topic ends there.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicListing:
     """Latest record of each key, read at ``read_at`` (monotonic seconds).
--- a/primroseyoke/leases.py
+++ b/primroseyoke/leases.py
@@ -25,6 +25,8 @@
     'LeaseRenewal',
     'LeaseStateMachine',
     'MAX_CLOCK_SKEW_SECONDS',
+    'MAX_DURATION_SECONDS',
+    'lease_margin',
 )
 
 # Upper bound on the clock difference between a host and the log.
@@ -35,6 +37,18 @@
 NO_FENCING_NUMBER = -1
 
 
+# A short lease needs a smaller margin, or no time to act would be left.
+_MAX_MARGIN_SHARE = 1 / 3
+
+
+def lease_margin(duration: float) -> float:
+    """Return how long before the end of a lease its holder stops acting.
+
+    It suits leases whose log time is not taken from another host's clock.
+    """
+    return min(MAX_CLOCK_SKEW_SECONDS, duration * _MAX_MARGIN_SHARE)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseClaim:
     """Log record: requests the lease for ``duration`` seconds.
--- a/primroseyoke/platform/adapter.py
+++ b/primroseyoke/platform/adapter.py
@@ -6,11 +6,15 @@
 
 from ..gateway.engines import EngineClient
 from ..gateway.http_client import HttpClient
+from ..gateway.platforms import PlatformApi
 from ..gateway.requests import Codec
 from ..gateway.routing_state import RoutingState
 from ..gateway.settings import GatewaySettings
 from ..gateway.topic_consumers import TopicConsumer
+from ..gateway.topics import ConditionalTopic
+from ..exceptions import SettingsInvalid
 from ..positions import EraTracker
+from .cloud import HttpPlatformApi
 from .engines import HttpEngines
 from .feeds import (
     OPERATOR_TOPIC,
@@ -27,6 +31,7 @@
 
 # Keys are the addresses of gateways, values the names of their hosts.
 _GATEWAY_TOPIC = 'keyed.gateways'
+_DUTY_TOPIC = 'keyed.duties'
 # Upstreams write every 1.2 s, and a draining upstream must get no requests from
 # 2 s after it announced that. Each read of the store is billed, so this is the
 # longest interval that meets the 2 s.
@@ -96,6 +101,21 @@
         """Remove this gateway from the registered ones."""
         await self.gateway_topic.append(self.settings.address, b'')
 
+    def duty_topic(self) -> ConditionalTopic:
+        """Return the topic that holds the duty lease."""
+        return self._open_topic(_DUTY_TOPIC)
+
+    def duty_api(self, held: Callable[[], int | None]) -> PlatformApi:
+        """Return the API for calls under a lease.
+
+        Raises:
+            SettingsInvalid: the settings name no duty, and no address.
+        """
+        duties = self.settings.duties
+        if duties is None:
+            raise SettingsInvalid('cloud.duties: no known duty')
+        return HttpPlatformApi(duties.api, held, duties.call_timeout)
+
     def read_settings(self) -> GatewaySettings:
         """Reload the settings file.
 
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -1,6 +1,7 @@
 """Reader of the settings file that the platform writes for each process."""
 
 import os
+import types
 from typing import Annotated, Any
 
 import msgspec
@@ -9,9 +10,12 @@
 from ..exceptions import SettingsInvalid
 from ..gateway.settings import (
     DEFAULT_MEMORY_BYTES,
+    DutyKind,
+    DutySettings,
     GatewaySettings,
     StoreSettings,
 )
+from ..leases import MAX_DURATION_SECONDS
 from ..settings import Address
 
 __all__ = ('load_platform_settings', 'settings_path')
@@ -40,6 +44,13 @@
     drain_ms: _NonNegativeFloat = 2000
     config_ms: _NonNegativeFloat = 2000
 
+    # Duties of one host at a time. A lease without a duration is invalid.
+    lease_ms: Annotated[float, msgspec.Meta(gt=0)] = 3000
+    thaw_ms: _NonNegativeFloat = 300
+    report_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5
+    usage_late_s: _NonNegativeFloat = 10
+    usage_off: _NonNegativeFloat = 0.05
+
 
 class _Limits(msgspec.Struct, rename='camel'):
     # Megabytes; 0 states no limit.
@@ -50,6 +61,21 @@
     address: str
 
 
+# Duties by their names on the platform.
+_DUTIES = types.MappingProxyType(
+    {'metering': DutyKind.USAGE, 'autoscale': DutyKind.SCALING}
+)
+# Used if the platform states no rate: one call for each window and a few orders.
+_DEFAULT_DUTY_PER_SECOND = 2.0
+
+
+class _Cloud(msgspec.Struct, rename='camel'):
+    address: str = ''
+    duties: tuple[str, ...] = ()
+    # Calls per second of all hosts together; 0 states no rate.
+    duty_per_s: _NonNegativeFloat = 0
+
+
 # Interval in milliseconds at which upstreams write their entries, and number of
 # missed ones after which the store removes an entry.
 _DEFAULT_HEARTBEAT_MS = 1200
@@ -69,6 +95,7 @@
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    cloud: _Cloud | None = None
     heartbeat_ms: _NonNegativeFloat = _DEFAULT_HEARTBEAT_MS
 
 
@@ -130,9 +157,39 @@
         + _REMOVAL_MARGIN_SECONDS,
         memory_bytes=int(settings.limits.memory_mb * _BYTES_PER_MB)
         or DEFAULT_MEMORY_BYTES,
+        duties=_duty_settings(path, settings),
+        unknown_duties=_unknown_duties(settings),
     )
 
 
+def _duty_settings(
+    path: str, settings: _PlatformSettings
+) -> DutySettings | None:
+    """Return the duties that are known, None if there is none."""
+    cloud = settings.cloud or _Cloud()
+    kinds = frozenset(_DUTIES[name] for name in cloud.duties if name in _DUTIES)
+    if not kinds:
+        return None
+    bounds = settings.bounds
+    return DutySettings(
+        api=_parse_address(path, 'cloud.address', cloud.address),
+        kinds=kinds,
+        calls_per_second=cloud.duty_per_s or _DEFAULT_DUTY_PER_SECOND,
+        lease_duration=min(
+            bounds.lease_ms / _MS_PER_SECOND, MAX_DURATION_SECONDS
+        ),
+        resume_bound=bounds.thaw_ms / _MS_PER_SECOND,
+        report_window=bounds.report_window_s,
+        report_delay=bounds.usage_late_s,
+        report_tolerance=bounds.usage_off,
+    )
+
+
+def _unknown_duties(settings: _PlatformSettings) -> tuple[str, ...]:
+    cloud = settings.cloud or _Cloud()
+    return tuple(name for name in cloud.duties if name not in _DUTIES)
+
+
 def _metrics_address(settings: _PlatformSettings) -> Address | None:
     # These are the lowest and highest port for traffic between hosts; the
     # deployment file assigns the second port of the range to metrics.
--- a/primroseyoke/platform/store.py
+++ b/primroseyoke/platform/store.py
@@ -11,7 +11,13 @@
 from ..exceptions import ServiceUnavailable
 from ..gateway.clocks import boot_time
 from ..gateway.http_client import HttpClient, HttpResponse
-from ..gateway.topics import KeyedPage, KeyedRecord, RecordsExpired
+from ..gateway.topics import (
+    AppendConflict,
+    KeyedPage,
+    KeyedRecord,
+    RecordsExpired,
+    TopicMissing,
+)
 from ..positions import EraTracker, Position
 
 __all__ = ('HttpKeyedTopic', 'decode_records')
@@ -31,7 +37,9 @@
 # Larger numbers do not fit the integers of messages between gateways.
 _MAX_ERA_DIGITS = 18
 _STATUS_OK = 200
+_STATUS_NOT_FOUND = 404
 _STATUS_GONE = 410
+_STATUS_CONDITION_FAILED = 412
 
 
 class _ListedRecord(msgspec.Struct):
@@ -46,6 +54,12 @@
     has_more: bool = False
 
 
+class _AppendResponse(msgspec.Struct, rename='camel'):
+    end_offset: int
+    offset: int = -1
+
+
+_append_decoder = msgspec.json.Decoder(_AppendResponse)
 _listing_page_decoder = msgspec.json.Decoder(_ListingPage)
 
 
@@ -70,6 +84,7 @@
         """Return the newest record of each key.
 
         Raises:
+            TopicMissing: nothing was written to the topic yet.
             ServiceUnavailable: the store gave no valid response.
         """
         listing = None
@@ -114,9 +129,39 @@
             ServiceUnavailable: the store gave no valid response; the record may
                 have been appended.
         """
+        answer = await self._append(key, content, {})
+        _raise_for_status(answer, 'log-append')
+
+    async def append_at(
+        self, key: str, content: bytes, offset: int
+    ) -> Position:
+        """Set the value of a key if the topic ends at ``offset``.
+
+        Returns:
+            The place of the record, in the era of the response.
+
+        Raises:
+            AppendConflict: the topic ends elsewhere; nothing was appended.
+            ServiceUnavailable: the store gave no valid response; the record may
+                have been appended, or may be later while the topic ends there.
+        """
+        answer = await self._append(key, content, {'at': offset})
+        if answer.status == _STATUS_CONDITION_FAILED:
+            raise AppendConflict(_decode_append(answer).end_offset)
+        _raise_for_status(answer, 'log-append')
+        found = _decode_append(answer).offset
+        if found != offset:
+            raise ServiceUnavailable(
+                f'log-append: expected offset {offset}, got {found}'
+            )
+        return Position(self.eras.era, offset)
+
+    async def _append(
+        self, key: str, content: bytes, condition: dict[str, int]
+    ) -> HttpResponse:
         encoded_key = key.encode()
         record = bytes((len(encoded_key),)) + encoded_key + content
-        query = urlencode({'topic': self.topic, 'part': 0})
+        query = urlencode({'topic': self.topic, 'part': 0, **condition})
         answer = await self.connection.call(
             'POST',
             f'/log-append?{query}',
@@ -124,7 +169,7 @@
             _TIMEOUT_SECONDS,
         )
         self._learn_era(answer)
-        _raise_for_status(answer, 'log-append')
+        return answer
 
     async def _read_listing(self) -> KeyedPage | None:
         """Return the newest records; None if their pages are of two eras."""
@@ -166,6 +211,8 @@
         self._learn_era(answer)
         if answer.status == _STATUS_GONE:
             raise RecordsExpired(f'{endpoint}: status 410, records expired')
+        if answer.status == _STATUS_NOT_FOUND:
+            raise TopicMissing(f'{endpoint}: status 404, no such topic')
         _raise_for_status(answer, endpoint)
         return answer
 
@@ -247,6 +294,15 @@
         return value.encode()
 
 
+def _decode_append(answer: HttpResponse) -> _AppendResponse:
+    try:
+        return _append_decoder.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise ServiceUnavailable(
+            f'log-append: invalid response: {error}'
+        ) from error
+
+
 def _raise_for_status(answer: HttpResponse, endpoint: str) -> None:
     if answer.status != _STATUS_OK:
         raise ServiceUnavailable(
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -10,7 +10,11 @@
 import h11
 
 from primroseyoke.gateway.gateway import Gateway
-from primroseyoke.gateway.settings import GatewaySettings, StoreSettings
+from primroseyoke.gateway.settings import (
+    DutySettings,
+    GatewaySettings,
+    StoreSettings,
+)
 from primroseyoke.platform.adapter import PlatformAdapter
 from primroseyoke.settings import Address
 from tests.standins.platform import (
@@ -161,6 +165,7 @@
     model: tuple[RequestHandler, ...] = (),
     configured: bool = True,
     grace: float = 2.0,
+    duties: DutySettings | None = None,
 ) -> AsyncIterator[Deployment]:
     """Run a gateway with one upstream per request handler."""
     store = StandInStore()
@@ -183,6 +188,7 @@
         store=StoreSettings(Address('127.0.0.1', store.port)),
         repeat_slack=92,
         grace=grace,
+        duties=duties,
     )
     gateway = Gateway(settings, PlatformAdapter(settings, 'missing.yaml'))
     running = asyncio.ensure_future(gateway.run())
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -11,7 +11,13 @@
 from primroseyoke.gateway.http_client import HttpClient
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
-from primroseyoke.gateway.settings import GatewaySettings
+from primroseyoke.gateway.lease_records import decode_lease_record
+from primroseyoke.gateway.settings import (
+    DutyKind,
+    DutySettings,
+    GatewaySettings,
+)
+from primroseyoke.settings import Address
 from tests.event_loop import run
 from tests.gateway.deployment import Deployment, deployment, wait_until
 from tests.standins.platform import StandInUpstream, answer_ok
@@ -172,3 +178,51 @@
     run(run_with_restarts(failing_task))
     assert len(runs) == 3
     assert caplog.text.count('restarting it') == 2
+
+
+def test_the_lease_of_the_duties_is_held_until_the_gateway_drains() -> None:
+    """Guards against a stopped gateway whose duties no other one takes over."""
+
+    async def scenario() -> None:
+        duties = DutySettings(
+            Address('127.0.0.1', 1),
+            frozenset({DutyKind.USAGE}),
+            lease_duration=1.2,
+        )
+        async with deployment(app=(answer_ok,), duties=duties) as system:
+            gateway, store = system.gateway, system.store
+            lease = gateway.duties.lease
+            assert lease is not None
+            await wait_until(lambda: lease.held() is not None)
+            state = await admin_client(system).call('GET', '/state')
+            shown = json.loads(state.body)['duties']['lease']
+            assert shown['held'] == lease.held()
+            page = await admin_client(system).call('GET', '/metrics')
+            assert b'gateway_duty_lease_held 1.0' in page.body
+            signal.raise_signal(signal.SIGTERM)
+            await wait_until(lambda: gateway.stopping.is_set())
+            await wait_until(lambda: lease.held() is None, 0.3)
+            await wait_until(
+                lambda: (
+                    decode_lease_record(
+                        store.topics['keyed.duties'][-1][1]
+                    ).lease.expires_at
+                    == 0
+                ),
+                1.5,
+            )
+
+    asyncio.run(scenario())
+
+
+def test_no_topic_of_the_lease_without_duties() -> None:
+    """Guards against calls to the store where there are no duties."""
+
+    async def scenario() -> None:
+        async with deployment(app=(answer_ok,)) as system:
+            await asyncio.sleep(1.5)
+            assert 'keyed.duties' not in system.store.topics
+            state = await admin_client(system).call('GET', '/state')
+            assert json.loads(state.body)['duties'] is None
+
+    asyncio.run(scenario())
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -489,3 +489,40 @@
         head = ResponseHead(503, (), executed=False, pause=pause)
         notices.record_response(upstream, head, 100)
     assert 30 <= notices.pause_left(upstream, 100) <= 36
+
+
+def test_heartbeats_tell_who_holds_the_lease() -> None:
+    """Guards against hosts that claim the lease while they hear its holder."""
+
+    async def scenario(network: Network) -> None:
+        first, *others = network.hosts.values()
+        heard: dict[str, list[int]] = {}
+        for each in network.hosts.values():
+            each.on_lease = heard.setdefault(each.address, []).append
+        await asyncio.sleep(1)
+        assert not any(heard.values())
+        first.held_lease = lambda: 7
+        first.send_heartbeat()
+        await asyncio.sleep(0.02)
+        for each in others:
+            assert heard[each.address] == [7]
+        await asyncio.sleep(1)
+        assert not heard[first.address]
+        assert all(len(heard[each.address]) >= 3 for each in others)
+
+    run_network(scenario)
+
+
+def test_active_hosts_with_lower_addresses_are_counted() -> None:
+    """Guards against several hosts that claim the lease at the same time."""
+
+    async def scenario(network: Network) -> None:
+        counts = [each.lower_host_count for each in network.hosts.values()]
+        assert counts == [0, 1, 2, 3, 4]
+        network.hosts['10.0.0.1'].announce_drain()
+        network.partitioned.add('10.0.0.0')
+        await asyncio.sleep(1.5)
+        counts = [each.lower_host_count for each in network.hosts.values()]
+        assert counts == [0, 0, 0, 1, 2]
+
+    run_network(scenario)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from primroseyoke.exceptions import SettingsInvalid
+from primroseyoke.gateway.settings import DutyKind
 from primroseyoke.platform.settings import load_platform_settings
 
 SETTINGS = """
@@ -90,3 +91,79 @@
 def test_missing_settings_file_is_rejected(tmp_path: pathlib.Path) -> None:
     with pytest.raises(SettingsInvalid):
         load_platform_settings(str(tmp_path / 'missing.yaml'))
+
+
+CLOUD = """
+cloud: {address: "10.200.1.9:8300", duties: [metering, sweeping, autoscale],
+        dutyPerS: 5}
+"""
+DUTY_BOUNDS = (
+    'graceS: 8, leaseMs: 2400, thawMs: 200, reportWindowS: 4, usageLateS: 8,'
+    ' usageOff: 0.1'
+)
+
+
+def test_duties_are_converted(tmp_path: pathlib.Path) -> None:
+    text = SETTINGS.replace('graceS: 8', DUTY_BOUNDS) + CLOUD
+    settings = load_platform_settings(write_settings(tmp_path, text))
+    duties = settings.duties
+    assert duties is not None
+    assert str(duties.api) == '10.200.1.9:8300'
+    assert duties.kinds == {DutyKind.USAGE, DutyKind.SCALING}
+    assert settings.unknown_duties == ('sweeping',)
+    assert duties.calls_per_second == 5
+    assert duties.lease_duration == 2.4
+    assert duties.resume_bound == 0.2
+    assert duties.report_window == 4
+    assert duties.report_delay == 8
+    assert duties.report_tolerance == 0.1
+    # A call that is sent at the last moment ends before the lease does.
+    assert duties.call_timeout == pytest.approx(0.4)
+
+
+def test_duties_have_defaults(tmp_path: pathlib.Path) -> None:
+    text = SETTINGS + 'cloud: {address: "10.200.1.9:1", duties: [metering]}'
+    duties = load_platform_settings(write_settings(tmp_path, text)).duties
+    assert duties is not None
+    assert duties.kinds == {DutyKind.USAGE}
+    assert (duties.lease_duration, duties.call_timeout) == (3, 0.5)
+    assert duties.calls_per_second > 0
+
+
+@pytest.mark.parametrize(
+    'cloud',
+    [
+        '',
+        'cloud: null',
+        'cloud: {}',
+        'cloud: {address: "10.200.1.9:8300"}',
+        'cloud: {address: "10.200.1.9:8300", duties: []}',
+        'cloud: {address: "nowhere", duties: [sweeping]}',
+    ],
+)
+def test_duties_may_be_missing(tmp_path: pathlib.Path, cloud: str) -> None:
+    path = write_settings(tmp_path, SETTINGS + cloud)
+    assert load_platform_settings(path).duties is None
+
+
+@pytest.mark.parametrize(
+    ('cloud', 'expected_text'),
+    [
+        ('cloud: {duties: [metering]}', 'cloud.address'),
+        ('cloud: {address: "nowhere", duties: [metering]}', 'cloud.address'),
+        ('cloud: {duties: metering}', 'cloud.duties'),
+        ('cloud: {dutyPerS: -1}', 'cloud.dutyPerS'),
+    ],
+)
+def test_invalid_duties_error_names_the_key(
+    tmp_path: pathlib.Path, cloud: str, expected_text: str
+) -> None:
+    path = write_settings(tmp_path, SETTINGS + cloud)
+    with pytest.raises(SettingsInvalid, match=expected_text):
+        load_platform_settings(path)
+
+
+def test_lease_without_a_duration_is_rejected(tmp_path: pathlib.Path) -> None:
+    text = SETTINGS.replace('graceS: 8', 'graceS: 8, leaseMs: 0')
+    with pytest.raises(SettingsInvalid, match='bounds.leaseMs'):
+        load_platform_settings(write_settings(tmp_path, text))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,12 +6,20 @@
 
 import pytest
 
+from primroseyoke.exceptions import ServiceUnavailable
 from primroseyoke.gateway.http_client import HttpClient
+from primroseyoke.gateway.listeners import ResponseWriter
+from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.routing_state import RoutingState
 from primroseyoke.gateway.topic_consumers import TopicConsumer
-from primroseyoke.gateway.topics import RecordsExpired
+from primroseyoke.gateway.topics import (
+    AppendConflict,
+    RecordsExpired,
+    TopicMissing,
+)
 from primroseyoke.platform.feeds import OperatorFeed, UpstreamFeed
 from primroseyoke.platform.store import HttpKeyedTopic, decode_records
+from primroseyoke.positions import Position
 from tests.gateway.deployment import configuration, wait_until
 from tests.standins.platform import StandInStore, StandInUpstream, answer_ok
 
@@ -169,3 +177,53 @@
         upstream.stop()
 
     asyncio.run(scenario())
+
+
+def test_conditional_append_depends_on_the_end_of_the_topic() -> None:
+    """Guards against two hosts that append after the same record."""
+
+    async def scenario() -> None:
+        store = StandInStore()
+        store.era = 3
+        store.creates_topics = True
+        await store.start()
+        topic = HttpKeyedTopic(HttpClient('127.0.0.1', store.port), 'keyed.x')
+        with pytest.raises(TopicMissing):
+            await topic.read_latest()
+        assert await topic.append_at('one', b'1', 0) == Position(3, 0)
+        with pytest.raises(AppendConflict) as raised:
+            await topic.append_at('one', b'2', 0)
+        assert raised.value.end_offset == 1
+        assert await topic.append_at('one', b'3', 1) == Position(3, 1)
+        page = await topic.read_latest()
+        assert [each.value for each in page.records] == [b'3']
+        assert page.next_position == Position(3, 2)
+        store.restore({'keyed.x': 1})
+        assert await topic.append_at('one', b'4', 1) == Position(4, 1)
+        store.stop()
+
+    asyncio.run(scenario())
+
+
+def test_unusable_response_to_an_append_leaves_its_effect_unknown() -> None:
+    """Guards against a record that is taken for appended at another offset."""
+
+    async def scenario() -> None:
+        contents = [b'', b'[]', b'{"offset": 4, "endOffset": 5}']
+
+        async def respond(
+            upstream: StandInUpstream,
+            request: CallerRequest,
+            response: ResponseWriter,
+        ) -> None:
+            response.respond(200, (), contents.pop(0))
+
+        server = StandInUpstream('store', respond)
+        await server.start()
+        topic = HttpKeyedTopic(HttpClient('127.0.0.1', server.port), 'keyed.x')
+        while contents:
+            with pytest.raises(ServiceUnavailable):
+                await topic.append_at('one', b'1', 3)
+        server.stop()
+
+    asyncio.run(scenario())
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -66,6 +66,8 @@
         #: answered.
         self.stall_generation = 0
         self.request_count = 0
+        #: Answers 404 for a topic without records, as the platform's store.
+        self.creates_topics = False
         #: Sent with each response; None for a store without eras.
         self.era: object = None
 
@@ -91,13 +93,17 @@
             return
         parameters = parse_qs(urlsplit(request.target).query)
         query = {name: texts[0] for name, texts in parameters.items()}
-        if request.path == '/log-newest':
+        if request.path != '/log-append' and (
+            self.creates_topics and query['topic'] not in self.topics
+        ):
+            response.respond(404, self._headers(), b'{}')
+        elif request.path == '/log-newest':
             response.respond(200, self._headers(), self._newest(query))
         elif request.path == '/log-read':
             await self._read(query, response)
         else:
-            self._append(query, bytes(request.body))
-            response.respond(200, self._headers(), b'{}')
+            status, content = self._append(query, bytes(request.body))
+            response.respond(status, self._headers(), _encode_json(content))
 
     def _headers(self) -> list[tuple[bytes, bytes]]:
         if self.era is None:
@@ -152,7 +158,13 @@
             content += RECORD_LENGTH.pack(len(record)) + record
         response.respond(200, self._headers(), content)
 
-    def _append(self, query: dict[str, str], body: bytes) -> None:
+    def _append(
+        self, query: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, int]]:
+        """Append a record, only at offset ``at`` if that is given."""
+        end = len(self.topics.get(query['topic'], ()))
+        if int(query.get('at', end)) != end:
+            return 412, {'endOffset': end}
         (length,) = RECORD_LENGTH.unpack_from(body)
         record = body[RECORD_LENGTH.size : RECORD_LENGTH.size + length]
         key_length = record[0]
@@ -161,6 +173,7 @@
             record[1 : 1 + key_length].decode(),
             record[1 + key_length :],
         )
+        return 200, {'offset': end, 'endOffset': end + 1}
 
 
 @dataclasses.dataclass
