--- a/primroseyoke/gateway/duty_lease.py
+++ b/primroseyoke/gateway/duty_lease.py
@@ -75,6 +75,7 @@
         self.draining = False
         self.lost_count = 0
         self.reported_number: int | None = None
+        self.is_unclaimable = False
         self.on_change: Callable[[], None] = _do_nothing
         self.lock = asyncio.Lock()
         self.stopped = asyncio.Event()
@@ -168,14 +169,17 @@
         }
 
     def _is_candidate(self, now: float) -> bool:
-        silence = _HOLDER_SILENCE_SECONDS
-        silence += _SILENCE_PER_HOST_SECONDS * self.rank()
-        return not self.draining and now - self.heard_at >= silence
+        silence = now - self.heard_at - _HOLDER_SILENCE_SECONDS
+        if self.draining or silence < 0:
+            return False
+        return silence >= _SILENCE_PER_HOST_SECONDS * self.rank()
 
     async def _perform(self, step: LeaseStep) -> None:
         if step is LeaseStep.READ:
             await self._read()
         elif step is LeaseStep.CLAIM:
+            if self.chain.next_number is None:
+                self._report_unclaimable()
             await self._append(self.chain.propose_claim(self.clock()))
         elif step is LeaseStep.RENEW:
             await self._append(self.chain.propose_renewal(self.clock()))
@@ -192,9 +196,12 @@
             page = await self.topic.read_latest()
         except TopicMissing:
             page = KeyedPage((), 0, self.topic.eras.era)
-        self.chain.receive(
-            _newest_content(page), page.next_position, self.clock()
-        )
+        now = self.clock()
+        self.chain.receive(_newest_content(page), page.next_position, now)
+        if self.chain.known_at == now and self.chain.is_held_elsewhere(now):
+            # A record that is new counts as a heartbeat. Otherwise all hosts
+            # that hear no heartbeats would try to claim after each expiry.
+            self.heard_at = now
 
     async def _append(self, proposal: Proposal | None) -> None:
         """Append a record if there is one; a lost response is read later."""
@@ -213,6 +220,18 @@
         else:
             self.chain.confirm(proposal, position, self.clock())
 
+    def _report_unclaimable(self) -> None:
+        if not self.is_unclaimable:
+            log.error(
+                'duty lease not claimed: the store offers no higher number',
+                extra={
+                    'era': self.chain.end.era,
+                    'offset': self.chain.end.offset,
+                    'highest_number': self.chain.highest_number,
+                },
+            )
+        self.is_unclaimable = True
+
     def _delay_retry(self, step: LeaseStep, error: ServiceUnavailable) -> None:
         now = self.clock()
         is_held = self.held() is not None
--- a/primroseyoke/gateway/lease_chain.py
+++ b/primroseyoke/gateway/lease_chain.py
@@ -149,13 +149,31 @@
         )
         return max(self.known_at + free_at - record.log_time, self.quiet_until)
 
-    def propose_claim(self, now: float) -> Proposal | None:
-        """Return the record of a claim; None if it would not succeed."""
+    @property
+    def next_number(self) -> int | None:
+        """Return the fencing number of a claim; None if there is none.
+
+        Without eras, a topic that was emptied gives out its offsets again, and
+        a claim could repeat a number.
+        """
         number = fencing_number_at(self.end)
-        # Without eras, a topic that was emptied gives out its offsets again.
         if number is None or number <= self.highest_number:
             return None
-        if now < self.claimable_at:
+        return number
+
+    def is_held_elsewhere(self, now: float) -> bool:
+        """Tell whether the newest record shows another holder at ``now``."""
+        record = self.record
+        return (
+            record is not None
+            and record.lease.holder != self.holder
+            and now - self.known_at < record.lease.expires_at - record.log_time
+        )
+
+    def propose_claim(self, now: float) -> Proposal | None:
+        """Return the record of a claim; None if it would not succeed."""
+        number = self.next_number
+        if number is None or now < self.claimable_at:
             return None
         record = self.record
         state_machine = LeaseStateMachine()
--- a/tests/gateway/test_duty_lease.py
+++ b/tests/gateway/test_duty_lease.py
@@ -11,7 +11,7 @@
     decode_lease_record,
     fencing_number_at,
 )
-from primroseyoke.positions import Position
+from primroseyoke.positions import EraTracker, Position
 from tests.event_loop import run
 from tests.standins.duty_store import DutyHost, DutyStore, exchange_heartbeats
 
@@ -83,6 +83,50 @@
     run_hosts(scenario, 5)
 
 
+def test_hosts_without_heartbeats_make_few_calls() -> None:
+    """Guards against claims by all hosts after each lease duration.
+
+    Heartbeats are lost for long, while the holder renews its lease.
+    """
+
+    async def scenario() -> None:
+        store = DutyStore()
+        hosts = [DutyHost(store, f'host-{rank}', rank) for rank in range(40)]
+        for host in hosts:
+            host.start()
+        await asyncio.sleep(60)
+        assert holders(hosts) == ['host-0']
+        store.calls = 0
+        await asyncio.sleep(60)
+        assert holders(hosts) == ['host-0']
+        # The holder makes 60. Host r makes two at most each 1 + r seconds.
+        assert store.calls <= 60 + sum(2 * 60 / (1 + r) for r in range(1, 40))
+        for host in hosts:
+            host.stop()
+
+    run(scenario())
+
+
+def test_emptied_topic_without_eras_is_not_claimed(caplog) -> None:
+    """Guards against a fencing number that was used before."""
+
+    async def scenario(store: DutyStore, hosts: list[DutyHost]) -> None:
+        (host,) = hosts
+        # A holder may renew its own lease; so this one loses it before.
+        host.topic.rejected = True
+        await asyncio.sleep(LEASE_SECONDS)
+        store.era = 0
+        store.records.clear()
+        host.topic.eras = EraTracker('store')
+        host.topic.rejected = False
+        await asyncio.sleep(20)
+        assert host.lease.held() is None
+        assert not store.records
+
+    run_hosts(scenario, 1)
+    assert caplog.text.count('offers no higher number') == 1
+
+
 def test_of_two_hosts_that_claim_at_once_one_holds_the_lease() -> None:
     """Guards against two hosts that both believe they hold the lease.
 
@@ -359,6 +403,41 @@
     run_hosts(scenario)
 
 
+def test_former_holder_waits_before_it_claims_again() -> None:
+    """Guards against a host that calls soon after it lost the lease.
+
+    Another holder may have made a call meanwhile that this host can't see.
+    """
+
+    async def scenario(store: DutyStore, hosts: list[DutyHost]) -> None:
+        (host,) = hosts
+        host.topic.rejected = True
+        while host.lease.held() is not None:
+            await asyncio.sleep(0.01)
+        lost_at = asyncio.get_running_loop().time()
+        host.topic.rejected = False
+        assert await next_holder(hosts, 6) == 'host-0'
+        passed = asyncio.get_running_loop().time() - lost_at
+        assert passed >= LEASE_SECONDS
+
+    run_hosts(scenario, 1)
+
+
+def test_claim_that_was_lost_is_repeated_without_another_wait() -> None:
+    """Guards against a whole lease duration of delay for each lost call."""
+
+    async def scenario() -> None:
+        host = DutyHost(DutyStore(), 'host-0')
+        host.topic.late_appends = [100.0]
+        host.start()
+        # After the first claim: a time-out of 0.8 s and a pause of 1 s.
+        assert await next_holder([host], FIRST_CLAIM_SECONDS + 2) == 'host-0'
+        assert not host.topic.late_appends
+        host.stop()
+
+    run(scenario())
+
+
 def test_expired_history_leaves_one_sufficient_record() -> None:
     """Guards against a new holder that needs records the store has dropped."""
 
@@ -399,6 +478,8 @@
         first.lease.drain()
         assert await next_holder(hosts, 2.6) == 'host-1'
         second.lease.drain()
+        while second.is_running:
+            await asyncio.sleep(0.02)
         first.restart()
         first.lease.heard_at = -100
         assert await next_holder([first], 6) == 'host-0'
--- a/tests/standins/duty_store.py
+++ b/tests/standins/duty_store.py
@@ -94,6 +94,7 @@
         return Position(era, offset)
 
     async def _reach_store(self) -> None:
+        await self.resumed.wait()
         self.store.calls += 1
         await asyncio.sleep(self.store.latency / 2)
         if self.store.down:
@@ -121,7 +122,7 @@
         self.name = name
         self.place = rank
         self.topic = HostTopic(store)
-        self.lease = self._create_lease()
+        self.lease = self.create_lease()
         self.task: asyncio.Task[None] | None = None
 
     @property
@@ -140,10 +141,10 @@
         """Start a new run of the process, which knows nothing."""
         self.stop()
         self.topic.eras = EraTracker('store')
-        self.lease = self._create_lease()
+        self.lease = self.create_lease()
         self.start()
 
-    def _create_lease(self) -> DutyLease:
+    def create_lease(self) -> DutyLease:
         return DutyLease(
             self.topic,
             self.name,
