Count requests of client accounts and report them per window

Operators had no usage reports from the gateways: the platform asks for the number of requests of each client account that began in each window, and no host counted them or knew the counts of the others.

Each host now counts a caller's request once, when its first event or response arrives or when it ends and an upstream may have run it. Hosts send changed counts every 0.5 s to the holder of the duty lease and to the host that would follow it; counts are cumulative, the receiver keeps the maximum and asks for windows whose sum differs. The holder stores the counts of a window with the lease before it reports them; a new holder repeats the stored report unchanged.

Plain services count at the time the request was sent, not when the response arrived: the upstream began to work then, which is what the report is about.

Nothing is enabled yet: gateway.py does not create UsageReports.

--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -80,6 +80,9 @@
             },
             'peers': sorted(gateway.peer_reporter.peers),
             'leads_expert_maps': gateway.peer_reporter.is_leader,
+            'usage': gateway.proxy.usage.state()
+            if gateway.proxy.usage
+            else None,
         }
 
     def _memory(self) -> dict[str, int]:
--- a/primroseyoke/gateway/membership.py
+++ b/primroseyoke/gateway/membership.py
@@ -41,7 +41,8 @@
     """Another gateway; times in monotonic seconds.
 
     ``added_at`` is the time at which its address became known, which does not
-    imply that it runs.
+    imply that it runs. ``lease`` is the fencing number of the duty lease that it
+    holds, 0 if none.
     """
 
     added_at: float
@@ -49,6 +50,7 @@
     draining: bool = False
     availability_zone: str = ''
     sequence: int = 0
+    lease: int = 0
 
 
 class Membership:
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of a gateway."""
 
 from collections.abc import Iterator, Mapping
+from typing import Protocol
 
 from prometheus_client import (
     CollectorRegistry,
@@ -19,7 +20,7 @@
 
 from .memory import MemoryBudget
 
-__all__ = ('Metrics',)
+__all__ = ('Metrics', 'UsageOutcomes')
 
 # Upper bounds, dense around the objectives: 0.1 s for plain services, 0.5 s to
 # the first event and 0.12 s between events.
@@ -42,6 +43,20 @@
 _BY_SERVICE = ('service',)
 
 
+class UsageOutcomes(Protocol):
+    """What became of the windows of the usage reports.
+
+    Attributes:
+        outcomes: number of windows reported, skipped and refused, and of
+            reports repeated.
+    """
+
+    outcomes: Mapping[str, int]
+
+    def open_age(self) -> float:
+        """Return the seconds since the end of the oldest open window."""
+
+
 class Metrics:
     """Counters, gauges and latency histograms of one gateway."""
 
@@ -148,6 +163,10 @@
         """Add the metrics of the memory that is held for callers."""
         self.registry.register(_MemoryCollector(budget))
 
+    def add_usage(self, reports: 'UsageOutcomes') -> None:
+        """Add the metrics of the usage reports."""
+        self.registry.register(_UsageCollector(reports))
+
     def record_topic(self, topic: str, state: Mapping[str, float]) -> None:
         """Set the gauges of one topic."""
         for name, number in state.items():
@@ -188,3 +207,27 @@
             'Requests refused for lack of memory',
             self.budget.refusals,
         )
+
+
+class _UsageCollector(Collector):
+    """Reads the metrics of the usage reports when they are requested."""
+
+    def __init__(self, reports: UsageOutcomes) -> None:
+        self.reports = reports
+
+    def collect(self) -> Iterator[Metric]:
+        windows = CounterMetricFamily(
+            'gateway_usage_windows',
+            'Windows of usage by outcome, and reports repeated',
+            labels=('outcome',),
+        )
+        for outcome in ('reported', 'repeated', 'skipped', 'refused'):
+            windows.add_metric(
+                (outcome,), self.reports.outcomes.get(outcome, 0)
+            )
+        yield windows
+        yield GaugeMetricFamily(
+            'gateway_usage_open_age_seconds',
+            'Time since the end of the oldest window that is not reported',
+            self.reports.open_age(),
+        )
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -1,8 +1,9 @@
 """Messages that gateways send each other as datagrams."""
 
 import ipaddress
+import types
 from collections.abc import Mapping
-from typing import Annotated
+from typing import Annotated, Any
 
 import cbor2
 import msgspec
@@ -17,12 +18,15 @@
     'RelayedReport',
     'Report',
     'ToldLimit',
+    'UsageMessage',
     'decode_message',
     'encode_message',
     'is_ip_address',
 )
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
+# Host name and a random part.
+_MAX_RUN_LENGTH = 120
 
 
 class ToldLimit(msgspec.Struct, array_like=True, frozen=True):
@@ -90,9 +94,30 @@
     pass_on: bool = False
 
 
-PeerMessage = Report | Batch | Evidence
-# Field that only evidence has.
-_EVIDENCE_FIELD = 'crashes'
+class UsageMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Counts of requests for the usage reports.
+
+    ``run`` identifies the process that counted. ``usage`` has the number of its
+    requests by window and client account; later numbers are never lower.
+    ``time`` is the true time at the sender in milliseconds. The counts of
+    windows up to ``completed`` are final. ``totals`` has the sum of the counts
+    of each window; the last message of a series has it, others have None.
+    ``missing`` asks the receiver to send all counts of these windows again.
+    """
+
+    run: Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_RUN_LENGTH)]
+    usage: Mapping[_Count, Mapping[str, _Count]]
+    time: _Count = 0
+    completed: _Count = 0
+    totals: Mapping[_Count, _Count] | None = None
+    missing: tuple[_Count, ...] = ()
+
+
+PeerMessage = Report | Batch | Evidence | UsageMessage
+# Fields that only messages of one type have.
+_TYPE_BY_FIELD: Mapping[str, type[PeerMessage]] = types.MappingProxyType(
+    {'crashes': Evidence, 'usage': UsageMessage}
+)
 
 
 def is_ip_address(text: str) -> bool:
@@ -117,10 +142,15 @@
     """
     try:
         decoded = cbor2.loads(content)
-        if isinstance(decoded, dict) and _EVIDENCE_FIELD in decoded:
-            return msgspec.convert(decoded, Evidence)
-        if isinstance(decoded, dict):
-            return msgspec.convert(decoded, Batch)
-        return msgspec.convert(decoded, Report)
+        return msgspec.convert(decoded, _message_type(decoded))
     except (cbor2.CBORError, msgspec.ValidationError) as error:
         raise MessageInvalid(str(error)) from error
+
+
+def _message_type(decoded: Any) -> type[PeerMessage]:
+    if not isinstance(decoded, dict):
+        return Report
+    for field, message_type in _TYPE_BY_FIELD.items():
+        if field in decoded:
+            return message_type
+    return Batch
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -26,6 +26,7 @@
     PeerMessage,
     Report,
     ToldLimit,
+    UsageMessage,
     decode_message,
     encode_message,
 )
@@ -78,6 +79,7 @@
         self.on_report: Callable[[], None] = _do_nothing
         self.on_evidence: Callable[[Evidence, str], None] = _ignore_evidence
         self.on_peer: Callable[[str], None] = _ignore_peer
+        self.on_usage: Callable[[UsageMessage, str], None] = _ignore_usage
         self.transport: Any = None
         self.last_sent: dict[str, int] = {}
         self.last_heartbeat_at = -math.inf
@@ -93,23 +95,27 @@
         """Apply the report in a datagram; ignore malformed ones."""
         if self.balancer is None:
             return
+        address = sender[0]
         try:
             message = decode_message(content)
         except MessageInvalid as error:
             log.warning(
                 'malformed peer report ignored',
-                extra={'sender': sender[0], 'reason': str(error)},
+                extra={'sender': address, 'reason': str(error)},
             )
             return
         if isinstance(message, Evidence):
-            self.on_evidence(message, sender[0])
+            self.on_evidence(message, address)
+            return
+        if isinstance(message, UsageMessage):
+            self.on_usage(message, address)
             return
         if isinstance(message, Batch):
             self._receive_batch(message)
         elif message.host != self.host:
-            self._apply_report(message, sender[0])
+            self._apply_report(message, address)
             if message.pass_on:
-                self._pass_on(sender[0], message, is_local=True)
+                self._pass_on(address, message, is_local=True)
         self.on_report()
 
     def add_peers(self, addresses: Iterable[str]) -> bool:
@@ -172,6 +178,12 @@
         """Send crash evidence to some of the peers."""
         self._send_message(evidence, addresses)
 
+    def send_usage(
+        self, message: UsageMessage, addresses: Iterable[str]
+    ) -> None:
+        """Send counts of requests to some of the peers."""
+        self._send_message(message, addresses)
+
     def _send_heartbeat(
         self, relay_address: str | None, balancer: Balancer
     ) -> None:
@@ -296,6 +308,7 @@
             report.draining,
             report.availability_zone,
             report.sequence,
+            report.lease,
         )
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
@@ -341,3 +354,7 @@
 
 def _ignore_peer(address: str) -> None:
     """Allow new peers before a callback is set."""
+
+
+def _ignore_usage(message: UsageMessage, sender: str) -> None:
+    """Allow counts of requests before a callback is set."""
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -6,7 +6,7 @@
 import time
 
 from ..exceptions import RequestFailed
-from .authorization import Authorizer
+from .authorization import AuthorizedRequest, Authorizer
 from .balancer import Balancer
 from .connection_pool import ConnectionPool
 from .crash_detection import CrashDetector
@@ -16,6 +16,8 @@
 from .request_forwarding import RequestForwarder
 from .requests import CallerRequest
 from .retry_budget import RetryBudget
+from .usage_counts import RequestUsage
+from .usage_reports import UsageReports
 from .wait_queue import WaitQueue
 
 __all__ = ('Proxy',)
@@ -48,6 +50,7 @@
         self.pool = pool
         self.retry_budget = retry_budget
         self.metrics = Metrics()
+        self.usage: UsageReports | None = None
         self.queues: dict[str, WaitQueue] = {}
         self.first_event_estimates: dict[str, Estimate] = {}
         self.timers: set[asyncio.Timeout] = set()
@@ -103,6 +106,11 @@
             delay = self.balancer.generator.random() * _WAKE_JITTER_SECONDS
             queue.wake_next_within(delay)
 
+    def request_usage(self, authorized: AuthorizedRequest) -> RequestUsage:
+        """Return what counts a request for the usage reports, if enabled."""
+        counter = self.usage.counter if self.usage else None
+        return RequestUsage(counter, authorized)
+
     def first_event_estimate(self, service: str) -> Estimate:
         """Return the estimated time to the first event of a service."""
         return self.first_event_estimates.setdefault(
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -81,6 +81,7 @@
                 failure = await self._recover(failure)
         finally:
             self.response_forwarder.close()
+            self.response_forwarder.usage.close()
 
     def timed_out(self) -> RequestFailed:
         """Return the failure to report when the deadline has passed."""
@@ -149,9 +150,12 @@
         except RequestFailed as failure:
             self._count_attempt(failure.verdict.value)
             self.history.record_failure(failure, attempt)
+            if failure.verdict is not Verdict.NOT_RUN:
+                self.response_forwarder.usage.record_lost(attempt.sent_at)
             return failure
         except asyncio.CancelledError:
             self.history.record_possible_run(attempt)
+            self.response_forwarder.usage.record_lost(attempt.sent_at)
             raise
         self._count_attempt('answered')
         return None
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -28,10 +28,7 @@
     from .authorization import AuthorizedRequest
     from .proxy import Proxy
 
-__all__ = (
-    'RETRY_AFTER_BUSY_SECONDS',
-    'ResponseForwarder',
-)
+__all__ = ('RETRY_AFTER_BUSY_SECONDS', 'ResponseForwarder')
 
 # Retry-After while all upstreams are busy: about the time in which a tenth of
 # the slots become free.
@@ -60,6 +57,7 @@
         blamed: whether the request alone may have crashed an upstream.
         stream_type: content type of the stream that was started.
         attempts: the attempts that have not ended.
+        usage: counts the request once it runs.
         on_progress: called before an attempt sends something to the caller; it
             must end all others.
     """
@@ -82,6 +80,7 @@
         self.blamed = False
         self.stream_type = b''
         self.attempts: list[Attempt] = []
+        self.usage = proxy.request_usage(authorized)
 
     async def send(self, reservation: Reservation) -> Attempt:
         """Send the request; return the attempt, whose answer is due.
@@ -93,6 +92,7 @@
         """
         upstream = reservation.upstream
         sent_at = time.monotonic()
+        self.usage.record_sent(sent_at)
         try:
             connection = await self.proxy.pool.send_request(
                 upstream,
@@ -242,17 +242,12 @@
             self.authorized.request.request_id,
         )
         attempt.head = head
-        self._record_statements(attempt.upstream, head)
-        return head
-
-    def _record_statements(
-        self, upstream: Upstream, head: ResponseHead
-    ) -> None:
         notices = self.proxy.balancer.limits.notices
-        notices.record_response(upstream, head, time.monotonic())
+        notices.record_response(attempt.upstream, head, time.monotonic())
         if head.pause:
             pauses = self.proxy.metrics.wanted_pauses
             pauses.labels(self.authorized.service).inc()
+        return head
 
     async def _forward_stream(
         self, attempt: Attempt, head: ResponseHead, timer: asyncio.Timeout
@@ -312,6 +307,7 @@
     def _start_stream(self, attempt: Attempt, head: ResponseHead) -> None:
         now = time.monotonic()
         self.progress.first_event_at = now
+        self.usage.record_first_event(now)
         estimate = self.proxy.first_event_estimate(self.authorized.service)
         estimate.observe(now - attempt.sent_at)
         self.stream_type = head.content_type
@@ -341,6 +337,7 @@
         self._check_forwardable(attempt.connection, head, last_attempt)
         self.on_progress()
         self.progress.first_event_at = time.monotonic()
+        self.usage.record_response(attempt.sent_at)
         self.response.respond(head.status, head.headers, bytes(body))
 
     async def _forward_part(
@@ -352,6 +349,7 @@
             self.on_progress()
             self.unbuffered = True
             self.progress.first_event_at = time.monotonic()
+            self.usage.record_response(attempt.sent_at)
             self.response.start(head.status, head.headers)
         part = bytes(attempt.body)
         attempt.body.clear()
