Wait for partitioned hosts before a usage report, and limit its calls

A report could have been made without the counts of a zone that was cut off for longer than a window: hosts that were not heard in a window were not waited for. A process that is not heard any more is now waited for until 3 s before the deadline, or until it is forgotten, unless it has said that it stops. A host that crashes delays the reports of the next windows by up to 7 s; they stay in time.

Calls take from the limit that all duties share.

--- a/primroseyoke/gateway/usage.py
+++ b/primroseyoke/gateway/usage.py
@@ -10,7 +10,13 @@
 from .usage_ledger import UsageLedger
 from .usage_records import UsageRecord, decode_record, encode_record
 
-__all__ = ('ApiResult', 'DutyLease', 'UsageApi', 'UsageReporter')
+__all__ = (
+    'ApiResult',
+    'CallLimit',
+    'DutyLease',
+    'UsageApi',
+    'UsageReporter',
+)
 
 log = logging.getLogger(__name__)
 
@@ -67,6 +73,13 @@
         """
 
 
+class CallLimit(Protocol):
+    """Limits the calls of all duties together."""
+
+    def try_take(self, now: float) -> bool:
+        """Return whether a call may be made now, in seconds since boot."""
+
+
 class UsageReporter:
     """Reports the windows in order, each with the counts stored before.
 
@@ -87,6 +100,7 @@
         host: str,
         lease: DutyLease,
         api: UsageApi,
+        limit: CallLimit,
         ledger: UsageLedger,
         active: Callable[[], Collection[str]],
     ) -> None:
@@ -97,6 +111,7 @@
         self.host = host
         self.lease = lease
         self.api = api
+        self.limit = limit
         self.ledger = ledger
         self.active = active
         self.fencing_number: int | None = None
@@ -230,6 +245,8 @@
         counts = self.record.counts
         if number is None or counts is None:
             return False
+        if not self.limit.try_take(self.ledger.boot()):
+            return False
         try:
             answer = await self.api.report_usage(
                 self.host, number, self.window, counts
--- a/primroseyoke/gateway/usage_ledger.py
+++ b/primroseyoke/gateway/usage_ledger.py
@@ -50,6 +50,13 @@
         count = sum(self.counts.get(window, {}).values())
         return count >= self.totals.get(window, 0)
 
+    def is_final(self, window: int) -> bool:
+        """Return whether no more counts of a window are to be expected."""
+        if self.completed >= window:
+            return self.is_whole(window)
+        # A process that ends completes the window in which it does so.
+        return self.completed >= self.told_window
+
     def missing(self) -> tuple[int, ...]:
         """Return the windows of which counts have not arrived."""
         return tuple(
@@ -148,6 +155,10 @@
     ) -> bool:
         """Return whether the report of a window can be made.
 
+        A process that is not heard any more may be on the other side of a
+        network partition and serve requests there. It is waited for, as long
+        as there is time.
+
         Args:
             window: the window.
             active: addresses of the other hosts that run.
@@ -159,12 +170,13 @@
             return True
         if self.counter.completed() < window:
             return False
-        heard = [
-            told for told in self.runs.values() if told.told_window >= window
-        ]
-        addresses = {told.address for told in heard}
-        return addresses.issuperset(active) and all(
-            told.completed >= window and told.is_whole(window) for told in heard
+        heard = {
+            told.address
+            for told in self.runs.values()
+            if told.told_window >= window
+        }
+        return heard.issuperset(active) and all(
+            told.is_final(window) for told in self.runs.values()
         )
 
     def _expire(self, oldest: int) -> None:
--- a/primroseyoke/gateway/usage_reports.py
+++ b/primroseyoke/gateway/usage_reports.py
@@ -5,7 +5,7 @@
 
 from .membership import LEADERSHIP_TIMEOUT_SECONDS
 from .peers import PeerReporter
-from .usage import DutyLease, UsageApi, UsageReporter
+from .usage import CallLimit, DutyLease, UsageApi, UsageReporter
 from .usage_counts import UsageCounter, Windows
 from .usage_ledger import UsageLedger
 from .usage_sharing import UsageSharing
@@ -34,6 +34,7 @@
         peers: PeerReporter,
         lease: DutyLease,
         api: UsageApi,
+        limit: CallLimit,
     ) -> None:
         """Report as ``host`` while ``lease`` is held."""
         self.counter = UsageCounter(windows, WallClock())
@@ -50,6 +51,7 @@
             host,
             lease,
             api,
+            limit,
             self.ledger,
             lambda: peers.reported_within(LEADERSHIP_TIMEOUT_SECONDS),
         )
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -1,11 +1,13 @@
 """Usage reports while the API, the store and holders of the lease fail."""
 
 import asyncio
+import itertools
 
 import pytest
 
+from primroseyoke.gateway.metrics import Metrics
 from primroseyoke.gateway.usage import ApiResult
-from tests.standins.usage_hosts import Network, run_network
+from tests.standins.usage_hosts import Network, boot, run_network
 
 
 async def serve(network: Network, seconds: float) -> None:
@@ -173,7 +175,7 @@
         network.store.grant(None)
         await serve(network, 4)
         network.store.grant('10.0.0.1')
-        await serve(network, 7)
+        await serve(network, 10)
 
     network = run_network(scenario)
     # The crashed host has served until 9 s, and lost at most 0.5 s of counts.
@@ -184,12 +186,13 @@
     assert network.reported_after(2) <= 10
 
 
-def test_windows_that_may_have_been_reported_are_skipped() -> None:
+@pytest.mark.parametrize('count', [1, 2, 9])
+def test_windows_that_may_have_been_reported_are_skipped(count: int) -> None:
     """Guards against two reports of a window after the store lost records."""
 
     async def scenario(network: Network) -> None:
         await serve(network, 11)
-        network.store.lose_records()
+        network.store.lose_records(count)
         network.store.grant('10.0.0.2')
         await serve(network, 15.5)
 
@@ -199,6 +202,48 @@
     assert len(calls) == len(set(calls))
 
 
+def test_new_holder_with_a_wrong_clock_repeats_no_window() -> None:
+    """Guards against two reports by a host that starts 8 s in the past."""
+
+    async def scenario(network: Network) -> None:
+        await serve(network, 16.5)
+        assert network.reported(2) is not None
+        network.store.lose_records(2)
+        host = network.add('10.0.0.9')
+        host.step = -8
+        host.clock.offset -= 8
+        network.store.grant(host.address)
+        # The wait for its own counts of window 4 ends 3 s before the deadline.
+        await serve(network, 17)
+
+    network = run_network(scenario)
+    calls = [window for _, _, window in network.api.calls]
+    assert len(calls) == len(set(calls))
+    assert network.reported(4) is not None
+
+
+def test_holder_that_lost_and_regained_the_lease_uses_its_new_number() -> None:
+    """Guards against calls with a number below that of another holder."""
+    numbers: list[int] = []
+
+    async def scenario(network: Network) -> None:
+        def regain() -> None:
+            network.store.on_write = lambda: None
+            network.store.grant('10.0.0.1')
+            network.store.grant('10.0.0.0')
+
+        await serve(network, 7)
+        network.store.on_write = regain
+        network.api.before_call = lambda window: numbers.append(
+            network.store.number
+        )
+        await serve(network, 9.5)
+
+    network = run_network(scenario)
+    assert_reported(network, 1, 2)
+    assert numbers == [number for _, number, _ in network.api.calls[1:]]
+
+
 def test_invalid_payload_counts_as_lost() -> None:
     """Guards against a holder that stops at a payload it cannot read."""
 
@@ -219,14 +264,56 @@
         await serve(network, 7)
         network.store.grant(None)
         calls = len(network.api.calls)
-        writes = len(network.store.sizes)
+        writes = len(network.store.payloads)
         await serve(network, 8)
         assert len(network.api.calls) == calls
-        assert len(network.store.sizes) == writes
+        assert len(network.store.payloads) == writes
 
     run_network(scenario)
 
 
+def test_calls_stay_below_the_limit_of_the_api() -> None:
+    """Guards against calls that the API rejects, and scaling orders, too."""
+    times: list[float] = []
+
+    async def scenario(network: Network) -> None:
+        network.api.before_call = lambda window: times.append(boot())
+        network.api.down = True
+        await serve(network, 17)
+        network.api.down = False
+        await serve(network, 4)
+
+    network = run_network(scenario)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert min(gaps) >= 0.5
+    assert_reported(network, 1, 2)
+
+
+def test_metrics_tell_what_became_of_the_windows() -> None:
+    """Guards against lost windows that no operator sees."""
+    metrics = Metrics()
+    read = metrics.registry.get_sample_value
+    name = 'gateway_usage_windows_total'
+
+    async def scenario(network: Network) -> None:
+        metrics.add_usage(network[0].usage)
+        network.api.lost_responses = 1
+        await serve(network, 9)
+        assert read('gateway_usage_open_age_seconds') == 0
+        network.api.down = True
+        await serve(network, 15)
+        # The window that ended at 10 s was due at 20 s; that of 15 s is open.
+        assert read('gateway_usage_open_age_seconds') == pytest.approx(9, 0.05)
+        assert read(name, {'outcome': 'skipped'}) == 1
+        network.api.down = False
+        await serve(network, 3)
+
+    network = run_network(scenario)
+    assert read(name, {'outcome': 'reported'}) == len(network.api.accepted) == 4
+    assert read(name, {'outcome': 'repeated'}) == len(network.api.calls) - 5
+    assert read(name, {'outcome': 'refused'}) == 0
+
+
 def test_4300_accounts_fit_into_a_record() -> None:
     """Guards against a payload above the 262,144 bytes of a record.
 
@@ -246,5 +333,5 @@
     assert counts is not None
     assert len(counts) == 4300
     assert sum(counts.values()) == 8600 - 1
-    assert max(network.store.sizes) * 4 / 3 < 262144 / 2
+    assert max(map(len, network.store.payloads)) * 4 / 3 < 262144 / 2
     assert max(network.sizes) <= 1200
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -48,6 +48,7 @@
                 gateway.peer_reporter,
                 lease,
                 mock.Mock(),
+                mock.Mock(),
             )
             await scenario(system)
 
--- a/tests/gateway/test_usage_sharing.py
+++ b/tests/gateway/test_usage_sharing.py
@@ -77,6 +77,25 @@
     assert total(network, 2) == 150
 
 
+@pytest.mark.parametrize(
+    ('start', 'seconds'), [(4.0, 6), (6.0, 6), (8.0, 6), (4.0, 9)]
+)
+def test_partition_loses_no_counts(start: float, seconds: float) -> None:
+    """Guards against reports without a zone that goes on to serve requests."""
+
+    async def scenario(network: Network) -> None:
+        await serve(network, start)
+        network.cut = {'10.0.0.4', '10.0.0.5'}
+        await serve(network, seconds)
+        network.cut = set()
+        await serve(network, 33 - start - seconds)
+
+    network = run_network(scenario, count=6)
+    assert [total(network, window) for window in (1, 2, 3, 4)] == [300] * 4
+    for window in (1, 2, 3, 4):
+        assert network.reported_after(window) < 8
+
+
 def test_holder_that_dies_loses_half_a_second_of_its_counts() -> None:
     """Guards against a holder that keeps its own counts for itself."""
 
@@ -141,7 +160,7 @@
     assert [total(network, window) for window in (1, 2)] == [200] * 2
 
 
-@pytest.mark.parametrize('step', [-4.0, 4.0])
+@pytest.mark.parametrize('step', [-11.0, -4.0, 4.0, 8.0])
 def test_holder_that_starts_with_a_wrong_clock_reports_in_time(
     step: float,
 ) -> None:
@@ -175,6 +194,7 @@
             receivers = {'10.0.0.4', '10.0.0.0', '10.0.0.1'}
             assert set(host.sharing.targets()) <= receivers - {host.address}
         assert network[3].sharing.targets() == ['10.0.0.4', '10.0.0.0']
+        assert network[4].sharing.targets() == ['10.0.0.0']
         assert network[0].sharing.targets() == ['10.0.0.4']
         network.store.grant(None)
         await serve(network, 1)
--- a/tests/standins/usage_hosts.py
+++ b/tests/standins/usage_hosts.py
@@ -42,16 +42,17 @@
         self.payload = b''
         self.payload_known = True
         self.down = False
-        self.sizes: list[int] = []
+        self.payloads: list[bytes] = []
         self.on_write: Callable[[], None] = lambda: None
 
     def grant(self, address: str | None) -> None:
         self.holder = address
         self.number += 1
 
-    def lose_records(self) -> None:
-        """Come back from an older copy that has no record of the lease."""
-        self.payload = b''
+    def lose_records(self, count: int) -> None:
+        """Come back from a copy that lacks the last ``count`` payloads."""
+        del self.payloads[-count:]
+        self.payload = self.payloads[-1] if self.payloads else b''
         self.payload_known = False
 
 
@@ -80,7 +81,7 @@
             return False
         self.store.payload = payload
         self.store.payload_known = True
-        self.store.sizes.append(len(payload))
+        self.store.payloads.append(payload)
         self.store.on_write()
         return self.held() is not None
 
@@ -93,6 +94,8 @@
         self.accepted_at: dict[int, float] = {}
         self.conflicts: list[int] = []
         self.calls: list[tuple[str, int, int]] = []
+        self.highest_number = 0
+        self.numbers_fell = False
         self.down = False
         self.results: list[ApiResult] = []
         self.lost_responses = 0
@@ -102,6 +105,8 @@
         self.before_call(window)
         await asyncio.sleep(0.01)
         self.calls.append((holder, fencing_number, window))
+        self.numbers_fell |= fencing_number < self.highest_number
+        self.highest_number = max(self.highest_number, fencing_number)
         if self.down:
             raise ServiceUnavailable('the API is down')
         if self.results and self.results[0] is not ApiResult.ACCEPTED:
@@ -115,6 +120,19 @@
         return ApiResult.ACCEPTED
 
 
+class CallLimit:
+    """Allows one call per 0.625 s, as for an API that accepts 2 per second."""
+
+    def __init__(self) -> None:
+        self.next_at = 0.0
+
+    def try_take(self, now: float) -> bool:
+        if now < self.next_at:
+            return False
+        self.next_at = now + 0.625
+        return True
+
+
 class Host:
     """The parts of a gateway that count, share and report usage."""
 
@@ -148,6 +166,7 @@
             address,
             self.lease,
             network.api,
+            network.limit,
             self.ledger,
             lambda: self.reporter.reported_within(LEADERSHIP_TIMEOUT_SECONDS),
         )
@@ -209,6 +228,8 @@
         self.request_count = 0
         self.store = Store()
         self.api = Api()
+        self.limit = CallLimit()
+        self.cut: set[str] = set()
         self.hosts: dict[str, Host] = {}
         for number in range(count):
             self.add(f'10.0.0.{number}')
@@ -249,7 +270,8 @@
         return self.api.accepted_at[number] - end
 
     def _deliver(self, sender: str, content: bytes, target: str) -> None:
-        if target in self.hosts:
+        same_side = (sender in self.cut) == (target in self.cut)
+        if target in self.hosts and same_side:
             receive = self.hosts[target].reporter.datagram_received
             receive(content, (sender, PORT))
 
@@ -273,4 +295,5 @@
     ):
         network = run(run_scenario())
     assert not network.api.conflicts
+    assert not network.api.numbers_fell
     return network
