--- a/primroseyoke/gateway/wall_clock.py
+++ b/primroseyoke/gateway/wall_clock.py
@@ -1,5 +1,6 @@
 """True time from a wall clock that may step and step back."""
 
+import logging
 import time
 from collections.abc import Callable
 
@@ -7,12 +8,15 @@
 
 __all__ = ('WallClock',)
 
+log = logging.getLogger(__name__)
+
 # A change of the wall clock against the boot time below this is drift or
 # slewing by NTP and is followed at once.
 _MAX_SLEW_SECONDS = 0.1
 # A step is followed once it has lasted for this time. Clocks of the platform
 # step by seconds and step back.
 _STEP_PERSISTENCE_SECONDS = 60.0
+_DIGITS = 3
 
 
 class WallClock:
@@ -48,8 +52,14 @@
             return
         if self.step is None or abs(offset - self.step) > _MAX_SLEW_SECONDS:
             self.step_seen_at = now
+            self._log('wall clock differs from true time; not followed', offset)
         # The wall clock may drift after the step, too.
         self.step = offset
         if now - self.step_seen_at >= _STEP_PERSISTENCE_SECONDS:
+            self._log('wall clock followed after a step', offset)
             self.offset = offset
             self.step = None
+
+    def _log(self, message: str, offset: float) -> None:
+        difference = round(offset - self.offset, _DIGITS)
+        log.warning(message, extra={'difference': difference})
--- a/tests/gateway/test_usage_clock.py
+++ b/tests/gateway/test_usage_clock.py
@@ -53,12 +53,16 @@
     assert max(map(abs, errors)) < 0.001
 
 
-def test_step_that_lasts_is_followed() -> None:
+def test_step_that_lasts_is_followed(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a clock that stays wrong after it has been set right."""
     clocks = Clocks()
     clock = WallClock(clocks.wall_time, lambda: clocks.boot)
     clocks.error = 5.0
     assert run(clocks, clock, 120)[-1] == pytest.approx(5.0)
+    assert [record.message for record in caplog.records] == [
+        'wall clock differs from true time; not followed',
+        'wall clock followed after a step',
+    ]
 
 
 def test_drift_is_followed() -> None:
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -5,8 +5,10 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
+import msgspec
 import pytest
 
+from primroseyoke.gateway.admin import AdminEndpoints
 from primroseyoke.gateway.authorization import AuthorizedRequest
 from primroseyoke.gateway.usage_counts import (
     RequestUsage,
@@ -207,6 +209,20 @@
     run_deployment(scenario, app=(hang,))
 
 
+def test_state_shows_what_was_counted() -> None:
+    """Guards against operators who can't tell why a window is late."""
+
+    async def scenario(system: Deployment) -> None:
+        await system.call('/lookup/')
+        state = AdminEndpoints(system.gateway).state(time.monotonic())['usage']
+        assert list(state['counted'].values()) == [1]
+        assert state['unsettled'] == 0
+        assert state['reporter']['fencing_number'] is None
+        msgspec.json.encode(state)
+
+    run_deployment(scenario, app=(answer_ok,))
+
+
 def test_without_usage_reports_nothing_is_counted() -> None:
     """Guards against a gateway that needs the duties to serve requests."""
 
