Name the hosts whose counts a usage report lacks

A report that was made 3 s before its deadline did not show which hosts were missing. The log line `usage window reported without all counts of some hosts` names them. Request IDs are now remembered by account: two accounts that use the same ID each have their request counted.

--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -44,14 +44,11 @@
 
 
 class UsageOutcomes(Protocol):
-    """What became of the windows of the usage reports.
+    """What became of the windows of the usage reports."""
 
-    Attributes:
-        outcomes: number of windows reported, skipped and refused, and of
-            reports repeated.
-    """
-
-    outcomes: Mapping[str, int]
+    @property
+    def outcomes(self) -> Mapping[str, int]:
+        """Return the windows reported, skipped, refused, and the repeats."""
 
     def open_age(self) -> float:
         """Return the seconds since the end of the oldest open window."""
--- a/primroseyoke/gateway/usage.py
+++ b/primroseyoke/gateway/usage.py
@@ -38,15 +38,15 @@
 
 
 class DutyLease(Protocol):
-    """What usage reports need of the duty lease.
+    """What usage reports need of the duty lease."""
 
-    Attributes:
-        payload: payload of the newest record, b'' if there is none.
-        payload_known: whether no record of an earlier holder may be lost.
-    """
+    @property
+    def payload(self) -> bytes:
+        """Return the payload of the newest record, b'' if there is none."""
 
-    payload: bytes
-    payload_known: bool
+    @property
+    def payload_known(self) -> bool:
+        """Tell whether no record of an earlier holder may be lost."""
 
     def held(self) -> int | None:
         """Return the fencing number while this host may act."""
@@ -220,14 +220,24 @@
         if self.record.counts is None:
             if not self.ledger.is_ready(self.window, self.active(), now):
                 return False
-            counts = self.ledger.counts(self.window)
-            self.record = UsageRecord(self.record.settled, counts)
-            self.is_stored = False
-            self.is_repeated = False
+            self._choose_counts()
         if not self.is_stored and not await self._store():
             return False
         return await self._report()
 
+    def _choose_counts(self) -> None:
+        """Take the present counts of the next window as its report."""
+        awaited = self.ledger.awaited(self.window, self.active())
+        if awaited:
+            log.warning(
+                'usage window reported without all counts of some hosts',
+                extra=self._log_fields(hosts=sorted(awaited)),
+            )
+        counts = self.ledger.counts(self.window)
+        self.record = UsageRecord(self.record.settled, counts)
+        self.is_stored = False
+        self.is_repeated = False
+
     async def _store(self) -> bool:
         """Store the chosen counts; return whether they may be reported."""
         payload = encode_record(self.record, self.lease.payload)
--- a/primroseyoke/gateway/usage_counts.py
+++ b/primroseyoke/gateway/usage_counts.py
@@ -79,7 +79,7 @@
         self.counts: WindowCounts = {}
         self.changed: set[tuple[int, str]] = set()
         self.unsettled: dict[RequestUsage, float] = {}
-        self.counted_ids: dict[str, int] = {}
+        self.counted_ids: dict[tuple[str, str], int] = {}
 
     def true_time(self, monotonic: float) -> float:
         """Convert a recent monotonic time into true time."""
@@ -91,11 +91,11 @@
         A caller that sends its request again after a lost response uses the
         same ID.
         """
-        if request_id in self.counted_ids:
+        if (client, request_id) in self.counted_ids:
             return
         window = self.windows.at(began_at)
         if request_id:
-            self.counted_ids[request_id] = window
+            self.counted_ids[client, request_id] = window
         clients = self.counts.setdefault(window, {})
         clients[client] = clients.get(client, 0) + 1
         self.changed.add((window, client))
@@ -125,14 +125,14 @@
         for window in tuple(self.counts):
             if window < oldest:
                 self.counts.pop(window)
-        for request_id in tuple(self._expired_ids(oldest)):
-            self.counted_ids.pop(request_id)
+        for key in tuple(self._expired_ids(oldest)):
+            self.counted_ids.pop(key)
 
-    def _expired_ids(self, oldest: int) -> Iterator[str]:
+    def _expired_ids(self, oldest: int) -> Iterator[tuple[str, str]]:
         excess = len(self.counted_ids) - _MAX_ID_COUNT
-        for number, (request_id, window) in enumerate(self.counted_ids.items()):
+        for number, (key, window) in enumerate(self.counted_ids.items()):
             if number < excess or window < oldest:
-                yield request_id
+                yield key
 
 
 class RequestUsage:
--- a/primroseyoke/gateway/usage_ledger.py
+++ b/primroseyoke/gateway/usage_ledger.py
@@ -170,14 +170,24 @@
             return True
         if self.counter.completed() < window:
             return False
+        return not self.awaited(window, active)
+
+    def awaited(self, window: int, active: Collection[str]) -> set[str]:
+        """Return the addresses of hosts that may have more counts.
+
+        ``active`` has the addresses of the other hosts that run.
+        """
         heard = {
             told.address
             for told in self.runs.values()
             if told.told_window >= window
         }
-        return heard.issuperset(active) and all(
-            told.is_final(window) for told in self.runs.values()
-        )
+        unfinished = {
+            told.address
+            for told in self.runs.values()
+            if not told.is_final(window)
+        }
+        return unfinished.union(set(active) - heard)
 
     def _expire(self, oldest: int) -> None:
         for run, told in tuple(self.runs.items()):
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -314,6 +314,13 @@
     assert times.counter.completed() == times.window(104)
 
 
+def test_same_id_of_two_clients_counts_for_both(times: Times) -> None:
+    """Guards against a client whose requests are billed to nobody."""
+    for client in ('c', 'd', 'c'):
+        times.counter.add(client, 'r-1', 1_000_100)
+    assert list(times.counter.counts.values()) == [{'c': 1, 'd': 1}]
+
+
 def test_ids_and_windows_expire(times: Times) -> None:
     """Guards against memory that grows with the number of requests."""
     for number in range(60000):
--- a/tests/gateway/test_usage_sharing.py
+++ b/tests/gateway/test_usage_sharing.py
@@ -60,7 +60,9 @@
 
 
 @pytest.mark.parametrize('at', [8.0, 8.13, 8.27, 8.41])
-def test_host_that_dies_loses_half_a_second_of_counts(at: float) -> None:
+def test_host_that_dies_loses_half_a_second_of_counts(
+    at: float, caplog: pytest.LogCaptureFixture
+) -> None:
     """Guards against a window that is lost, or late, with one host."""
 
     async def scenario(network: Network) -> None:
@@ -75,6 +77,13 @@
     assert served - 6 <= counted <= served + 1
     assert network.reported_after(1) <= 7.5
     assert total(network, 2) == 150
+    lines = [
+        (record.window, record.hosts)
+        for record in caplog.records
+        if 'without all counts' in record.message
+    ]
+    first = int(START // 5)
+    assert (first + 1, ['10.0.0.3']) in lines
 
 
 @pytest.mark.parametrize(
