Count a request once that its caller sends again to another host

Both hosts counted it: the first because an upstream may have run it, the second because it was answered. Each account would have been billed for up to twice its requests during the stall.

The first host now marks such a request as lost, the second marks a request whose caller has probably sent it before, and the holder leaves the second count out. Marks are exchanged like counts. Counts are kept for two more windows, so that a mark is still there when the window of the second try is reported.

--- a/primroseyoke/gateway/usage_counts.py
+++ b/primroseyoke/gateway/usage_counts.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
+from .usage_marks import MARK_PREFIX, is_mark, lost_mark, repeated_mark
 from .wall_clock import WallClock
 
 if TYPE_CHECKING:
@@ -12,7 +13,7 @@
 
 __all__ = ('RequestUsage', 'UsageCounter', 'WindowCounts', 'Windows')
 
-#: Number of requests by window and client account.
+#: Number of requests by window and client account, with marks of requests.
 WindowCounts = dict[int, dict[str, int]]
 
 # Time between the first token and the arrival of its event: half a pass of an
@@ -21,6 +22,9 @@
 # Added to the end of a window before it counts as complete: an event that
 # arrives within ``_FIRST_EVENT_DELAY_SECONDS`` of the end belongs to it.
 _COMPLETION_DELAY_SECONDS = 0.1
+# Windows that are kept after their report is overdue. A report is made up to 7 s
+# after the end of a window, callers give up after 8 s.
+_KEPT_OVERDUE_WINDOWS = 2
 # Request IDs are kept for as long as windows are. The limit bounds the memory
 # under a flood of requests; 50,000 IDs use about 6 MB.
 _MAX_ID_COUNT = 50000
@@ -56,6 +60,14 @@
         """Return the oldest window whose report is not yet overdue."""
         return self.at(now - self.deadline)
 
+    def oldest_kept(self, now: float) -> int:
+        """Return the oldest window whose counts are kept.
+
+        A request that was lost in a window may be sent again until its caller
+        gives up, and is then not counted in that later window.
+        """
+        return self.oldest(now) - _KEPT_OVERDUE_WINDOWS
+
 
 class UsageCounter:
     """Counts of this process; each request counts once.
@@ -65,7 +77,7 @@
     windows since it was sent are not complete.
 
     Attributes:
-        counts: number of requests by window and client account.
+        counts: number of requests by window and client account, with marks.
         changed: windows and clients whose count has changed since
             ``take_changes`` was called.
         unsettled: the requests that were sent and not yet counted, oldest
@@ -85,20 +97,27 @@
         """Convert a recent monotonic time into true time."""
         return self.clock.now() - (time.monotonic() - monotonic)
 
-    def add(self, client: str, request_id: str, began_at: float) -> None:
+    def add(
+        self, client: str, request_id: str, began_at: float, *marks: str
+    ) -> None:
         """Count a request that began at a true time, unless it was counted.
 
         A caller that sends its request again after a lost response uses the
-        same ID.
+        same ID. ``marks`` tell other hosts of such requests.
         """
         if (client, request_id) in self.counted_ids:
             return
+        if client.startswith(MARK_PREFIX):
+            return
         window = self.windows.at(began_at)
         if request_id:
             self.counted_ids[client, request_id] = window
-        clients = self.counts.setdefault(window, {})
-        clients[client] = clients.get(client, 0) + 1
-        self.changed.add((window, client))
+        else:
+            marks = ()
+        entries = self.counts.setdefault(window, {})
+        entries[client] = entries.get(client, 0) + 1
+        entries.update(dict.fromkeys(marks, 1))
+        self.changed.update((window, entry) for entry in (client, *marks))
 
     def take_changes(self) -> set[tuple[int, str]]:
         """Return what has changed since the last call."""
@@ -113,15 +132,24 @@
         return self.windows.at(min(limit, oldest)) - 1
 
     def totals(self) -> dict[int, int]:
+        """Return the sum of the counts of each window, with marks."""
+        return {
+            window: sum(entries.values())
+            for window, entries in self.counts.items()
+        }
+
+    def request_counts(self) -> dict[int, int]:
         """Return the number of requests by window."""
         return {
-            window: sum(clients.values())
-            for window, clients in self.counts.items()
+            window: sum(
+                count for entry, count in entries.items() if not is_mark(entry)
+            )
+            for window, entries in self.counts.items()
         }
 
     def expire(self) -> None:
-        """Drop the windows whose report is overdue."""
-        oldest = self.windows.oldest(self.clock.now())
+        """Drop the windows that are not needed any more."""
+        oldest = self.windows.oldest_kept(self.clock.now())
         for window in tuple(self.counts):
             if window < oldest:
                 self.counts.pop(window)
@@ -141,6 +169,7 @@
     Times are in monotonic seconds.
 
     Attributes:
+        is_repeated: whether the caller has probably sent it before.
         lost_at: when the first attempt was sent whose response was lost and
             that an upstream may have run; None if there was none.
     """
@@ -158,6 +187,9 @@
         self.counter = counter if is_counted else None
         self.client = client.name if client else ''
         self.request_id = authorized.request.request_id
+        self.is_repeated = (
+            authorized.first_attempt_at < authorized.request.arrived_at
+        )
         self.lost_at: float | None = None
 
     def record_sent(self, sent_at: float) -> None:
@@ -191,14 +223,19 @@
             self.counter.unsettled.pop(self, None)
             self.counter = None
         else:
-            self._count(self.lost_at)
+            mark = lost_mark(self.client, self.request_id)
+            self._count(self.lost_at, mark)
 
-    def _count(self, began_at: float) -> None:
+    def _count(self, began_at: float, *marks: str) -> None:
         counter = self.counter
         if counter is None:
             return
         if self.lost_at is not None:
             began_at = min(began_at, self.lost_at)
-        counter.add(self.client, self.request_id, counter.true_time(began_at))
+        if self.is_repeated:
+            marks = (*marks, repeated_mark(self.client, self.request_id))
+        counter.add(
+            self.client, self.request_id, counter.true_time(began_at), *marks
+        )
         counter.unsettled.pop(self, None)
         self.counter = None
--- a/primroseyoke/gateway/usage_ledger.py
+++ b/primroseyoke/gateway/usage_ledger.py
@@ -1,5 +1,6 @@
 """Merges the counts of all hosts and decides which windows can be reported."""
 
+import collections
 import dataclasses
 import statistics
 from collections.abc import Callable, Collection, Iterator, Mapping
@@ -8,6 +9,7 @@
 from .clocks import boot_time
 from .peer_reports import UsageMessage
 from .usage_counts import UsageCounter, WindowCounts, Windows
+from .usage_marks import is_mark, repeated_client
 
 __all__ = ('RunCounts', 'UsageLedger')
 
@@ -116,7 +118,7 @@
         ]
         own = self.counter.clock.now() - now
         self.offset = statistics.median([own, *offsets])
-        self._expire(self.windows.oldest(now + self.offset))
+        self._expire(self.windows.oldest_kept(now + self.offset))
 
     def merge(self, message: UsageMessage, address: str) -> None:
         """Merge counts of another process, received from ``address``."""
@@ -135,12 +137,18 @@
         self._merge_counts(told, message)
 
     def counts(self, window: int) -> dict[str, int]:
-        """Return the merged counts of a window by client, sorted."""
-        merged = dict(self.counter.counts.get(window, {}))
-        for told in self.runs.values():
-            for client, count in told.counts.get(window, {}).items():
-                merged[client] = merged.get(client, 0) + count
-        return dict(sorted(merged.items()))
+        """Return the merged counts of a window by client, sorted.
+
+        A request that one process counted without a response, and another one
+        when it was sent again, counts where it was sent first.
+        """
+        merged: collections.Counter[str] = collections.Counter()
+        for counts in self._all_counts():
+            for entry, count in counts.get(window, {}).items():
+                if not is_mark(entry):
+                    merged[entry] += count
+        merged.subtract(self._counted_twice(window))
+        return dict(sorted((+merged).items()))
 
     def missing(self) -> Iterator[tuple[str, tuple[int, ...]]]:
         """Return the addresses that told more than arrived, with windows."""
@@ -182,13 +190,37 @@
             for told in self.runs.values()
             if told.told_window >= window
         }
+        oldest = self.windows.oldest(self.true_time())
         unfinished = {
             told.address
             for told in self.runs.values()
-            if not told.is_final(window)
+            if told.told_window >= oldest and not told.is_final(window)
         }
         return unfinished.union(set(active) - heard)
 
+    def _all_counts(self) -> list[WindowCounts]:
+        return [
+            self.counter.counts,
+            *(told.counts for told in self.runs.values()),
+        ]
+
+    def _counted_twice(self, window: int) -> Iterator[str]:
+        """Return the client of each request of a window counted before."""
+        for counts in self._all_counts():
+            for entry in counts.get(window, ()):
+                repeated = repeated_client(entry)
+                if repeated and self._is_lost(repeated[1], window, counts):
+                    yield repeated[0]
+
+    def _is_lost(self, mark: str, window: int, own: WindowCounts) -> bool:
+        """Return whether another process has a mark up to ``window``."""
+        return any(
+            earlier <= window and mark in entries
+            for counts in self._all_counts()
+            if counts is not own
+            for earlier, entries in counts.items()
+        )
+
     def _expire(self, oldest: int) -> None:
         for run, told in tuple(self.runs.items()):
             told.drop_before(oldest)
@@ -198,7 +230,7 @@
     def _merge_counts(self, told: RunCounts, message: UsageMessage) -> None:
         now = self.true_time()
         accepted = range(
-            self.windows.oldest(now),
+            self.windows.oldest_kept(now),
             self.windows.at(now) + _MAX_WINDOWS_AHEAD + 1,
         )
         for window, clients in message.usage.items():
--- a/primroseyoke/gateway/usage_reports.py
+++ b/primroseyoke/gateway/usage_reports.py
@@ -59,7 +59,7 @@
     def state(self) -> dict[str, Any]:
         """Return the state for operators."""
         return {
-            'counted': self.counter.totals(),
+            'counted': self.counter.request_counts(),
             'completed': self.counter.completed(),
             'unsettled': len(self.counter.unsettled),
             'receivers': sorted(self.sharing.pending),
--- a/tests/standins/usage_hosts.py
+++ b/tests/standins/usage_hosts.py
@@ -14,6 +14,7 @@
 from primroseyoke.gateway.usage import ApiResult, UsageReporter
 from primroseyoke.gateway.usage_counts import UsageCounter, Windows
 from primroseyoke.gateway.usage_ledger import UsageLedger
+from primroseyoke.gateway.usage_marks import lost_mark, repeated_mark
 from primroseyoke.gateway.usage_sharing import UsageSharing
 from primroseyoke.gateway.wall_clock import WallClock
 from tests.event_loop import run
@@ -183,6 +184,19 @@
                 client, f'r-{self.network.request_count}', self.clock.now()
             )
 
+    def add(
+        self,
+        client: str,
+        request_id: str,
+        lost: bool = False,
+        repeated: bool = False,
+    ) -> None:
+        """Count a request that was lost, or that was sent before."""
+        marks = [lost_mark(client, request_id)] if lost else []
+        if repeated:
+            marks.append(repeated_mark(client, request_id))
+        self.counter.add(client, request_id, self.clock.now(), *marks)
+
     def stop(self) -> None:
         """Stop as after SIGTERM."""
         self.sharing.announce_exit()
