--- a/primroseyoke/gateway/duties.py
+++ b/primroseyoke/gateway/duties.py
@@ -82,6 +82,9 @@
     Attributes:
         lease, api, bucket, runner: None if the platform asks for no duty that
             is known; no call to the store is made then.
+        tasks: background tasks that duties add.
+        on_exit: called when this host stops.
+        states: state of each duty for operators, by name.
     """
 
     def __init__(
@@ -95,6 +98,9 @@
         self.api: PlatformApi | None = None
         self.bucket: TokenBucket | None = None
         self.runner: DutyRunner | None = None
+        self.tasks: list[Callable[[], Coroutine[Any, Any, None]]] = []
+        self.on_exit: list[Callable[[], None]] = []
+        self.states: dict[str, Callable[[], Any]] = {}
         for name in settings.unknown_duties:
             log.warning('unknown duty ignored', extra={'duty': name})
         if settings.duties is None:
@@ -114,19 +120,29 @@
         # Other hosts learn of a new holder at once.
         lease.on_change = reporter.send_heartbeat
 
+    def add(self, duty: Duty) -> None:
+        """Add a duty, to be performed after those added before."""
+        if self.runner is not None:
+            self.runner.add(duty)
+
     def background_tasks(
         self,
     ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the tasks to run, none if there are no duties."""
         if self.lease is None or self.runner is None:
             return []
-        return [self.lease.run, self.runner.run]
+        return [self.lease.run, self.runner.run, *self.tasks]
 
     def drain(self) -> None:
         """Stop the duties and release the lease."""
         if self.lease is not None:
             self.lease.drain()
 
+    def announce_exit(self) -> None:
+        """Tell other hosts what they lose when this one stops."""
+        for announce in self.on_exit:
+            announce()
+
     def state(self) -> dict[str, Any] | None:
         """Return the state for operators, None if there are no duties."""
         if self.lease is None or self.api is None:
@@ -135,4 +151,8 @@
             f'{call} {result}': count
             for (call, result), count in sorted(self.api.call_counts.items())
         }
-        return {'lease': self.lease.state(), 'calls': calls}
+        return {
+            'lease': self.lease.state(),
+            'calls': calls,
+            **{name: describe() for name, describe in self.states.items()},
+        }
--- a/primroseyoke/gateway/forwarding_context.py
+++ b/primroseyoke/gateway/forwarding_context.py
@@ -4,13 +4,15 @@
 
 from ..scheduling.admission import ServiceAdmission
 from ..scheduling.backlog import Backlog
-from .authorization import Authorizer
+from .authorization import AuthorizedRequest, Authorizer
 from .balancer import Balancer, Reservation
 from .connection_pool import ConnectionPool
 from .crash_detection import CrashDetector
 from .estimates import Estimate
 from .metrics import Metrics
 from .retry_budget import RetryBudget
+from .usage_counts import RequestUsage
+from .usage_reports import UsageReports
 from .wait_queue import WaitQueue
 
 __all__ = ('ForwardingContext',)
@@ -29,6 +31,7 @@
         admissions: decides who gets the next slot, by service.
         backlog: requests that wait at other hosts.
         first_event_estimates: time to the first event by service, in seconds.
+        usage: counts requests for the usage reports; None without that duty.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         self.admissions: dict[str, ServiceAdmission] = {}
         self.backlog = Backlog()
         self.first_event_estimates: dict[str, Estimate] = {}
+        self.usage: UsageReports | None = None
 
     def queue(self, service: str) -> WaitQueue:
         """Return the queue of requests that wait for a service."""
@@ -90,3 +94,8 @@
         return self.first_event_estimates.setdefault(
             service, Estimate(_INITIAL_FIRST_EVENT_SECONDS)
         )
+
+    def request_usage(self, authorized: AuthorizedRequest) -> RequestUsage:
+        """Return what counts a request for the usage reports, if enabled."""
+        counter = self.usage.counter if self.usage else None
+        return RequestUsage(counter, authorized)
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -159,6 +159,7 @@
             self._start_task(task_factory)
         await self.stopping.wait()
         await self._drain()
+        self.duties.announce_exit()
         self.peer_reporter.announce_exit()
         log.info(
             'gateway stopped',
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -27,6 +27,7 @@
     PeerMessage,
     Report,
     ToldLimit,
+    UsageMessage,
     decode_message,
     encode_message,
 )
@@ -38,6 +39,8 @@
 log = logging.getLogger(__name__)
 
 Waiting = Mapping[str, Mapping[int, int]]
+# Requests in progress by upstream, and waiting ones.
+_Load = tuple[dict[str, int], Waiting]
 
 # Minimum interval between reports. A report is sent at once when a request
 # starts, so that other hosts do not reserve the same slot.
@@ -89,11 +92,11 @@
         self.on_peer: Callable[[str], None] = _ignore_peer
         self.held_lease: Callable[[], int | None] = _hold_no_lease
         self.on_lease: Callable[[int], None] = _ignore_lease
+        self.on_usage: Callable[[UsageMessage, str], None] = _ignore_usage
         self.transport: Any = None
         self.waiting: Callable[[], Waiting] = dict
         self.backlog = Backlog()
-        self.last_sent: dict[str, int] = {}
-        self.last_sent_waiting: Waiting = {}
+        self.last_sent: _Load = ({}, {})
         self.last_heartbeat_at = -math.inf
         self.draining = False
         self.report_requested = asyncio.Event()
@@ -107,23 +110,27 @@
         """Apply the report in a datagram; ignore malformed ones."""
         if self.balancer is None:
             return
+        address = sender[0]
         try:
             message = decode_message(content)
         except MessageInvalid as error:
             log.warning(
                 'malformed peer report ignored',
-                extra={'sender': sender[0], 'reason': str(error)},
+                extra={'sender': address, 'reason': str(error)},
             )
             return
         if isinstance(message, Evidence):
-            self.on_evidence(message, sender[0])
+            self.on_evidence(message, address)
+            return
+        if isinstance(message, UsageMessage):
+            self.on_usage(message, address)
             return
         if isinstance(message, Batch):
             self._receive_batch(message)
         elif message.host != self.host:
-            self._apply_report(message, sender[0])
+            self._apply_report(message, address)
             if message.pass_on:
-                self._pass_on(sender[0], message, is_local=True)
+                self._pass_on(address, message, is_local=True)
         self.on_report()
 
     def add_peers(self, addresses: Iterable[str]) -> bool:
@@ -161,10 +168,7 @@
         if now - self.last_heartbeat_at >= _HEARTBEAT_INTERVAL_SECONDS:
             self.last_heartbeat_at = now
             self._send_heartbeat(relay_address, balancer)
-        elif (
-            balancer.in_flight.running != self.last_sent
-            or self.waiting() != self.last_sent_waiting
-        ):
+        elif self._load(balancer) != self.last_sent:
             self._send_change(relay_address, balancer)
         self.relay.flush(self.active_by_zone(), self.availability_zone)
 
@@ -189,6 +193,12 @@
         """Send crash evidence to some of the peers."""
         self._send_message(evidence, addresses)
 
+    def send_usage(
+        self, message: UsageMessage, addresses: Iterable[str]
+    ) -> None:
+        """Send counts of requests to some of the peers."""
+        self._send_message(message, addresses)
+
     def _send_heartbeat(
         self, relay_address: str | None, balancer: Balancer
     ) -> None:
@@ -243,18 +253,21 @@
         return min([*local, self.address])
 
     def _report(self, balancer: Balancer) -> Report:
-        self.last_sent = dict(balancer.in_flight.running)
-        self.last_sent_waiting = self.waiting()
+        self.last_sent = self._load(balancer)
+        running, waiting = self.last_sent
         return Report(
             self.host,
-            self.last_sent,
+            running,
             self.draining,
             availability_zone=self.availability_zone,
             sequence=int(boot_time() * _MS_PER_SECOND),
-            waiting=self.last_sent_waiting,
+            waiting=waiting,
             lease=self.held_lease() or 0,
         )
 
+    def _load(self, balancer: Balancer) -> _Load:
+        return dict(balancer.in_flight.running), self.waiting()
+
     def _send_message(
         self, message: PeerMessage, addresses: Iterable[str]
     ) -> None:
@@ -319,6 +332,7 @@
             report.draining,
             report.availability_zone,
             report.sequence,
+            report.lease,
         )
         if report.lease:
             self.on_lease(report.lease)
@@ -376,3 +390,7 @@
 
 def _ignore_lease(number: int) -> None:
     """Allow reports of a lease before a callback is set."""
+
+
+def _ignore_usage(message: UsageMessage, sender: str) -> None:
+    """Allow counts of requests before a callback is set."""
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -7,7 +7,7 @@
 import time
 
 from ..exceptions import RequestFailed
-from .authorization import Authorizer
+from .authorization import AuthorizedRequest, Authorizer
 from .balancer import Balancer
 from .connection_pool import ConnectionPool
 from .forwarding_context import ForwardingContext
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -57,6 +57,7 @@
         blamed: whether the request alone may have crashed an upstream.
         stream_type: content type of the stream that was started.
         attempts: the attempts that have not ended.
+        usage: counts the request once it runs.
         on_progress: called before an attempt sends something to the caller; it
             must end all others.
     """
@@ -79,6 +80,7 @@
         self.blamed = False
         self.stream_type = b''
         self.attempts: list[Attempt] = []
+        self.usage = context.request_usage(authorized)
 
     async def send(self, reservation: Reservation) -> Attempt:
         """Send the request; return the attempt, whose answer is due.
@@ -90,6 +92,7 @@
         """
         upstream = reservation.upstream
         sent_at = time.monotonic()
+        self.usage.record_sent(sent_at)
         try:
             connection = await self.context.pool.send_request(
                 upstream,
@@ -240,17 +243,12 @@
             self.authorized.request.request_id,
         )
         attempt.head = head
-        self._record_statements(attempt.upstream, head)
-        return head
-
-    def _record_statements(
-        self, upstream: Upstream, head: ResponseHead
-    ) -> None:
         notices = self.context.balancer.limits.notices
-        notices.record_response(upstream, head, time.monotonic())
+        notices.record_response(attempt.upstream, head, time.monotonic())
         if head.pause:
             pauses = self.context.metrics.wanted_pauses
             pauses.labels(self.authorized.service).inc()
+        return head
 
     async def _forward_stream(
         self, attempt: Attempt, head: ResponseHead, timer: asyncio.Timeout
@@ -312,6 +310,7 @@
     def _start_stream(self, attempt: Attempt, head: ResponseHead) -> None:
         now = time.monotonic()
         self.progress.first_event_at = now
+        self.usage.record_first_event(now)
         estimate = self.context.first_event_estimate(self.authorized.service)
         estimate.observe(now - attempt.sent_at)
         self.stream_type = head.content_type
@@ -341,6 +340,7 @@
         self._check_forwardable(attempt.connection, head, last_attempt)
         self.on_progress()
         self.progress.first_event_at = time.monotonic()
+        self.usage.record_response(attempt.sent_at)
         self.response.respond(head.status, head.headers, bytes(body))
 
     async def _forward_part(
@@ -352,6 +352,7 @@
             self.on_progress()
             self.unbuffered = True
             self.progress.first_event_at = time.monotonic()
+            self.usage.record_response(attempt.sent_at)
             self.response.start(head.status, head.headers)
         part = bytes(attempt.body)
         attempt.body.clear()
--- a/primroseyoke/gateway/scaling.py
+++ b/primroseyoke/gateway/scaling.py
@@ -91,6 +91,7 @@
         loads: ServiceLoadReader,
         metrics: ScalingMetrics,
         clock: Callable[[], float] = boot_time,
+        may_call: Callable[[float], bool] = bool,
     ) -> None:
         """Order upstreams as ``holder``.
 
@@ -103,6 +104,8 @@
             loads: reads the load of services.
             metrics: counts the orders.
             clock: returns seconds that pass while the host is suspended, too.
+            may_call: tells whether the rate of all calls allows one at a time
+                of that clock.
         """
         self.holder = holder
         self.lease = lease
@@ -112,6 +115,7 @@
         self.loads = loads
         self.metrics = metrics
         self.clock = clock
+        self.may_call = may_call
         self.states: dict[str, ServiceState] = {}
         self.failure_count = 0
         self.wait_until = 0.0
@@ -255,7 +259,7 @@
             for order in state.planned
         ]
         fencing_number = self.lease.held()
-        if not orders or fencing_number is None:
+        if not orders or fencing_number is None or not self.may_call(now):
             return
         name, order = orders[0]
         autoscale = services[name].autoscale
