--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -49,7 +49,7 @@
             gateway = system.gateway
             lease = mock.Mock()
             lease.held = lambda: None
-            gateway.proxy.usage = UsageReports(
+            gateway.proxy.context.usage = UsageReports(
                 'gateway-1',
                 Windows(3600, 10),
                 gateway.peer_reporter,
@@ -64,7 +64,7 @@
 
 def count(system: Deployment) -> int:
     """Return the number of requests counted for the account."""
-    counter = system.gateway.proxy.usage.counter
+    counter = system.gateway.proxy.context.usage.counter
     assert not counter.unsettled
     counts = requests(counter)
     assert all(set(clients) == {CLIENT} for clients in counts.values())
@@ -84,7 +84,7 @@
 
 
 async def wait_until_settled(system: Deployment) -> None:
-    counter = system.gateway.proxy.usage.counter
+    counter = system.gateway.proxy.context.usage.counter
     await wait_until(lambda: not counter.unsettled)
 
 
@@ -197,7 +197,7 @@
 
     async def scenario(system: Deployment) -> None:
         call = asyncio.ensure_future(system.call('/draft/', 'POST'))
-        counter = system.gateway.proxy.usage.counter
+        counter = system.gateway.proxy.context.usage.counter
         await wait_until(lambda: bool(counter.counts))
         assert not call.done()
         await call
@@ -210,7 +210,7 @@
     """Guards against requests without a response that are not counted."""
 
     async def scenario(system: Deployment) -> None:
-        counter = system.gateway.proxy.usage.counter
+        counter = system.gateway.proxy.context.usage.counter
         before = counter.completed()
         call = asyncio.ensure_future(
             system.call('/book/', timeout_ms=400, request_id='r-1')
