--- a/primroseyoke/gateway/admin.py
+++ b/primroseyoke/gateway/admin.py
@@ -84,6 +84,7 @@
             'peers': sorted(gateway.peer_reporter.peers),
             'leads_expert_maps': gateway.peer_reporter.is_leader,
             'duties': gateway.duties.state(),
+            'usage': gateway.proxy.context.usage_state(),
         }
 
     def _memory(self) -> dict[str, int]:
--- a/primroseyoke/gateway/duty_setup.py
+++ b/primroseyoke/gateway/duty_setup.py
@@ -50,7 +50,6 @@
     duties.add(reports.reporter)
     duties.tasks.append(reports.sharing.run)
     duties.on_exit.append(reports.sharing.announce_exit)
-    duties.states['usage'] = reports.state
 
 
 def _add_scaling(gateway: 'Gateway', duties: Duties) -> None:
--- a/primroseyoke/gateway/forwarding_context.py
+++ b/primroseyoke/gateway/forwarding_context.py
@@ -1,5 +1,7 @@
 """Parts of a gateway that all its requests share."""
 
+from typing import Any
+
 import time
 
 from ..scheduling.admission import ServiceAdmission
@@ -99,3 +101,7 @@
         """Return what counts a request for the usage reports, if enabled."""
         counter = self.usage.counter if self.usage else None
         return RequestUsage(counter, authorized)
+
+    def usage_state(self) -> dict[str, Any] | None:
+        """Return the state of the usage reports, None without that duty."""
+        return self.usage.state() if self.usage else None
