Leave slots to on-time requests after a group has recovered

For 4 s after a recovery, late requests now hold 0.4 of the slots at most, each host an even part of it. The effect on callers is not measured yet.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -16,6 +16,7 @@
 )
 
 from ..scheduling.admission import Urgency
+from ..scheduling.late_share import LateShare
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
 from .configuration import Configuration, Engine, Service
@@ -81,6 +82,7 @@
         self.availability_zone = availability_zone
         self.generator = generator
         self.in_flight = InFlightRequests()
+        self.late_share = LateShare()
         self.on_acquire: Callable[[], None] = _do_nothing
         self.limits = UpstreamLimits(host, generator, registry)
         self.health = HealthTracker(generator)
@@ -101,17 +103,27 @@
         service_settings = configuration.services.get(service) or Service(
             service, 0
         )
+        if not self._allows_late(service_settings, criteria, now):
+            return None
         best = self._select(service_settings, now, criteria)
         if best is None:
             return None
+        late_service = ''
+        if criteria.urgency is Urgency.LATE:
+            late_service = service
+            self.late_share.record_start(service)
         self.in_flight.record_start(best.name)
         self.on_acquire()
         rates = self.limits.record_send(best, service_settings, now)
-        return Reservation(best, rates, len(self.limits.sharing.hosts))
+        return Reservation(
+            best, rates, len(self.limits.sharing.hosts), late_service
+        )
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
         self.in_flight.record_end(reservation.upstream.name)
+        if reservation.late_service:
+            self.late_share.record_end(reservation.late_service)
 
     def record_event(
         self,
@@ -291,6 +303,24 @@
             ):
                 yield self._score(upstream, taken, capacity), upstream
 
+    def _allows_late(
+        self, service: Service, criteria: SelectionCriteria, now: float
+    ) -> bool:
+        """Tell whether the share of late requests allows this one.
+
+        It is limited for some time after a group has recovered.
+        """
+        if service.engine is None or criteria.urgency is not Urgency.LATE:
+            return True
+        candidates = self.candidates.find(service.name, criteria.regions)
+        if not self.groups.has_recovered(candidates.ranks, now):
+            return True
+        return self.late_share.allows(
+            service.name,
+            service.engine.slots * len(candidates.upstreams),
+            len(self.in_flight.reports) + 1,
+        )
+
     def _slot_limit(
         self, upstream: Upstream, service: Service, criteria: SelectionCriteria
     ) -> int:
--- a/primroseyoke/gateway/rank_groups.py
+++ b/primroseyoke/gateway/rank_groups.py
@@ -8,8 +8,9 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import time
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 
 from ..exceptions import ServiceUnavailable
 from .capacity import PassTimeEstimator
@@ -27,6 +28,9 @@
 # A group is avoided for this time after the last sign that it is broken, unless
 # a rank reports it open.
 _BROKEN_TIMEOUT_SECONDS = 2.0
+# Time after a stall or a failure in which callers that were refused return: they
+# wait for up to a third of 8 s, and then in the queue.
+_RECOVERY_SECONDS = 4.0
 # Interval at which ranks of broken and stalled groups are queried.
 _POLL_INTERVAL_SECONDS = 0.3
 _MICROSECONDS_PER_SECOND = 1_000_000
@@ -43,6 +47,7 @@
     stream_count: int = 0
     last_event_at: float = 0
     broken_until: float = 0
+    recovered_at: float = -math.inf
     estimator: PassTimeEstimator = dataclasses.field(
         default_factory=PassTimeEstimator
     )
@@ -92,9 +97,12 @@
     def record_event(self, upstream: str, now: float) -> None:
         """Record an event of a stream; the group is no longer broken."""
         status = self._status(upstream)
-        if status is not None:
-            status.last_event_at = now
-            status.broken_until = 0
+        if status is None:
+            return
+        if status.is_stalled(now):
+            status.recovered_at = now
+        status.last_event_at = now
+        status.broken_until = 0
 
     def pass_estimator(self, upstream: str) -> PassTimeEstimator | None:
         """Return the pass time estimator of an upstream's group, if any."""
@@ -174,7 +182,18 @@
 
     def mark_open(self, group: str) -> None:
         """Mark a group as open after a report of one of its ranks."""
-        self.status_by_group.setdefault(group, _GroupStatus()).broken_until = 0
+        status = self.status_by_group.setdefault(group, _GroupStatus())
+        if status.broken_until:
+            status.recovered_at = time.monotonic()
+        status.broken_until = 0
+
+    def has_recovered(self, groups: Iterable[str], now: float) -> bool:
+        """Tell whether one of some groups has been back for a few seconds."""
+        return any(
+            now - status.recovered_at < _RECOVERY_SECONDS
+            for group in groups
+            if (status := self.status_by_group.get(group))
+        )
 
     def retain(self, upstreams: Collection[str]) -> None:
         """Remove all ranks but those in ``upstreams``."""
--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -35,11 +35,13 @@
 
     ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
     the number of hosts that this host shares them with, itself included.
+    ``late_service`` is the service if the request counts as late there.
     """
 
     upstream: Upstream
     rates: tuple[SharedRate, ...] = ()
     host_count: int = 0
+    late_service: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_rank_groups.py
+++ b/tests/gateway/test_rank_groups.py
@@ -55,6 +55,18 @@
     assert not monitor.is_avoided('u1', now=10)
 
 
+def test_group_has_recovered_for_some_seconds() -> None:
+    """Guards against late requests that fill a group as soon as it is back."""
+    monitor = make_monitor()
+    monitor.record_stream_start('u0', now=1)
+    monitor.record_event('u0', now=1.1)
+    assert not monitor.has_recovered(['x'], now=1.1)
+    monitor.record_event('u0', now=3)
+    assert monitor.has_recovered(['y', 'x'], now=5)
+    assert not monitor.has_recovered(['y'], now=5)
+    assert not monitor.has_recovered(['x'], now=8)
+
+
 def test_stalled_group_is_not_known_to_be_broken() -> None:
     monitor = make_monitor()
     monitor.record_stream_start('u0', now=1)
