Refuse requests without a prospect early, and let some returns go first

Callers that found no slot waited for 0.7 s, came back after at most 2 s as told, and were then nearly always refused again: returned requests were served after all others.

Cause: nothing predicted whether a slot comes in time, Retry-After did not depend on the backlog, and returned requests had no share of the slots.

Change: in services with several priorities, a request that can be neither on time nor served late, by the requests ahead over all hosts and the rate at which slots become free, is refused within an eighth of its objective. Retry-After is computed from the backlog and the returns promised before, spread, and at most 0.33 of the time left. Returned requests go before new ones of their priority for a tenth of the slots. Hosts, not requests, of the same priority share spare slots by chance, and a host takes a slot that it released without a draw.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -107,7 +107,8 @@
         self.in_flight.record_start(best.name)
         self.on_acquire()
         rates = self.limits.record_send(best, service_settings, now)
-        return Reservation(best, rates, len(self.limits.sharing.hosts))
+        hosts = len(self.limits.sharing.hosts)
+        return Reservation(best, rates, hosts, now)
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
@@ -216,6 +217,13 @@
         self.health.retain(names)
         self.limits.retain(names, time.monotonic())
 
+    def used_slots(self, service: str, regions: frozenset[str]) -> int:
+        """Return the requests of all hosts at the upstreams of a service."""
+        candidates = self.candidates.find(service, regions)
+        return self.in_flight.total_of(
+            upstream.name for upstream in candidates.upstreams
+        )
+
     def free_slots(
         self,
         service: Service,
@@ -226,22 +234,24 @@
         """Return how many slots are free for requests with ``criteria``.
 
         That is the limit of a rank group minus its requests in progress;
-        upstreams in no group are counted one by one, up to ``enough`` slots.
+        upstreams without one are counted one by one, up to ``enough`` slots.
         """
         candidates = self.candidates.find(service.name, criteria.regions)
         capacities = self._group_capacities(candidates, service, criteria, now)
-        unlimited = capacities.pop('', None)
-        free = sum(
-            max(math.ceil(capacity.room), 0) for capacity in capacities.values()
-        )
-        if unlimited is None:
+        rooms = [capacity.room for capacity in capacities.values()]
+        limited = [room for room in rooms if 0 < room < math.inf]
+        free = sum(map(math.ceil, limited))
+        if math.inf not in rooms:
             return free
         group_of = self.groups.group_by_upstream
         for upstream in candidates.upstreams:
             if free >= enough:
                 break
-            if group_of.get(upstream.name) is None and self._is_usable(
-                upstream, service, now
+            capacity = capacities.get(group_of.get(upstream.name, ''))
+            if (
+                capacity is not None
+                and capacity.room == math.inf
+                and self._is_usable(upstream, service, now)
             ):
                 limit = self._slot_limit(upstream, service, criteria)
                 taken = self.in_flight.total(upstream.name)
--- a/primroseyoke/gateway/forwarding_context.py
+++ b/primroseyoke/gateway/forwarding_context.py
@@ -49,6 +49,7 @@
         self.metrics = Metrics()
         self.queues: dict[str, WaitQueue] = {}
         self.admissions: dict[str, ServiceAdmission] = {}
+        self.metrics.admission.add_admissions(self.admissions)
         self.backlog = Backlog()
         self.first_event_estimates: dict[str, Estimate] = {}
 
@@ -72,8 +73,11 @@
         Other hosts are told at once if requests wait there: a slot that this
         host leaves to them is idle until they know.
         """
+        now = time.monotonic()
         self.balancer.release(reservation)
-        if self.backlog.by_priority(service, time.monotonic()):
+        held = now - reservation.acquired_at
+        self.admission(service).record_release(held, now)
+        if self.backlog.by_priority(service, now):
             self.balancer.on_acquire()
         self.queue(service).wake_next()
 
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -17,6 +17,7 @@
 )
 from prometheus_client.registry import Collector
 
+from .admission_metrics import AdmissionMetrics
 from .memory import MemoryBudget
 
 __all__ = ('Metrics',)
@@ -93,6 +94,7 @@
             'Traits of requests with evidence that they crash upstreams',
             registry=self.registry,
         )
+        self.admission = AdmissionMetrics(self.registry)
         self.first_event = Histogram(
             'gateway_first_event_seconds',
             'Time from the request to the first byte of its answer',
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -24,7 +24,8 @@
     ResponseForwarder,
 )
 from .silence import silence_limit
-from .slot_acquisition import SlotAcquisition, SlotSource
+from .slot_acquisition import SlotAcquisition
+from .slot_source import SlotSource
 from .suspect_refusal import SuspectRefusal
 
 __all__ = ('RequestForwarder',)
@@ -72,6 +73,7 @@
                 context.queue(authorized.service),
                 context.admission(authorized.service),
                 context.balancer,
+                context.metrics,
                 context.first_event_estimate(authorized.service),
                 suspects.check,
                 context.authorizer.check_time_left,
--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -35,11 +35,13 @@
 
     ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
     the number of hosts that this host shares them with, itself included.
+    ``acquired_at`` is in monotonic seconds.
     """
 
     upstream: Upstream
     rates: tuple[SharedRate, ...] = ()
     host_count: int = 0
+    acquired_at: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -1,27 +1,21 @@
 """Waits for a slot at an upstream on behalf of one request."""
 
-import dataclasses
-import math
 import time
-from collections.abc import Callable
 
-from ..exceptions import RequestFailed
-from ..scheduling.admission import QueuePosition, ServiceAdmission, Urgency
-from ..verdicts import Verdict
+from ..scheduling.admission import (
+    REFUSAL_SHARE,
+    QueuePosition,
+    Urgency,
+    WaitLimits,
+)
 from .attempt_history import AttemptHistory
 from .attempts import Progress
 from .authorization import AuthorizedRequest
-from .balancer import Balancer, Reservation, SelectionCriteria
-from .configuration import Service
-from .estimates import Estimate
-from .response_forwarding import (
-    BAD_GATEWAY,
-    RETRY_AFTER_BUSY_SECONDS,
-    UNAVAILABLE,
-)
-from .wait_queue import WaitQueue
+from .balancer import Reservation, SelectionCriteria
+from .slot_refusal import RefusalReason, SlotRefusal
+from .slot_source import SlotSource
 
-__all__ = ('SlotAcquisition', 'SlotSource')
+__all__ = ('SlotAcquisition',)
 
 # Maximum queueing time of a first submission. It slightly exceeds the time in
 # which the response can still meet its objective.
@@ -34,29 +28,6 @@
 _WAIT_SHARE = 0.5
 # A queued request tries to acquire a slot at least this often.
 _POLL_INTERVAL_SECONDS = 0.1
-# Upper limit of Retry-After when no slot became free in time.
-_RETRY_AFTER_LIMIT_SECONDS = 2.0
-# Retry-After as a share of the time left until the deadline: callers wait for
-# at most a third of it.
-_RETRY_AFTER_SHARE = 0.33
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotSource:
-    """Where the slots of one request come from.
-
-    ``first_event`` estimates the time from sending a request to its first
-    event, in seconds. ``check_suspect`` and ``check_time_left`` raise
-    ``RequestFailed`` if the request must not be sent; the latter takes the
-    deadline of the request and the time, both in monotonic seconds.
-    """
-
-    queue: WaitQueue
-    admission: ServiceAdmission
-    balancer: Balancer
-    first_event: Estimate
-    check_suspect: Callable[[], None]
-    check_time_left: Callable[[float, float], None]
 
 
 class SlotAcquisition:
@@ -64,6 +35,7 @@
 
     Attributes:
         waited_seconds: total time spent in the queue.
+        refusal: refuses the request if it gets no slot.
     """
 
     def __init__(
@@ -79,6 +51,7 @@
         self.history = history
         self.progress = progress
         self.waited_seconds = 0.0
+        self.refusal = SlotRefusal(source, authorized, history)
 
     async def acquire(self) -> Reservation:
         """Wait for a slot at an upstream.
@@ -86,32 +59,45 @@
         Raises:
             RequestFailed: no slot became free in time.
         """
-        authorized = self.authorized
         started = time.monotonic()
         self._update_priorities()
-        wait_limit = _INITIAL_WAIT_LIMIT_SECONDS
-        if self._is_retried:
-            wait_limit = _RESUBMITTED_WAIT_LIMIT_SECONDS
-        wait_until = started + min(
-            wait_limit, _WAIT_SHARE * (authorized.deadline - started)
-        )
-        now = started
-        reservation = self._try_acquire(now)
+        limits = self._wait_limits(started)
+        admission = self.source.admission
+        admission.returns_waiting += limits.is_retried
+        reservation = None
         try:
-            while reservation is None:
-                if now >= wait_until or self._should_not_wait(now, wait_until):
-                    raise self._no_capacity()
-                # Poll, since a queue position changes with time and a load
-                # report of another gateway may be lost.
-                await self._wait(
-                    now, min(wait_until - now, _POLL_INTERVAL_SECONDS)
-                )
-                now = time.monotonic()
-                reservation = self._try_acquire(now)
+            reservation = await self._acquire(started, limits)
         finally:
+            admission.returns_waiting -= limits.is_retried
             self._record_end(reservation is not None, started)
         return reservation
 
+    async def _acquire(self, started: float, limits: WaitLimits) -> Reservation:
+        now = started
+        reservation = self._try_acquire(now)
+        while reservation is None:
+            reason = self._refusal_reason(limits, now)
+            if reason is not None:
+                raise self.refusal.failure(
+                    reason, self._queue_position(now), now
+                )
+            await self._wait(now, self._poll_interval(limits, now))
+            now = time.monotonic()
+            reservation = self._try_acquire(now)
+        return reservation
+
+    def _poll_interval(self, limits: WaitLimits, now: float) -> float:
+        """Return when to try again at the latest, in seconds.
+
+        A queue position changes with time and a load report of another gateway
+        may be lost.
+        """
+        interval = min(limits.wait_until - now, _POLL_INTERVAL_SECONDS)
+        left = limits.refused_until - now
+        if self.source.admission.enabled and left > 0:
+            return min(interval, left)
+        return interval
+
     @property
     def _is_retried(self) -> bool:
         return self.authorized.first_attempt_at < (
@@ -143,37 +129,58 @@
         finally:
             admission.stop_waiting(position)
 
-    def _should_not_wait(self, now: float, wait_until: float) -> bool:
-        """Return whether no upstream will be free in time.
+    def _refusal_reason(
+        self, limits: WaitLimits, now: float
+    ) -> RefusalReason | None:
+        """Return why the request is refused now, None if it goes on waiting.
 
-        A started stream waits anyway, because its caller already has part of
-        the response.
+        A started stream waits for an upstream in any case, because its caller
+        already has part of the response.
         """
+        if now >= limits.wait_until:
+            return RefusalReason.WAITED
         if self.history.may_have_run:
-            return False
-        return (
+            return None
+        if (
             self.source.balancer.is_unavailable(self.authorized.service, now)
-            or now + self._delay(now) > wait_until
-        )
-
-    def _delay(self, now: float) -> float:
-        return self.source.balancer.delay(
-            self._service(), self.authorized.regions, now
+            or now + self.refusal.delay(now) > limits.wait_until
+        ):
+            return RefusalReason.UNAVAILABLE
+        position = self._queue_position(now)
+        admission = self.source.admission
+        if admission.may_refuse(
+            position, limits, now
+        ) and not admission.has_prospect(
+            position, self.refusal.prospect(position, now), limits, now
+        ):
+            return RefusalReason.NO_PROSPECT
+        return None
+
+    def _wait_limits(self, started: float) -> WaitLimits:
+        authorized = self.authorized
+        wait_limit = _INITIAL_WAIT_LIMIT_SECONDS
+        if self._is_retried:
+            wait_limit = _RESUBMITTED_WAIT_LIMIT_SECONDS
+        time_left = authorized.deadline - started
+        return WaitLimits(
+            self._late_at(),
+            started + min(wait_limit, _WAIT_SHARE * time_left),
+            started + REFUSAL_SHARE * authorized.route.objective,
+            self._is_retried,
         )
 
-    def _service(self) -> Service:
-        name = self.authorized.service
-        services = self.authorized.configuration.services
-        return services.get(name) or Service(name, 0)
+    def _late_at(self) -> float:
+        """Return when a slot comes too late for an answer on time."""
+        objective = self.authorized.route.objective
+        estimate = self.source.first_event.upper_bound
+        return self.authorized.first_attempt_at + objective - estimate
 
     def _queue_position(self, now: float) -> QueuePosition:
         authorized = self.authorized
-        late_at = authorized.first_attempt_at + authorized.route.objective
-        late_at -= self.source.first_event.upper_bound
         urgency = Urgency.ON_TIME
         if self.progress.first_event_at:
             urgency = Urgency.RESUMED
-        elif now > late_at:
+        elif now > self._late_at():
             urgency = Urgency.LATE
         return self.source.admission.position(
             urgency,
@@ -199,54 +206,24 @@
         )
         if self._is_left_to_others(position, criteria, now):
             return None
-        return self.source.balancer.acquire(
+        reservation = self.source.balancer.acquire(
             authorized.configuration, authorized.service, now, criteria
         )
+        if reservation is not None:
+            self.source.admission.record_slot(position)
+            metrics = self.source.metrics.admission
+            metrics.grants.labels(authorized.service, authorized.priority).inc()
+        return reservation
 
     def _is_left_to_others(
         self, position: QueuePosition, criteria: SelectionCriteria, now: float
     ) -> bool:
         """Tell whether requests at other hosts go before this one."""
         contention = self.source.admission.contention(position, now)
-        if not (contention.ahead or contention.beside):
+        if not (contention.ahead or contention.rivals):
             return False
         balancer = self.source.balancer
         free = balancer.free_slots(
-            self._service(), now, criteria, contention.slots_to_count
+            self.refusal.service(), now, criteria, contention.slots_to_count
         )
         return not contention.allows(free, balancer.generator.random())
-
-    def _no_capacity(self) -> RequestFailed:
-        cause = self.source.balancer.explain_no_capacity(
-            self._service(), time.monotonic()
-        )
-        if self.history.may_have_run:
-            return RequestFailed(
-                f'no other upstream is free: {cause}',
-                Verdict.MAY_HAVE_RUN,
-                BAD_GATEWAY,
-            )
-        return RequestFailed(
-            f'no upstream is free: {cause}',
-            Verdict.NOT_RUN,
-            UNAVAILABLE,
-            self._retry_after(),
-        )
-
-    def _retry_after(self) -> float:
-        """Return the Retry-After of a request that got no slot, in seconds.
-
-        Its response will miss the objective in any case. An overload takes
-        some seconds to clear; an outage of all upstreams takes longer. Where
-        only other hosts may send, the caller reaches one of them by chance.
-        """
-        now = time.monotonic()
-        max_delay = (self.authorized.deadline - now) * _RETRY_AFTER_SHARE
-        if self.source.balancer.is_unavailable(self.authorized.service, now):
-            return max_delay
-        delay = self._delay(now)
-        if math.isinf(delay):
-            return min(RETRY_AFTER_BUSY_SECONDS, max_delay)
-        if delay:
-            return min(delay, max_delay)
-        return min(_RETRY_AFTER_LIMIT_SECONDS, max_delay)
--- a/primroseyoke/gateway/wait_queue.py
+++ b/primroseyoke/gateway/wait_queue.py
@@ -30,6 +30,12 @@
         first = self.waiters[0].position if self.waiters else None
         return precedes_all(position, first)
 
+    def count_before(self, position: QueuePosition) -> int:
+        """Return the waiting requests that go before ``position``."""
+        return bisect.bisect_left(
+            self.waiters, position, key=lambda waiter: waiter.position
+        )
+
     def wake_next(self) -> None:
         """Wake the first waiting request to try to reserve a slot."""
         if self.waiters:
--- a/primroseyoke/scheduling/admission.py
+++ b/primroseyoke/scheduling/admission.py
@@ -8,9 +8,12 @@
 import collections
 import dataclasses
 import enum
+import math
 from collections.abc import Callable, Collection
 
 from .backlog import Backlog
+from .forecast import HoldTime, Prospect
+from .returns import ReturnShare
 from .starvation import GrantHistory
 
 __all__ = (
@@ -18,10 +21,29 @@
     'QueuePosition',
     'ServiceAdmission',
     'Urgency',
+    'WaitLimits',
     'precedes_all',
 )
 
 
+# Share of the objective within which a request is refused that has no prospect
+# of a slot; a caller that knows early can return early.
+REFUSAL_SHARE = 0.125
+# Share of the slots that must be free before a late request gets one.
+_RESERVED_SLOT_SHARE = 0.2
+# Longest Retry-After as a share of the time left: callers wait no longer.
+_RETRY_AFTER_SHARE = 0.33
+# A refused request returns after at least this share of its timeout. A request
+# that returns earlier looks like a new one: the time that callers state differs
+# by up to 0.2.
+_MIN_RETURN_SHARE = 0.22
+# For this time after a release, a host need not share the slot by chance: the
+# others don't know of it yet.
+_OWN_RELEASE_SECONDS = 0.01
+# Random part of Retry-After, so that callers refused together return apart.
+_RETRY_AFTER_JITTER_SHARE = 0.2
+
+
 class Urgency(enum.IntEnum):
     """How much a waiting request gains from a slot, most first."""
 
@@ -86,17 +108,17 @@
 class Contention:
     """Requests at other hosts that compete with one for free slots.
 
-    ``ahead`` is the number of those that go before it, ``beside`` of those of
-    the same priority.
+    ``ahead`` is the number of those that go before it, ``rivals`` the number of
+    hosts where requests of the same priority wait.
     """
 
     ahead: int = 0
-    beside: int = 0
+    rivals: int = 0
 
     @property
     def slots_to_count(self) -> int:
         """Return up to how many free slots make a difference."""
-        return self.ahead + self.beside + 1
+        return self.ahead + self.rivals + 1
 
     def allows(self, free: int, draw: float) -> bool:
         """Tell whether the request may take one of ``free`` slots.
@@ -111,7 +133,22 @@
             draw: random number, evenly distributed between 0 and 1.
         """
         spare = free - self.ahead
-        return spare > 0 and draw * (self.beside + 1) < spare
+        return spare > 0 and draw * (self.rivals + 1) < spare
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitLimits:
+    """How long a request may wait; times in monotonic seconds.
+
+    ``on_time_until`` is when a slot comes too late for an answer on time,
+    ``wait_until`` when it is refused, ``refused_until`` the end of the time in
+    which it is refused for lack of a prospect.
+    """
+
+    on_time_until: float
+    wait_until: float
+    refused_until: float
+    is_retried: bool
 
 
 class ServiceAdmission:
@@ -122,6 +159,8 @@
             counts.
         history: grants and refusals by configured priority.
         on_waiting: called when ``waiting`` has grown.
+        hold_time: how long requests of this host hold a slot.
+        returns: share of the slots for requests that were refused before.
     """
 
     def __init__(
@@ -137,6 +176,10 @@
         self.priorities: Collection[int] = ()
         self.waiting: collections.Counter[int] = collections.Counter()
         self.history = GrantHistory()
+        self.hold_time = HoldTime()
+        self.returns = ReturnShare()
+        self.returns_waiting = 0
+        self.released_at = -math.inf
 
     @property
     def enabled(self) -> bool:
@@ -164,13 +207,16 @@
             return QueuePosition.of(urgency, priority, first_attempt_at)
         if self.history.is_starved(priority, now):
             priority = min(self.priorities)
+        if retried and urgency is Urgency.LATE and self.returns.has_credit:
+            return QueuePosition(Urgency.ON_TIME, False, priority, -math.inf)
         return QueuePosition.of(urgency, priority, first_attempt_at, retried)
 
     def contention(self, position: QueuePosition, now: float) -> Contention:
         """Return what waits at other hosts before and beside a request.
 
         A late request leaves slots to all on-time ones, any other to those of a
-        more urgent priority.
+        more urgent priority. A slot that this host has just released is shared
+        with no others of its priority.
         """
         if not self.enabled:
             return Contention()
@@ -182,7 +228,10 @@
             for priority, count in waiting.items()
             if priority < position.priority
         )
-        return Contention(ahead, waiting.get(position.priority, 0))
+        if now - self.released_at < _OWN_RELEASE_SECONDS:
+            return Contention(ahead)
+        rivals = self.backlog.host_count(self.service, position.priority, now)
+        return Contention(ahead, rivals)
 
     def start_waiting(self, position: QueuePosition) -> None:
         """Count a request that waits from now on."""
@@ -196,7 +245,115 @@
         if position.urgency is Urgency.ON_TIME:
             self.waiting[position.priority] -= 1
 
+    def prospect(
+        self,
+        position: QueuePosition,
+        in_progress: int,
+        host_count: int,
+        now: float,
+    ) -> Prospect:
+        """Return what a request competes with.
+
+        Args:
+            position: its position.
+            in_progress: requests of all hosts that hold a slot.
+            host_count: number of hosts.
+            now: monotonic seconds.
+        """
+        elsewhere = self.backlog.by_priority(self.service, now)
+        ahead = sum(
+            count
+            for waiting in (elsewhere, self.waiting)
+            for priority, count in waiting.items()
+            if position.urgency is Urgency.LATE or priority <= position.priority
+        )
+        return Prospect(
+            rate=self.hold_time.release_rate(in_progress),
+            ahead=ahead,
+            urgent_share=self.history.urgent_share(position.priority, now),
+            demand=self.history.decision_rate(now) * host_count,
+            reserved=_RESERVED_SLOT_SHARE * in_progress,
+        )
+
+    def has_prospect(
+        self,
+        position: QueuePosition,
+        prospect: Prospect,
+        limits: WaitLimits,
+        now: float,
+    ) -> bool:
+        """Tell whether a request is worth waiting for a slot.
+
+        It is if it can be on time or, failing that, can be served late.
+        """
+        if position.urgency is Urgency.ON_TIME:
+            left = limits.on_time_until - now
+            if prospect.on_time_delay() <= left:
+                return True
+        return now + prospect.late_delay() <= limits.wait_until
+
+    def may_refuse(
+        self, position: QueuePosition, limits: WaitLimits, now: float
+    ) -> bool:
+        """Tell whether a request is refused now if it has no prospect.
+
+        An on-time request is refused within a share of its objective, or else
+        waits: the newest first may not be those of the forecast. A request that
+        was refused before waits, as its caller does not return again.
+        """
+        if not self.enabled or limits.is_retried:
+            return False
+        if position.urgency is Urgency.ON_TIME:
+            return now <= limits.refused_until
+        return position.urgency is Urgency.LATE
+
+    def retry_after(
+        self,
+        backlog_delay: float,
+        timeout: float,
+        time_left: float,
+        draw: float,
+        now: float,
+    ) -> float:
+        """Return when a refused request is to return, in seconds.
+
+        Callers are told times at which what waits now is served, and the
+        returns before them have got their share of the slots.
+
+        Args:
+            backlog_delay: time in which as many slots become free as requests
+                wait, in seconds.
+            timeout: longest time that callers wait for a response.
+            time_left: what is left of it for this request.
+            draw: random number, evenly distributed between 0 and 1.
+            now: monotonic seconds.
+        """
+        longest = time_left * _RETRY_AFTER_SHARE
+        waited = timeout - time_left
+        earliest = timeout * _MIN_RETURN_SHARE - waited
+        delay = self.returns.delay(
+            self.returns_waiting, self.history.grant_rate(now), now
+        )
+        delay = max(delay, earliest, backlog_delay)
+        delay *= 1 + _RETRY_AFTER_JITTER_SHARE * draw
+        if delay > longest:
+            spread = min(longest, max(longest - earliest, 0)) / 2
+            delay = longest - spread * draw
+        self.returns.promise(now + delay)
+        return delay
+
     def record_decision(self, priority: int, granted: bool, now: float) -> None:
         """Record that a request got a slot, or was refused."""
         if self.enabled:
             self.history.record(priority, granted, now)
+
+    def record_release(self, held: float, now: float) -> None:
+        """Record that a request of this host held a slot for ``held`` s."""
+        self.hold_time.observe(held)
+        self.released_at = now
+
+    def record_slot(self, position: QueuePosition) -> None:
+        """Record the position at which a request got a slot."""
+        self.released_at = -math.inf
+        if self.enabled:
+            self.returns.record_grant(position.order == -math.inf)
--- a/primroseyoke/scheduling/backlog.py
+++ b/primroseyoke/scheduling/backlog.py
@@ -30,6 +30,7 @@
     Attributes:
         reports: last report of each host where requests wait, oldest first.
         totals: waiting requests by service and priority.
+        hosts: number of hosts where such requests wait.
     """
 
     def __init__(self) -> None:
@@ -38,6 +39,7 @@
             collections.OrderedDict()
         )
         self.totals: dict[str, collections.Counter[int]] = {}
+        self.hosts: dict[str, collections.Counter[int]] = {}
 
     def apply_report(
         self, host: str, waiting: _Waiting, sent_at: float
@@ -62,19 +64,39 @@
 
     def by_priority(self, service: str, now: float) -> Mapping[int, int]:
         """Return the requests that wait for a service, by priority."""
+        self._expire(now)
+        return self.totals.get(service, {})
+
+    def host_count(self, service: str, priority: int, now: float) -> int:
+        """Return the hosts where requests of a priority wait for a service."""
+        self._expire(now)
+        counts = self.hosts.get(service)
+        return counts[priority] if counts else 0
+
+    def _expire(self, now: float) -> None:
         while self.reports:
             host, report = next(iter(self.reports.items()))
             if now - report.sent_at < REPORT_LIFETIME_SECONDS:
                 break
             self.drop_report(host)
-        return self.totals.get(service, {})
 
     def _add(self, waiting: _Waiting, sign: int) -> None:
         for service, counts in waiting.items():
-            totals = self.totals.setdefault(service, collections.Counter())
             for priority, count in counts.items():
-                totals[priority] += sign * count
-                if not totals[priority]:
-                    totals.pop(priority)
-            if not totals:
-                self.totals.pop(service)
+                _count(self.totals, service, priority, sign * count)
+                _count(self.hosts, service, priority, sign * bool(count))
+
+
+def _count(
+    counters: dict[str, collections.Counter[int]],
+    service: str,
+    priority: int,
+    change: int,
+) -> None:
+    """Change a counter; those that are zero are removed."""
+    counter = counters.setdefault(service, collections.Counter())
+    counter[priority] += change
+    if not counter[priority]:
+        counter.pop(priority)
+    if not counter:
+        counters.pop(service)
--- a/primroseyoke/scheduling/starvation.py
+++ b/primroseyoke/scheduling/starvation.py
@@ -49,15 +49,39 @@
 
     def is_starved(self, priority: int, now: float) -> bool:
         """Tell whether a priority gets less than its least share."""
-        while self.decisions and self.decisions[0][0] <= now - _WINDOW_SECONDS:
-            _, expired, granted = self.decisions.popleft()
-            self._add(expired, granted, -1)
+        self._expire(now)
         tally = self.tallies.get(priority)
         if tally is None or tally.decided < _MIN_DECISIONS:
             return False
         share = tally.granted / tally.decided
         return share < _LEAST_SHARE * self.total.granted / self.total.decided
 
+    def urgent_share(self, priority: int, now: float) -> float:
+        """Return the share of the slots that more urgent priorities got."""
+        self._expire(now)
+        urgent = sum(
+            tally.granted
+            for other, tally in self.tallies.items()
+            if other < priority
+        )
+        return urgent / self.total.granted if urgent else 0
+
+    def grant_rate(self, now: float) -> float:
+        """Return the slots that this host got per second."""
+        self._expire(now)
+        return self.total.granted / _WINDOW_SECONDS
+
+    def decision_rate(self, now: float) -> float:
+        """Return the requests that this host decided on per second."""
+        self._expire(now)
+        return self.total.decided / _WINDOW_SECONDS
+
+    def _expire(self, now: float) -> None:
+        oldest = now - _WINDOW_SECONDS
+        while self.decisions and self.decisions[0][0] <= oldest:
+            _, expired, granted = self.decisions.popleft()
+            self._add(expired, granted, -1)
+
     def _add(self, priority: int, granted: bool, sign: int) -> None:
         tally = self.tallies.setdefault(priority, _Tally())
         for changed in (tally, self.total):
--- a/tests/gateway/test_slot_acquisition.py
+++ b/tests/gateway/test_slot_acquisition.py
@@ -24,13 +24,15 @@
     Target,
 )
 from primroseyoke.gateway.estimates import Estimate
+from primroseyoke.gateway.metrics import Metrics
 from primroseyoke.gateway.peer_reports import (
     Report,
     decode_message,
     encode_message,
 )
 from primroseyoke.gateway.requests import CallerRequest
-from primroseyoke.gateway.slot_acquisition import SlotAcquisition, SlotSource
+from primroseyoke.gateway.slot_acquisition import SlotAcquisition
+from primroseyoke.gateway.slot_source import SlotSource
 from primroseyoke.gateway.wait_queue import WaitQueue
 from primroseyoke.scheduling.admission import ServiceAdmission
 from primroseyoke.scheduling.backlog import Backlog
@@ -76,6 +78,7 @@
         self.balancer = make_rank_group(8)
         self.backlog = Backlog()
         self.queue = WaitQueue()
+        self.metrics = Metrics()
         self.reports: list[dict[int, int]] = []
         self.admission = ServiceAdmission(
             'app',
@@ -106,6 +109,7 @@
                 self.queue,
                 self.admission,
                 self.balancer,
+                self.metrics,
                 Estimate(0.2),
                 lambda: None,
                 lambda deadline, now: None,
@@ -292,7 +296,98 @@
     assert plain.free_slots(Service('app', 9), 1, criteria, 1) >= 1
 
 
+def test_free_slots_of_a_group_without_an_engine() -> None:
+    """Guards against an infinite limit of a group, which can't be rounded."""
+    group = make_rank_group(2)
+    free = group.free_slots(Service('app', 9), 1, SelectionCriteria(), 99)
+    assert free == 24
+
+
 def test_without_usable_upstreams_no_slot_is_free() -> None:
     balancer: Balancer = make_balancer(0)
     service = Service('app', 9)
     assert not balancer.free_slots(service, 1, SelectionCriteria(), 9)
+
+
+async def refusal(host: Host, waiting: dict[int, int]) -> tuple[float, float]:
+    """Return the time to the refusal and its Retry-After, in seconds."""
+    started = time.monotonic()
+    host.report(waiting)
+    with pytest.raises(RequestFailed) as raised:
+        await host.acquire(2)
+    return time.monotonic() - started, raised.value.retry_after
+
+
+def test_a_request_without_a_prospect_is_refused_early(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against callers that learn after 0.7 s that they get no slot."""
+
+    async def scenario() -> None:
+        host = Host(0, TWO_PRIORITIES)
+        # About 3 slots become free per second, and 50 requests go first.
+        host.admission.hold_time.observe(10)
+        waited, retry_after = await refusal(host, {0: 50})
+        assert waited <= 1.0 / 8
+        assert 0.2 * TIMEOUT_SECONDS < retry_after <= TIMEOUT_SECONDS / 3
+        metrics = host.metrics.render().decode()
+        assert (
+            'gateway_refusals_total{priority="2",reason="no_prospect",'
+            'service="app"} 1.0'
+        ) in metrics
+
+    with caplog.at_level('INFO'):
+        simulate(scenario())
+    (record,) = [
+        vars(record)
+        for record in caplog.records
+        if record.message == 'request refused for lack of a slot'
+    ]
+    assert record['reason'] == 'no_prospect'
+    assert record['position'] == 0
+    assert record['free_slots'] == 0
+    assert record['urgent_elsewhere'] == 50
+
+
+def test_a_request_with_a_prospect_waits() -> None:
+    """Guards against refusals of requests that would be served in time."""
+
+    async def scenario() -> float:
+        host = Host(0, TWO_PRIORITIES)
+        host.admission.hold_time.observe(0.2)
+        waited, _ = await refusal(host, {0: 1})
+        return waited
+
+    assert simulate(scenario()) >= 0.7
+
+
+def test_with_one_priority_requests_wait_as_before() -> None:
+    """Guards against a change for services without priorities."""
+
+    async def scenario() -> None:
+        host = Host(0, ONE_PRIORITY)
+        host.admission.hold_time.observe(10)
+        waited, retry_after = await refusal(host, {0: 50})
+        assert 0.7 <= waited < 0.8
+        assert retry_after == 2.0
+
+    simulate(scenario())
+
+
+def test_waiting_requests_are_in_the_metrics() -> None:
+    async def scenario() -> str:
+        host = Host(0, TWO_PRIORITIES)
+        host.metrics.admission.add_admissions({'app': host.admission})
+        host.report({0: 4})
+        acquiring = asyncio.ensure_future(host.acquire(2))
+        await asyncio.sleep(0.05)
+        metrics = host.metrics.render().decode()
+        acquiring.cancel()
+        return metrics
+
+    metrics = simulate(scenario())
+    name = 'gateway_waiting_requests'
+    assert f'{name}{{place="here",priority="2",service="app"}} 1.0' in metrics
+    assert (
+        f'{name}{{place="elsewhere",priority="0",service="app"}} 4.0' in metrics
+    )
--- a/tests/scheduling/test_admission_order.py
+++ b/tests/scheduling/test_admission_order.py
@@ -1,7 +1,7 @@
 """Who gets the next slot, over all hosts.
 
 Load: 30 hosts share the 315 slots of one group. Three priorities are requested
-at 53.5, 23.5 and 40.6 per second, with bursts above the capacity of 126.
+at 53.5, 23.5 and 40.6 per second, with bursts above the capacity of 119.
 """
 
 import functools
--- a/tests/standins/slot_model.py
+++ b/tests/standins/slot_model.py
@@ -12,14 +12,19 @@
 import math
 import random
 
-from primroseyoke.scheduling.admission import ServiceAdmission, Urgency
+from primroseyoke.scheduling.admission import (
+    REFUSAL_SHARE,
+    ServiceAdmission,
+    Urgency,
+    WaitLimits,
+)
 from primroseyoke.scheduling.backlog import Backlog
 
 SERVICE = 'model'
 SLOT_COUNT = 315
 HOST_COUNT = 30
-# The mean capacity is 126 requests per second.
-MEAN_HOLD_SECONDS = 2.5
+# Requests per second that the group can serve.
+SLOT_RATE = 119
 HOLD_DEVIATION = 0.4
 FIRST_EVENT_SECONDS = (0.1, 0.2)
 FIRST_EVENT_BOUND_SECONDS = 0.2
@@ -38,6 +43,11 @@
 WAIT_LIMIT_SECONDS = 0.7
 RETRIED_WAIT_LIMIT_SECONDS = 1.4
 RETRY_AFTER_LIMIT_SECONDS = 2.0
+# A request counts as returned if its time left differs by more than this.
+TIMEOUT_VARIATION_SHARE = 0.2
+# Callers that don't wait as told.
+ABUSIVE_DELAY_SECONDS = 0.05
+ABUSIVE_ATTEMPTS = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,12 +73,17 @@
     called_at: float
     arrived_at: float
     retried: bool = False
+    #: When the gateway believes that the caller first made it.
+    first_attempt_at: float = 0
+    attempts: int = 1
+    abusive: bool = False
     slot_asked_at: float = 0
     waiting_at: object = None
     until: float = 0
     version: int = 0
     sent_at: float = 0
     ended: bool = False
+    number: int = dataclasses.field(default_factory=itertools.count().__next__)
 
 
 @dataclasses.dataclass
@@ -80,6 +95,9 @@
     refused_twice: int = 0
     lost: int = 0
 
+    obedient_refused: int = 0
+    obedient_refused_twice: int = 0
+
     @property
     def served_share(self):
         return (self.on_time + self.late) / self.called
@@ -133,7 +151,15 @@
 class Model:
     """Runs one scenario; ``tallies`` has the outcomes by priority."""
 
-    def __init__(self, kinds, seed, ordered=True, host_count=HOST_COUNT):
+    def __init__(
+        self,
+        kinds,
+        seed,
+        ordered=True,
+        predicting=True,
+        abusive_share=0,
+        slot_rate=SLOT_RATE,
+    ):
         self.now = 0.0
         self.kinds = kinds
         self.events = []
@@ -143,12 +169,17 @@
         priorities = frozenset(kind.priority for kind in kinds)
         self.hosts = [
             Host(self, number, priorities if ordered else frozenset())
-            for number in range(host_count)
+            for number in range(HOST_COUNT)
         ]
+        self.predicting = ordered and predicting
+        self.abusive_share = abusive_share
+        self.mean_hold = SLOT_COUNT / slot_rate - sum(FIRST_EVENT_SECONDS) / 2
         self.engine_running = 0
         self.engine_queue = collections.deque()
         self.tallies = collections.defaultdict(Tally)
         self.started_at = []
+        self.on_time_started_at = []
+        self.refusal_times = []
         # Groups of hosts that don't hear each other.
         self.sides = {}
         self.seed = seed
@@ -197,7 +228,17 @@
     def call(self, kind, generator):
         self.tallies[kind.priority].called += 1
         host = self.hosts[int(generator.random() * len(self.hosts))]
-        self.receive(Request(kind, host, self.now, self.now))
+        abusive = generator.random() < self.abusive_share
+        self.receive(
+            Request(
+                kind,
+                host,
+                self.now,
+                self.now,
+                first_attempt_at=self.now,
+                abusive=abusive,
+            )
+        )
 
     def receive(self, request):
         if not request.host.is_alive:
@@ -210,33 +251,59 @@
             else WAIT_LIMIT_SECONDS
         )
         request.until = self.now + min(limit, left / 2)
+        if self.predicting:
+            request.host.admission.returns_waiting += request.retried
         self.attempt(request, request.version)
 
     def refuse(self, request):
         tally = self.tallies[request.kind.priority]
         tally.refused += 1
-        request.host.admission.record_decision(
-            request.kind.priority, False, self.now
-        )
-        if request.retried:
+        admission = request.host.admission
+        admission.record_decision(request.kind.priority, False, self.now)
+        if self.predicting:
+            admission.returns_waiting -= request.retried
+        self.refusal_times.append(self.now - request.arrived_at)
+        left = request.called_at + CALLER_TIMEOUT_SECONDS - self.now
+        if self.predicting:
+            prospect = self.prospect(request, self.position(request))
+            delay = admission.retry_after(
+                prospect.backlog_delay(),
+                CALLER_TIMEOUT_SECONDS,
+                left,
+                self.generator.random(),
+                self.now,
+            )
+        else:
+            delay = min(RETRY_AFTER_LIMIT_SECONDS, left / 3)
+        if request.abusive:
+            delay = ABUSIVE_DELAY_SECONDS
+        else:
+            tally.obedient_refused += request.attempts == 1
+            tally.obedient_refused_twice += request.attempts == 2
+        allowed = ABUSIVE_ATTEMPTS if request.abusive else 2
+        if request.attempts == allowed:
             tally.refused_twice += 1
             return
-        left = request.called_at + CALLER_TIMEOUT_SECONDS - self.now
-        delay = min(RETRY_AFTER_LIMIT_SECONDS, left / 3)
+        arrives_at = self.now + delay
+        elapsed = arrives_at - request.called_at
+        retried = elapsed > TIMEOUT_VARIATION_SHARE * CALLER_TIMEOUT_SECONDS
         retry = Request(
             request.kind,
             self.generator.choice(self.hosts),
             request.called_at,
-            self.now + delay,
-            retried=True,
+            arrives_at,
+            retried=retried,
+            first_attempt_at=request.called_at if retried else arrives_at,
+            attempts=request.attempts + 1,
+            abusive=request.abusive,
         )
-        self.at(self.now + delay, self.receive, retry)
+        self.at(arrives_at, self.receive, retry)
 
     # Hosts
 
     def position(self, request):
         late_at = (
-            request.called_at
+            request.first_attempt_at
             + request.kind.objective
             - FIRST_EVENT_BOUND_SECONDS
         )
@@ -244,7 +311,7 @@
         return request.host.admission.position(
             urgency,
             request.kind.priority,
-            request.called_at,
+            request.first_attempt_at,
             request.retried,
             self.now,
         )
@@ -259,7 +326,7 @@
         host = request.host
         request.version += 1
         if request.waiting_at is not None:
-            host.queue.remove((request.waiting_at, id(request), request))
+            host.queue.remove((request.waiting_at, request.number, request))
             host.admission.stop_waiting(request.waiting_at)
             request.waiting_at = None
         position = self.position(request)
@@ -268,17 +335,23 @@
             contention = host.admission.contention(position, self.now)
             free = host.free(position.urgency is Urgency.LATE)
             if contention.allows(free, self.generator.random()):
-                self.grant(request)
+                self.grant(request, position)
                 return
-        if self.now >= request.until:
+        if self.now >= request.until or not self.has_prospect(
+            request, position
+        ):
             self.refuse(request)
             self.wake(host)
             return
         request.waiting_at = position
-        bisect.insort(host.queue, (position, id(request), request))
+        bisect.insort(host.queue, (position, request.number, request))
         host.admission.start_waiting(position)
+        again_at = min(request.until, self.now + POLL_SECONDS)
+        refused_until = self.refused_until(request)
+        if self.predicting and self.now < refused_until:
+            again_at = min(again_at, refused_until)
         self.at(
-            min(request.until, self.now + POLL_SECONDS),
+            again_at,
             self.attempt,
             request,
             request.version,
@@ -293,8 +366,44 @@
         host.wake_is_scheduled = False
         self.wake(host)
 
-    def grant(self, request):
+    def refused_until(self, request):
+        return request.arrived_at + REFUSAL_SHARE * request.kind.objective
+
+    def prospect(self, request, position):
+        host = request.host
+        return host.admission.prospect(
+            position,
+            host.running + host.view_total,
+            len(host.views) + 1,
+            self.now,
+        )
+
+    def has_prospect(self, request, position):
+        if not self.predicting:
+            return True
+        on_time_until = (
+            request.first_attempt_at
+            + request.kind.objective
+            - FIRST_EVENT_BOUND_SECONDS
+        )
+        limits = WaitLimits(
+            on_time_until,
+            request.until,
+            self.refused_until(request),
+            request.retried,
+        )
+        admission = request.host.admission
+        if not admission.may_refuse(position, limits, self.now):
+            return True
+        prospect = self.prospect(request, position)
+        return admission.has_prospect(position, prospect, limits, self.now)
+
+    def grant(self, request, position):
         host = request.host
+        if host.admission.enabled:
+            host.admission.record_slot(position)
+        if self.predicting:
+            host.admission.returns_waiting -= request.retried
         host.admission.record_decision(request.kind.priority, True, self.now)
         host.running += 1
         request.sent_at = self.now
@@ -306,8 +415,10 @@
             self.at(self.now + START_TIMEOUT_SECONDS, self.give_up, request)
         self.wake(host)
 
-    def release(self, host):
+    def release(self, host, held=None):
         host.running -= 1
+        if held is not None:
+            host.admission.record_release(held, self.now)
         others = host.backlog.by_priority(SERVICE, self.now)
         self.schedule_report(host, 0 if others else MAX_REPORT_DELAY_SECONDS)
         self.wake(host)
@@ -321,9 +432,10 @@
         tally = self.tallies[request.kind.priority]
         if self.now + first - request.called_at <= request.kind.objective:
             tally.on_time += 1
+            self.on_time_started_at.append(self.now)
         else:
             tally.late += 1
-        mean = math.log(MEAN_HOLD_SECONDS) - HOLD_DEVIATION**2 / 2
+        mean = math.log(self.mean_hold) - HOLD_DEVIATION**2 / 2
         hold = first + self.holds.lognormvariate(mean, HOLD_DEVIATION)
         self.at(self.now + hold, self.end, request)
 
@@ -335,7 +447,7 @@
                 self.start(waiting)
         if not request.ended:
             request.ended = True
-            self.release(request.host)
+            self.release(request.host, self.now - request.sent_at)
 
     def give_up(self, request):
         if request in self.engine_queue:
