--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -36,12 +36,14 @@
     ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
     the number of hosts that this host shares them with, itself included.
     ``late_service`` is the service if the request counts as late there.
+    ``acquired_at`` is in monotonic seconds.
     """
 
     upstream: Upstream
     rates: tuple[SharedRate, ...] = ()
     host_count: int = 0
     late_service: str = ''
+    acquired_at: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,8 +51,8 @@
     """How many more requests a rank group accepts, and its time per pass.
 
     ``room`` is infinite for upstreams in no group, which have limits of their
-    own; a group that is not to be used has none. ``slow`` tells that ``pass_time``, in seconds, exceeds the longest gap that
-    the request allows.
+    own; a group that is not to be used has none. ``slow`` tells that
+    ``pass_time``, in seconds, exceeds the longest gap that the request allows.
     """
 
     room: float
