Let client accounts above their share wait behind others

Slots went to whoever asked most often.

Each host now counts the work of at most 64 accounts and tells the others its 12 heaviest in its heartbeats (about 170 bytes). While requests wait, those of an account that requests more than twice what it usually does, and more than 1.5 times the mean, have the new urgency ABOVE_SHARE: they go last and leave the reserved slots free, as late requests do. Without contention, without client accounts and for requests without one, nothing changes.

Operators see gateway_clients_above_share, gateway_yielded_waits_total, gateway_contended_services and a log line when an account begins and ceases to yield.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -55,8 +55,8 @@
 
     ``excluded`` names the upstreams that were tried before, ``regions`` the
     regions that the request is restricted to (empty for any). ``urgency``
-    decides whether reserved slots and slow groups may be used: late requests
-    leave the reserved slots free, and only on-time requests avoid slow groups.
+    decides whether reserved slots and slow groups may be used: late ones and
+    any less urgent leave the reserved slots free, on-time ones avoid slow groups.
     ``longest_gap`` is the longest gap between events that still meets the
     objective, in seconds.
     """
@@ -307,7 +307,7 @@
         self, upstream: Upstream, service: Service, criteria: SelectionCriteria
     ) -> int:
         limit = math.floor(self.max_in_flight(upstream, service))
-        if service.engine is None and criteria.urgency is Urgency.LATE:
+        if service.engine is None and criteria.urgency >= Urgency.LATE:
             limit -= _RESERVED_SLOT_COUNT
         return limit
 
@@ -363,7 +363,7 @@
         )
         # Other ranks may be draining or in a zone taken out of service.
         limit = min(limit, engine.slots * ranks)
-        if criteria.urgency is Urgency.LATE:
+        if criteria.urgency >= Urgency.LATE:
             limit *= 1 - _RESERVED_SLOT_SHARE
         pass_time = estimator.pass_time(now)
         return _GroupCapacity(
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -115,6 +115,7 @@
             self.proxy.crash_detector, self.peer_reporter, self.generator
         )
         self.peer_reporter.balancer = self.balancer
+        self.peer_reporter.shares = self.proxy.client_sharing.shares
         self.peer_reporter.on_report = self.proxy.wake_waiting
         self.balancer.on_acquire = self.peer_reporter.report_requested.set
         self.expert_rebalancer = ExpertRebalancer(
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -50,7 +50,10 @@
     ``lease`` is the fencing number of the duty lease that the sender holds, 0
     if none. ``waiting`` has the number of on-time requests that wait at the
     sender, by service and priority. ``clients`` has the client accounts with
-    the most work at the sender lately, and how much each has. ``work`` has the
+    the most work at the sender lately, and how much each has, in tenths of a
+    request; under the empty name that of all accounts, and after a zero
+    character the names of services for which requests wait. Only heartbeats
+    have it. ``work`` has the
     work left of its requests in progress by upstream, in milliseconds at
     reference speed.
     """
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -17,6 +17,7 @@
 
 from ..exceptions import MessageInvalid
 from ..evidence import Evidence
+from ..scheduling.shares import ClientShares
 from .balancer import Balancer
 from .clocks import boot_time
 from .membership import PEER_LIFETIME_SECONDS, Membership, Peer
@@ -60,6 +61,7 @@
     Attributes:
         draining: whether this host is shutting down.
         report_requested: set to send a report without delay.
+        shares: work of the heaviest client accounts.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.sharing: TopicSharing | None = None
         self.port = port
         self.balancer: Balancer | None = None
+        self.shares = ClientShares()
         self.on_report: Callable[[], None] = _do_nothing
         self.on_evidence: Callable[[Evidence, str], None] = _ignore_evidence
         self.on_peer: Callable[[str], None] = _ignore_peer
@@ -183,7 +186,9 @@
         sharing = self.sharing
         is_direct = relay_address in {None, self.address}
         report = msgspec.structs.replace(
-            self._report(balancer), limits=_told_limits(balancer)
+            self._report(balancer),
+            limits=_told_limits(balancer),
+            clients=self.shares.top_clients(time.monotonic()),
         )
         if sharing and (is_direct or sharing.is_announcing):
             report = msgspec.structs.replace(
@@ -278,6 +283,7 @@
         if report.gone:
             self.peers.pop(address, None)
             balancer.in_flight.drop_report(report.host)
+            self.shares.drop_report(report.host)
             return
         now = time.monotonic()
         known = self.peers.get(address)
@@ -300,6 +306,8 @@
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
         balancer.in_flight.apply_report(report.host, report.running, now)
+        if report.clients:
+            self.shares.apply_report(report.host, report.clients, now)
         for told in report.limits:
             balancer.limits.notices.record_told(
                 _limit_statement(told, held, now)
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -9,6 +9,7 @@
 from ..exceptions import RequestFailed
 from .authorization import Authorizer
 from .balancer import Balancer
+from .client_sharing import ClientSharing
 from .connection_pool import ConnectionPool
 from .crash_detection import CrashDetector
 from .estimates import Estimate
@@ -55,6 +56,7 @@
         self.pool = pool
         self.retry_budget = retry_budget
         self.metrics = Metrics()
+        self.client_sharing = ClientSharing(self.metrics.registry)
         self.queues: dict[str, WaitQueue] = {}
         self.first_event_estimates: dict[str, Estimate] = {}
         self.timers: set[asyncio.Timeout] = set()
@@ -74,6 +76,7 @@
             _log_request_end(request, None, response, str(error), started)
             return
         self.arrivals[authorized.service] += 1
+        self.client_sharing.record_arrival(authorized, started)
         forwarder = RequestForwarder(self, authorized, response)
         detail = 'the caller disconnected'
         try:
@@ -138,6 +141,9 @@
         except RequestFailed as error:
             failure = error
             detail = str(error)
+            self.client_sharing.record_refusal(
+                forwarder.authorized, error.retry_after, time.monotonic()
+            )
         except TimeoutError:
             failure = forwarder.timed_out()
             detail = 'the deadline of the request passed'
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -83,6 +83,7 @@
             while reservation is None:
                 if now >= wait_until or self._should_not_wait(now, wait_until):
                     raise self._no_capacity()
+                self.proxy.client_sharing.record_wait(authorized, now)
                 # Poll, since a queue position changes with time and a load
                 # report of another gateway may be lost.
                 await queue.wait(
@@ -154,6 +155,8 @@
         urgency = Urgency.ON_TIME
         if self.response_forwarder.progress.first_event_at:
             urgency = Urgency.RESUMED
+        elif self.proxy.client_sharing.must_yield(authorized, now):
+            urgency = Urgency.ABOVE_SHARE
         elif now > late_at:
             urgency = Urgency.LATE
         return QueuePosition.of(
--- a/primroseyoke/gateway/wait_queue.py
+++ b/primroseyoke/gateway/wait_queue.py
@@ -17,6 +17,8 @@
     RESUMED = 1
     #: The response will be late.
     LATE = 2
+    #: The client account is above its share, and others wait.
+    ABOVE_SHARE = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -25,8 +27,9 @@
 
     Requests are sorted by urgency, then by priority. On-time requests are
     served last in, first out: under overload, a first-in, first-out queue would
-    answer each of them just too late. All others are served first in, first
-    out; their callers may be retrying after a rejection.
+    answer each of them just too late. So are those of accounts above their
+    share. All others are served first in, first out; their callers may be
+    retrying after a rejection.
     """
 
     urgency: Urgency
@@ -39,7 +42,7 @@
         cls, urgency: Urgency, priority: int, first_attempt_at: float
     ) -> 'QueuePosition':
         """Return the position of a request first made at a monotonic time."""
-        newest_first = urgency is Urgency.ON_TIME
+        newest_first = urgency in {Urgency.ON_TIME, Urgency.ABOVE_SHARE}
         return cls(
             urgency,
             priority,
