--- a/primroseyoke/gateway/client_sharing.py
+++ b/primroseyoke/gateway/client_sharing.py
@@ -33,9 +33,11 @@
         yielding: the accounts that were found above their share.
     """
 
-    def __init__(self, registry: CollectorRegistry) -> None:
-        """Start without accounts; add the metrics to ``registry``."""
-        self.shares = ClientShares()
+    def __init__(
+        self, shares: ClientShares, registry: CollectorRegistry
+    ) -> None:
+        """Apply ``shares``; add the metrics to ``registry``."""
+        self.shares = shares
         self.yielding: set[str] = set()
         self.yielded_waits = Counter(
             'gateway_yielded_waits',
@@ -43,7 +45,7 @@
             ('service',),
             registry=registry,
         )
-        registry.register(_SharesCollector(self.shares))
+        registry.register(_SharesCollector(shares))
 
     def record_arrival(
         self, authorized: 'AuthorizedRequest', now: float
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -10,23 +10,23 @@
 import logging
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
 
 from ..exceptions import MessageInvalid
 from ..evidence import Evidence
-from ..scheduling.shares import ClientShares
+from ..scheduling.backlog import Backlog
 from .balancer import Balancer
 from .clocks import boot_time
+from .limit_reports import limit_statement, told_limits
 from .membership import PEER_LIFETIME_SECONDS, Membership, Peer
-from .notices import LimitStatement
 from .peer_reports import (
     Batch,
     PeerMessage,
     Report,
-    ToldLimit,
+    UsageMessage,
     decode_message,
     encode_message,
 )
@@ -37,6 +37,10 @@
 
 log = logging.getLogger(__name__)
 
+Waiting = Mapping[str, Mapping[int, int]]
+# Requests in progress by upstream, and waiting ones.
+_Load = tuple[dict[str, int], Waiting]
+
 # Minimum interval between reports. A report is sent at once when a request
 # starts, so that other hosts do not reserve the same slot.
 _MIN_REPORT_INTERVAL_SECONDS = 0.01
@@ -61,7 +65,12 @@
     Attributes:
         draining: whether this host is shutting down.
         report_requested: set to send a report without delay.
-        shares: work of the heaviest client accounts.
+        waiting: returns the on-time requests that wait on this host, by
+            service and priority.
+        backlog: requests that wait at other hosts.
+        held_lease: returns the fencing number of the duty lease while this host
+            holds it.
+        on_lease: called with the fencing number that another host holds.
     """
 
     def __init__(
@@ -77,12 +86,16 @@
         self.sharing: TopicSharing | None = None
         self.port = port
         self.balancer: Balancer | None = None
-        self.shares = ClientShares()
         self.on_report: Callable[[], None] = _do_nothing
         self.on_evidence: Callable[[Evidence, str], None] = _ignore_evidence
         self.on_peer: Callable[[str], None] = _ignore_peer
+        self.held_lease: Callable[[], int | None] = _hold_no_lease
+        self.on_lease: Callable[[int], None] = _ignore_lease
+        self.on_usage: Callable[[UsageMessage, str], None] = _ignore_usage
         self.transport: Any = None
-        self.last_sent: dict[str, int] = {}
+        self.waiting: Callable[[], Waiting] = dict
+        self.backlog = Backlog()
+        self.last_sent: _Load = ({}, {})
         self.last_heartbeat_at = -math.inf
         self.draining = False
         self.report_requested = asyncio.Event()
@@ -96,23 +109,27 @@
         """Apply the report in a datagram; ignore malformed ones."""
         if self.balancer is None:
             return
+        address = sender[0]
         try:
             message = decode_message(content)
         except MessageInvalid as error:
             log.warning(
                 'malformed peer report ignored',
-                extra={'sender': sender[0], 'reason': str(error)},
+                extra={'sender': address, 'reason': str(error)},
             )
             return
         if isinstance(message, Evidence):
-            self.on_evidence(message, sender[0])
+            self.on_evidence(message, address)
+            return
+        if isinstance(message, UsageMessage):
+            self.on_usage(message, address)
             return
         if isinstance(message, Batch):
             self._receive_batch(message)
         elif message.host != self.host:
-            self._apply_report(message, sender[0])
+            self._apply_report(message, address)
             if message.pass_on:
-                self._pass_on(sender[0], message, is_local=True)
+                self._pass_on(address, message, is_local=True)
         self.on_report()
 
     def add_peers(self, addresses: Iterable[str]) -> bool:
@@ -150,7 +167,7 @@
         if now - self.last_heartbeat_at >= _HEARTBEAT_INTERVAL_SECONDS:
             self.last_heartbeat_at = now
             self._send_heartbeat(relay_address, balancer)
-        elif balancer.in_flight.running != self.last_sent:
+        elif self._load(balancer) != self.last_sent:
             self._send_change(relay_address, balancer)
         self.relay.flush(self.active_by_zone(), self.availability_zone)
 
@@ -175,6 +192,12 @@
         """Send crash evidence to some of the peers."""
         self._send_message(evidence, addresses)
 
+    def send_usage(
+        self, message: UsageMessage, addresses: Iterable[str]
+    ) -> None:
+        """Send counts of requests to some of the peers."""
+        self._send_message(message, addresses)
+
     def _send_heartbeat(
         self, relay_address: str | None, balancer: Balancer
     ) -> None:
@@ -187,8 +210,9 @@
         is_direct = relay_address in {None, self.address}
         report = msgspec.structs.replace(
             self._report(balancer),
-            limits=_told_limits(balancer),
-            clients=self.shares.top_clients(time.monotonic()),
+            limits=told_limits(balancer.limits.notices, time.monotonic()),
+            clients=balancer.shares.top_clients(time.monotonic()),
+            pass_costs=balancer.groups.pass_costs(),
         )
         if sharing and (is_direct or sharing.is_announcing):
             report = msgspec.structs.replace(
@@ -229,15 +253,21 @@
         return min([*local, self.address])
 
     def _report(self, balancer: Balancer) -> Report:
-        self.last_sent = dict(balancer.in_flight.running)
+        self.last_sent = self._load(balancer)
+        running, waiting = self.last_sent
         return Report(
             self.host,
-            self.last_sent,
+            running,
             self.draining,
             availability_zone=self.availability_zone,
             sequence=int(boot_time() * _MS_PER_SECOND),
+            waiting=waiting,
+            lease=self.held_lease() or 0,
         )
 
+    def _load(self, balancer: Balancer) -> _Load:
+        return dict(balancer.in_flight.running), self.waiting()
+
     def _send_message(
         self, message: PeerMessage, addresses: Iterable[str]
     ) -> None:
@@ -283,7 +313,8 @@
         if report.gone:
             self.peers.pop(address, None)
             balancer.in_flight.drop_report(report.host)
-            self.shares.drop_report(report.host)
+            self.backlog.drop_report(report.host)
+            balancer.shares.drop_report(report.host)
             return
         now = time.monotonic()
         known = self.peers.get(address)
@@ -302,41 +333,24 @@
             report.draining,
             report.availability_zone,
             report.sequence,
+            report.lease,
         )
+        if report.lease:
+            self.on_lease(report.lease)
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
+        self._apply_load(report, balancer, now - held, now)
+
+    def _apply_load(
+        self, report: Report, balancer: Balancer, sent_at: float, now: float
+    ) -> None:
         balancer.in_flight.apply_report(report.host, report.running, now)
+        balancer.groups.adopt_pass_costs(report.pass_costs, now)
+        self.backlog.apply_report(report.host, report.waiting, sent_at)
         if report.clients:
-            self.shares.apply_report(report.host, report.clients, now)
+            balancer.shares.apply_report(report.host, report.clients, now)
         for told in report.limits:
-            balancer.limits.notices.record_told(
-                _limit_statement(told, held, now)
-            )
-
-
-def _told_limits(balancer: Balancer) -> tuple[ToldLimit, ...]:
-    now = time.monotonic()
-    return tuple(
-        ToldLimit(
-            stated.upstream,
-            stated.started_at,
-            stated.per_second if math.isfinite(stated.per_second) else None,
-            now - stated.stated_at,
-        )
-        for stated in balancer.limits.notices.recent(now)
-    )
-
-
-def _limit_statement(
-    told: ToldLimit, held: float, now: float
-) -> LimitStatement:
-    return LimitStatement(
-        told.upstream,
-        told.started_at,
-        math.inf if told.per_second is None else told.per_second,
-        now - told.age - held,
-        is_own=False,
-    )
+            balancer.limits.notices.record_told(limit_statement(told, sent_at))
 
 
 def _do_nothing() -> None:
@@ -349,3 +363,15 @@
 
 def _ignore_peer(address: str) -> None:
     """Allow new peers before a callback is set."""
+
+
+def _hold_no_lease() -> int | None:
+    """Report that this host holds no lease, where it takes part in none."""
+
+
+def _ignore_lease(number: int) -> None:
+    """Allow reports of a lease before a callback is set."""
+
+
+def _ignore_usage(message: UsageMessage, sender: str) -> None:
+    """Allow counts of requests before a callback is set."""
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -7,25 +7,19 @@
 import time
 
 from ..exceptions import RequestFailed
-from .authorization import Authorizer
+from .authorization import AuthorizedRequest, Authorizer
 from .balancer import Balancer
-from .client_sharing import ClientSharing
 from .connection_pool import ConnectionPool
-from .crash_detection import CrashDetector
-from .estimates import Estimate
+from .forwarding_context import ForwardingContext
 from .listeners import ResponseWriter
-from .metrics import Metrics
 from .request_forwarding import RequestForwarder
 from .requests import CallerRequest
 from .retry_budget import RetryBudget
-from .wait_queue import WaitQueue
 
 __all__ = ('Proxy',)
 
 log = logging.getLogger(__name__)
 
-# Assumed time to the first event until a service has measurements.
-_INITIAL_FIRST_EVENT_SECONDS = 0.2
 # Hosts retry within this interval at random times after capacity was freed, so
 # that they do not all take the same slot. A load report takes up to 2 ms.
 _WAKE_JITTER_SECONDS = 0.03
@@ -48,17 +42,13 @@
         retry_budget: RetryBudget,
     ) -> None:
         """Forward requests through ``pool`` to the choices of ``balancer``."""
-        self.crash_detector = CrashDetector(
-            balancer.registry, balancer.generator
+        self.context = ForwardingContext(
+            authorizer, balancer, pool, retry_budget
         )
+        self.crash_detector = self.context.crash_detector
+        self.metrics = self.context.metrics
         self.authorizer = authorizer
         self.balancer = balancer
-        self.pool = pool
-        self.retry_budget = retry_budget
-        self.metrics = Metrics()
-        self.client_sharing = ClientSharing(self.metrics.registry)
-        self.queues: dict[str, WaitQueue] = {}
-        self.first_event_estimates: dict[str, Estimate] = {}
         self.timers: set[asyncio.Timeout] = set()
         self.exit_at = math.inf
         self.arrivals: collections.Counter[str] = collections.Counter()
@@ -76,8 +66,8 @@
             _log_request_end(request, None, response, str(error), started)
             return
         self.arrivals[authorized.service] += 1
-        self.client_sharing.record_arrival(authorized, started)
-        forwarder = RequestForwarder(self, authorized, response)
+        self.context.client_sharing.record_arrival(authorized, started)
+        forwarder = RequestForwarder(self.context, authorized, response)
         detail = 'the caller disconnected'
         try:
             detail = await self._run(forwarder, response)
@@ -101,10 +91,6 @@
             if not timer.expired():
                 timer.reschedule(min(timer.when() or exit_at, exit_at))
 
-    def queue(self, service: str) -> WaitQueue:
-        """Return the queue of requests that wait for a service."""
-        return self.queues.setdefault(service, WaitQueue())
-
     def wake_waiting(self) -> None:
         """Retry queued requests after another gateway reported its load.
 
@@ -112,16 +98,11 @@
         a random delay, so that the first one can report the slot as taken
         before the others try.
         """
-        for queue in self.queues.values():
-            delay = self.balancer.generator.random() * _WAKE_JITTER_SECONDS
+        generator = self.balancer.generator
+        for queue in self.context.queues.values():
+            delay = generator.random() * _WAKE_JITTER_SECONDS
             queue.wake_next_within(delay)
 
-    def first_event_estimate(self, service: str) -> Estimate:
-        """Return the estimated time to the first event of a service."""
-        return self.first_event_estimates.setdefault(
-            service, Estimate(_INITIAL_FIRST_EVENT_SECONDS)
-        )
-
     async def _run(
         self, forwarder: RequestForwarder, response: ResponseWriter
     ) -> str:
@@ -141,7 +122,7 @@
         except RequestFailed as error:
             failure = error
             detail = str(error)
-            self.client_sharing.record_refusal(
+            self.context.client_sharing.record_refusal(
                 forwarder.authorized, error.retry_after, time.monotonic()
             )
         except TimeoutError:
--- a/primroseyoke/gateway/scaling.py
+++ b/primroseyoke/gateway/scaling.py
@@ -91,6 +91,7 @@
         loads: ServiceLoadReader,
         metrics: ScalingMetrics,
         clock: Callable[[], float] = boot_time,
+        may_call: Callable[[float], bool] = bool,
     ) -> None:
         """Order upstreams as ``holder``.
 
@@ -103,6 +104,8 @@
             loads: reads the load of services.
             metrics: counts the orders.
             clock: returns seconds that pass while the host is suspended, too.
+            may_call: tells whether the rate of all calls allows one at a time
+                of that clock.
         """
         self.holder = holder
         self.lease = lease
@@ -112,19 +115,25 @@
         self.loads = loads
         self.metrics = metrics
         self.clock = clock
+        self.may_call = may_call
         self.states: dict[str, ServiceState] = {}
+        self.last_number: int | None = None
         self.failure_count = 0
         self.wait_until = 0.0
 
     async def perform(self) -> None:
         """Record the demand and send at most one order.
 
-        It sends nothing while this host does not hold the lease, and forgets
-        what it ordered, since another holder may order something else.
+        It sends nothing while this host does not hold the lease. When it has
+        gained the lease, it forgets what it ordered before, since another
+        holder may have ordered something else meanwhile.
         """
         configuration = self.routing_state.configuration
-        if configuration is None or self.lease.held() is None:
+        fencing_number = self.lease.held()
+        if fencing_number != self.last_number:
+            self.last_number = fencing_number
             self.states.clear()
+        if configuration is None or fencing_number is None:
             return
         now = self.clock()
         services = {
@@ -255,7 +264,7 @@
             for order in state.planned
         ]
         fencing_number = self.lease.held()
-        if not orders or fencing_number is None:
+        if not orders or fencing_number is None or not self.may_call(now):
             return
         name, order = orders[0]
         autoscale = services[name].autoscale
--- a/tests/gateway/test_client_sharing.py
+++ b/tests/gateway/test_client_sharing.py
@@ -18,7 +18,14 @@
     Target,
 )
 from primroseyoke.gateway.requests import CallerRequest
-from primroseyoke.gateway.wait_queue import QueuePosition, Urgency, WaitQueue
+from primroseyoke.gateway.wait_queue import WaitQueue
+from primroseyoke.scheduling.admission import (
+    QueuePosition,
+    ServiceAdmission,
+    Urgency,
+)
+from primroseyoke.scheduling.backlog import Backlog
+from primroseyoke.scheduling.shares import ClientShares
 from tests.event_loop import run
 from tests.gateway.deployment import deployment, wait_until
 from tests.gateway.test_balancer import fill_slots, make_rank_group
@@ -47,7 +54,7 @@
     Returns:
         The shares, and the time in seconds.
     """
-    sharing = ClientSharing(CollectorRegistry())
+    sharing = ClientSharing(ClientShares(), CollectorRegistry())
     names = ['heavy', *(f'light-{number}' for number in range(9))]
     for tick in range(1000):
         sharing.record_arrival(authorized(names[tick % 10]), tick / 10)
@@ -96,6 +103,18 @@
     assert len(fill_slots(balancer)) >= 4
 
 
+def test_accounts_above_their_share_leave_slots_to_on_time_requests() -> None:
+    """Guards against requests that go before more urgent ones elsewhere."""
+    backlog = Backlog()
+    backlog.apply_report('other', {'app': {0: 1, 2: 3}}, 10)
+    admission = ServiceAdmission('app', backlog, lambda: None)
+    admission.priorities = (0, 1, 2)
+    above = admission.position(Urgency.ABOVE_SHARE, 0, 9, False, 10)
+    assert admission.contention(above, 10).ahead == 4
+    admission.start_waiting(above)
+    assert not +admission.waiting
+
+
 def test_nothing_yields_without_contention() -> None:
     sharing, now = make_sharing()
     assert sharing.shares.above_share(now) == ['heavy']
@@ -126,7 +145,7 @@
 
 def test_metrics_count_waits_and_accounts() -> None:
     registry = CollectorRegistry()
-    sharing = ClientSharing(registry)
+    sharing = ClientSharing(ClientShares(), registry)
     sharing.record_arrival(authorized('light'), time.monotonic())
     sharing.record_wait(authorized('light'), time.monotonic())
     content = generate_latest(registry).decode()
@@ -136,7 +155,7 @@
 
 
 def test_an_early_retry_counts_against_its_account() -> None:
-    sharing = ClientSharing(CollectorRegistry())
+    sharing = ClientSharing(ClientShares(), CollectorRegistry())
     sharing.record_refusal(authorized('light', 'r'), 2, now=1)
     sharing.record_refusal(authorized('other', 'r'), 0, now=1)
     sharing.record_refusal(authorized('', 'r'), 2, now=1)
@@ -154,16 +173,16 @@
         hosts = tuple(network.hosts.values())
         loop = asyncio.get_running_loop()
         for reporter in hosts:
-            reporter.shares.record('account', 3, loop.time())
-        hosts[0].shares.record_wait('', 'app', loop.time())
+            reporter.balancer.shares.record('account', 3, loop.time())
+        hosts[0].balancer.shares.record_wait('', 'app', loop.time())
         await asyncio.sleep(0.5)
         for reporter in hosts:
-            reporter.shares.record('account', 0, loop.time())
-            assert 100 < reporter.shares.reported['account'] <= 120
-            assert reporter.shares.is_contended('app', loop.time())
+            reporter.balancer.shares.record('account', 0, loop.time())
+            assert 100 < reporter.balancer.shares.reported['account'] <= 120
+            assert reporter.balancer.shares.is_contended('app', loop.time())
         hosts[0].announce_exit()
         await asyncio.sleep(0.1)
-        assert 'host-10.0.0.0' not in hosts[1].shares.reports
+        assert 'host-10.0.0.0' not in hosts[1].balancer.shares.reports
 
     run_network(scenario)
 
@@ -174,8 +193,8 @@
             response = await running.call(path, timeout_ms=300)
             assert response.status == 503
         gateway = running.gateway
-        shares = gateway.proxy.client_sharing.shares
-        assert gateway.peer_reporter.shares is shares
+        shares = gateway.proxy.context.client_sharing.shares
+        assert gateway.balancer.shares is shares
         await wait_until(lambda: bool(shares.refused))
         return {name: use.current.amount for name, use in shares.usages.items()}
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -489,3 +489,71 @@
         head = ResponseHead(503, (), executed=False, pause=pause)
         notices.record_response(upstream, head, 100)
     assert 30 <= notices.pause_left(upstream, 100) <= 36
+
+
+def test_next_leader_takes_over_within_half_a_second_of_a_stall() -> None:
+    """Guards against a long stall when the leader is suspended in a change."""
+
+    async def scenario(network: Network) -> None:
+        network.partitioned = {'10.0.0.0'}
+        following = network.hosts['10.0.0.1']
+        await asyncio.sleep(0.1)
+        assert not following.leads(has_stalled_group=True)
+        await asyncio.sleep(0.41)
+        assert following.leads(has_stalled_group=True)
+        assert not following.is_leader
+
+    run_network(scenario)
+
+
+def test_costs_of_passes_reach_a_host_that_has_just_started() -> None:
+    """Guards against hosts that admit by different limits after a restart."""
+
+    async def scenario(network: Network) -> None:
+        for host in network.hosts.values():
+            host.balancer.groups.add_rank('u', 'g')
+        measured = network.hosts['10.0.0.0'].balancer.groups
+        measured.group_estimator('g').adopt(0.0002, 1)
+        restarted = network.hosts['10.0.0.1'].balancer.groups
+        assert restarted.group_estimator('g').peak_cost is None
+        await asyncio.sleep(0.4)
+        assert restarted.group_estimator('g').peak_cost == 0.0002
+
+    run_network(scenario)
+
+
+def test_heartbeats_tell_who_holds_the_lease() -> None:
+    """Guards against hosts that claim the lease while they hear its holder."""
+
+    async def scenario(network: Network) -> None:
+        first, *others = network.hosts.values()
+        heard: dict[str, list[int]] = {}
+        for each in network.hosts.values():
+            each.on_lease = heard.setdefault(each.address, []).append
+        await asyncio.sleep(1)
+        assert not any(heard.values())
+        first.held_lease = lambda: 7
+        first.send_heartbeat()
+        await asyncio.sleep(0.02)
+        for each in others:
+            assert heard[each.address] == [7]
+        await asyncio.sleep(1)
+        assert not heard[first.address]
+        assert all(len(heard[each.address]) >= 3 for each in others)
+
+    run_network(scenario)
+
+
+def test_active_hosts_with_lower_addresses_are_counted() -> None:
+    """Guards against several hosts that claim the lease at the same time."""
+
+    async def scenario(network: Network) -> None:
+        counts = [each.lower_host_count for each in network.hosts.values()]
+        assert counts == [0, 1, 2, 3, 4]
+        network.hosts['10.0.0.1'].announce_drain()
+        network.partitioned.add('10.0.0.0')
+        await asyncio.sleep(1.5)
+        counts = [each.lower_host_count for each in network.hosts.values()]
+        assert counts == [0, 0, 0, 1, 2]
+
+    run_network(scenario)
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -449,6 +449,21 @@
     assert {call[1] for call in other.platform.calls} == {9}
 
 
+def test_an_order_of_an_earlier_lease_is_not_repeated() -> None:
+    """Guards against a holder that undoes what the holder before it ordered.
+
+    The duty runner calls nothing while another host holds the lease.
+    """
+    lost = site(4, 4, 4)
+    lost.play(30, lambda _: 48)
+    lost.platform.answers.append(ServiceUnavailable('no response'))
+    while not lost.platform.calls:
+        lost.play(TICK_SECONDS, lambda _: 100)
+    lost.lease.number = 9
+    lost.play(60, lambda _: 48)
+    assert len(lost.platform.calls) == 1
+
+
 def test_a_new_holder_removes_nothing_before_it_knows_the_demand() -> None:
     """Guards against a reduction in a trough by a holder that just started."""
     fresh = site(8, 8, 8)
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -10,7 +10,7 @@
 import pytest
 
 from primroseyoke.gateway.peer_reports import Report, encode_message
-from primroseyoke.gateway.wait_queue import QueuePosition, Urgency
+from primroseyoke.scheduling.admission import QueuePosition, Urgency
 from primroseyoke.scheduling.shares import ClientShares
 
 REPORT_INTERVAL = 0.35
