--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -17,6 +17,7 @@
 
 from ..scheduling.admission import Urgency
 from ..scheduling.late_share import LateShare
+from ..scheduling.shares import ClientShares
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
 from .configuration import Configuration, Engine, Service
@@ -57,6 +58,7 @@
         limits: shared rates and pauses, from what upstreams state.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
+        shares: work of the heaviest client accounts.
         on_acquire: called when other hosts are to be told the load at once:
             after a slot was reserved, or while requests wait.
     """
@@ -87,6 +89,7 @@
         self.limits = UpstreamLimits(host, generator, registry)
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
+        self.shares = ClientShares()
         self.candidates = CandidateIndex(
             registry, self.groups, availability_zone, region_of
         )
@@ -333,7 +336,7 @@
         self, upstream: Upstream, service: Service, criteria: SelectionCriteria
     ) -> int:
         limit = math.floor(self.max_in_flight(upstream, service))
-        if service.engine is None and criteria.urgency is Urgency.LATE:
+        if service.engine is None and criteria.urgency >= Urgency.LATE:
             limit -= _RESERVED_SLOT_COUNT
         return limit
 
@@ -389,7 +392,7 @@
         )
         # Other ranks may be draining or in a zone taken out of service.
         limit = min(limit, engine.slots * ranks)
-        if criteria.urgency is Urgency.LATE:
+        if criteria.urgency >= Urgency.LATE:
             limit *= 1 - _RESERVED_SLOT_SHARE
         pass_time = estimator.pass_time(now)
         return GroupCapacity(
--- a/primroseyoke/gateway/forwarding_context.py
+++ b/primroseyoke/gateway/forwarding_context.py
@@ -8,6 +8,7 @@
 from ..scheduling.backlog import Backlog
 from .authorization import AuthorizedRequest, Authorizer
 from .balancer import Balancer, Reservation
+from .client_sharing import ClientSharing
 from .connection_pool import ConnectionPool
 from .crash_detection import CrashDetector
 from .estimates import Estimate
@@ -29,6 +30,7 @@
     Attributes:
         crash_detector: evidence of requests that crash upstreams.
         metrics: the metrics of this gateway.
+        client_sharing: work and shares of client accounts.
         queues: queue of waiting requests by service.
         admissions: decides who gets the next slot, by service.
         backlog: requests that wait at other hosts.
@@ -52,6 +54,9 @@
             balancer.registry, balancer.generator
         )
         self.metrics = Metrics()
+        self.client_sharing = ClientSharing(
+            balancer.shares, self.metrics.registry
+        )
         self.queues: dict[str, WaitQueue] = {}
         self.admissions: dict[str, ServiceAdmission] = {}
         self.metrics.admission.add_admissions(self.admissions)
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -20,13 +20,12 @@
 from ..scheduling.backlog import Backlog
 from .balancer import Balancer
 from .clocks import boot_time
+from .limit_reports import limit_statement, told_limits
 from .membership import PEER_LIFETIME_SECONDS, Membership, Peer
-from .notices import LimitStatement
 from .peer_reports import (
     Batch,
     PeerMessage,
     Report,
-    ToldLimit,
     UsageMessage,
     decode_message,
     encode_message,
@@ -211,7 +210,8 @@
         is_direct = relay_address in {None, self.address}
         report = msgspec.structs.replace(
             self._report(balancer),
-            limits=_told_limits(balancer),
+            limits=told_limits(balancer.limits.notices, time.monotonic()),
+            clients=balancer.shares.top_clients(time.monotonic()),
             pass_costs=balancer.groups.pass_costs(),
         )
         if sharing and (is_direct or sharing.is_announcing):
@@ -314,6 +314,7 @@
             self.peers.pop(address, None)
             balancer.in_flight.drop_report(report.host)
             self.backlog.drop_report(report.host)
+            balancer.shares.drop_report(report.host)
             return
         now = time.monotonic()
         known = self.peers.get(address)
@@ -338,38 +339,18 @@
             self.on_lease(report.lease)
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
+        self._apply_load(report, balancer, now - held, now)
+
+    def _apply_load(
+        self, report: Report, balancer: Balancer, sent_at: float, now: float
+    ) -> None:
         balancer.in_flight.apply_report(report.host, report.running, now)
         balancer.groups.adopt_pass_costs(report.pass_costs, now)
-        self.backlog.apply_report(report.host, report.waiting, now - held)
+        self.backlog.apply_report(report.host, report.waiting, sent_at)
+        if report.clients:
+            balancer.shares.apply_report(report.host, report.clients, now)
         for told in report.limits:
-            balancer.limits.notices.record_told(
-                _limit_statement(told, held, now)
-            )
-
-
-def _told_limits(balancer: Balancer) -> tuple[ToldLimit, ...]:
-    now = time.monotonic()
-    return tuple(
-        ToldLimit(
-            stated.upstream,
-            stated.started_at,
-            stated.per_second if math.isfinite(stated.per_second) else None,
-            now - stated.stated_at,
-        )
-        for stated in balancer.limits.notices.recent(now)
-    )
-
-
-def _limit_statement(
-    told: ToldLimit, held: float, now: float
-) -> LimitStatement:
-    return LimitStatement(
-        told.upstream,
-        told.started_at,
-        math.inf if told.per_second is None else told.per_second,
-        now - told.age - held,
-        is_own=False,
-    )
+            balancer.limits.notices.record_told(limit_statement(told, sent_at))
 
 
 def _do_nothing() -> None:
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -66,6 +66,7 @@
             _log_request_end(request, None, response, str(error), started)
             return
         self.arrivals[authorized.service] += 1
+        self.context.client_sharing.record_arrival(authorized, started)
         forwarder = RequestForwarder(self.context, authorized, response)
         detail = 'the caller disconnected'
         try:
@@ -121,6 +122,9 @@
         except RequestFailed as error:
             failure = error
             detail = str(error)
+            self.context.client_sharing.record_refusal(
+                forwarder.authorized, error.retry_after, time.monotonic()
+            )
         except TimeoutError:
             failure = forwarder.timed_out()
             detail = 'the deadline of the request passed'
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -72,6 +72,7 @@
             SlotSource(
                 context.queue(authorized.service),
                 context.admission(authorized.service),
+                context.client_sharing,
                 context.balancer,
                 context.metrics,
                 context.first_event_estimate(authorized.service),
--- a/primroseyoke/gateway/scaling.py
+++ b/primroseyoke/gateway/scaling.py
@@ -117,18 +117,23 @@
         self.clock = clock
         self.may_call = may_call
         self.states: dict[str, ServiceState] = {}
+        self.last_number: int | None = None
         self.failure_count = 0
         self.wait_until = 0.0
 
     async def perform(self) -> None:
         """Record the demand and send at most one order.
 
-        It sends nothing while this host does not hold the lease, and forgets
-        what it ordered, since another holder may order something else.
+        It sends nothing while this host does not hold the lease. When it has
+        gained the lease, it forgets what it ordered before, since another
+        holder may have ordered something else meanwhile.
         """
         configuration = self.routing_state.configuration
-        if configuration is None or self.lease.held() is None:
+        fencing_number = self.lease.held()
+        if fencing_number != self.last_number:
+            self.last_number = fencing_number
             self.states.clear()
+        if configuration is None or fencing_number is None:
             return
         now = self.clock()
         services = {
--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -18,7 +18,8 @@
     ``excluded`` names the upstreams that were tried before, ``regions`` the
     regions that the request is restricted to (empty for any). ``urgency``
     decides whether reserved slots and slow groups may be used: late requests
-    leave the reserved slots free, and only on-time requests avoid slow groups.
+    and those of accounts above their share leave the reserved slots free, and
+    only on-time requests avoid slow groups.
     ``longest_gap`` is the longest gap between events that still meets the
     objective, in seconds.
     """
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -85,6 +85,7 @@
                 raise self.refusal.failure(
                     reason, self._queue_position(now), now
                 )
+            self.source.sharing.record_wait(self.authorized, now)
             await self._wait(now, self._poll_interval(limits, now))
             now = time.monotonic()
             reservation = self._try_acquire(now)
@@ -187,6 +188,8 @@
         urgency = Urgency.ON_TIME
         if self.progress.first_event_at:
             urgency = Urgency.RESUMED
+        elif self.source.sharing.must_yield(authorized, now):
+            urgency = Urgency.ABOVE_SHARE
         elif now > self._late_at():
             urgency = Urgency.LATE
         return self.source.admission.position(
--- a/primroseyoke/gateway/slot_source.py
+++ b/primroseyoke/gateway/slot_source.py
@@ -5,6 +5,7 @@
 
 from ..scheduling.admission import ServiceAdmission
 from .balancer import Balancer
+from .client_sharing import ClientSharing
 from .estimates import Estimate
 from .metrics import Metrics
 from .wait_queue import WaitQueue
@@ -24,6 +25,7 @@
 
     queue: WaitQueue
     admission: ServiceAdmission
+    sharing: ClientSharing
     balancer: Balancer
     metrics: Metrics
     first_event: Estimate
--- a/primroseyoke/scheduling/admission.py
+++ b/primroseyoke/scheduling/admission.py
@@ -53,6 +53,8 @@
     RESUMED = 1
     #: The response will be late.
     LATE = 2
+    #: The client account is above its share, and others wait.
+    ABOVE_SHARE = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -61,8 +63,9 @@
 
     Requests are sorted by urgency, then by priority. On-time requests are
     served last in, first out: under overload, a first-in, first-out queue would
-    answer each of them just too late. All others are served first in, first
-    out; their callers may be retrying after a rejection. ``is_new`` is False
+    answer each of them just too late. So are those of accounts above their
+    share. All others are served first in, first out; their callers may be
+    retrying after a rejection. ``is_new`` is False
     for late requests that go before other late ones, as they were refused
     before and are not sent a third time.
     """
@@ -82,7 +85,7 @@
         retried: bool = False,
     ) -> 'QueuePosition':
         """Return the position of a request first made at a monotonic time."""
-        newest_first = urgency is Urgency.ON_TIME
+        newest_first = urgency in {Urgency.ON_TIME, Urgency.ABOVE_SHARE}
         return cls(
             urgency,
             urgency is Urgency.LATE and not retried,
@@ -214,14 +217,15 @@
     def contention(self, position: QueuePosition, now: float) -> Contention:
         """Return what waits at other hosts before and beside a request.
 
-        A late request leaves slots to all on-time ones, any other to those of a
-        more urgent priority. A slot that this host has just released is shared
-        with no others of its priority.
+        Late requests, and those of accounts above their share, leave slots to
+        all on-time ones, any other to those of a more urgent priority. A slot
+        that this host has just released is shared with no others of its
+        priority.
         """
         if not self.enabled:
             return Contention()
         waiting = self.backlog.by_priority(self.service, now)
-        if position.urgency is Urgency.LATE:
+        if position.urgency >= Urgency.LATE:
             return Contention(ahead=sum(waiting.values()))
         ahead = sum(
             count
--- a/tests/gateway/test_slot_acquisition.py
+++ b/tests/gateway/test_slot_acquisition.py
@@ -8,12 +8,14 @@
 from unittest import mock
 
 import pytest
+from prometheus_client import CollectorRegistry
 
 from primroseyoke.exceptions import RequestFailed
 from primroseyoke.gateway.attempt_history import AttemptHistory
 from primroseyoke.gateway.attempts import Progress
 from primroseyoke.gateway.authorization import AuthorizedRequest
 from primroseyoke.gateway.balancer import Balancer, SelectionCriteria
+from primroseyoke.gateway.client_sharing import ClientSharing
 from primroseyoke.gateway.configuration import (
     CallerLimits,
     Client,
@@ -108,6 +110,7 @@
             SlotSource(
                 self.queue,
                 self.admission,
+                ClientSharing(self.balancer.shares, CollectorRegistry()),
                 self.balancer,
                 self.metrics,
                 Estimate(0.2),
