Count the free slots of full plain upstreams in less time

A request that waits for a plain service with 600 full upstreams took 1.5 ms of the gateway for each look at the free slots.

Cause: each upstream was checked for pauses and rates before its room was looked at.

Change: upstreams without room are skipped first.

Measured: 303 us instead of 1,472 us with 600 upstreams, 12 us instead of 42 us with 16. It still grows with their number, as does the reservation (426 us). 45 tests of slots, balancer, forwarding and overload pass.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -219,10 +219,8 @@
 
     def used_slots(self, service: str, regions: frozenset[str]) -> int:
         """Return the requests of all hosts at the upstreams of a service."""
-        candidates = self.candidates.find(service, regions)
-        return self.in_flight.total_of(
-            upstream.name for upstream in candidates.upstreams
-        )
+        upstreams = self.candidates.find(service, regions).upstreams
+        return self.in_flight.total_of(upstream.name for upstream in upstreams)
 
     def free_slots(
         self,
@@ -233,31 +231,38 @@
     ) -> int:
         """Return how many slots are free for requests with ``criteria``.
 
-        That is the limit of a rank group minus its requests in progress;
-        upstreams without one are counted one by one, up to ``enough`` slots.
+        Upstreams without a rank group are counted up to ``enough`` slots.
         """
         candidates = self.candidates.find(service.name, criteria.regions)
         capacities = self._group_capacities(candidates, service, criteria, now)
-        rooms = [capacity.room for capacity in capacities.values()]
-        limited = [room for room in rooms if 0 < room < math.inf]
-        free = sum(map(math.ceil, limited))
-        if math.inf not in rooms:
-            return free
+        free = 0
+        unlimited = set()
+        for group, capacity in capacities.items():
+            if capacity.room == math.inf:
+                unlimited.add(group)
+            else:
+                free += math.ceil(max(capacity.room, 0))
         group_of = self.groups.group_by_upstream
-        for upstream in candidates.upstreams:
+        for upstream in candidates.upstreams if unlimited else ():
             if free >= enough:
                 break
-            capacity = capacities.get(group_of.get(upstream.name, ''))
-            if (
-                capacity is not None
-                and capacity.room == math.inf
-                and self._is_usable(upstream, service, now)
-            ):
-                limit = self._slot_limit(upstream, service, criteria)
-                taken = self.in_flight.total(upstream.name)
-                free += max(limit - taken, 0)
+            if group_of.get(upstream.name, '') in unlimited:
+                free += self._room(upstream, service, criteria, now)
         return free
 
+    def _room(
+        self,
+        upstream: Upstream,
+        service: Service,
+        criteria: SelectionCriteria,
+        now: float,
+    ) -> int:
+        room = self._slot_limit(upstream, service, criteria)
+        room -= self.in_flight.total(upstream.name)
+        # Most are full while requests wait, and the check takes longest.
+        usable = room > 0 and self._is_usable(upstream, service, now)
+        return room if usable else 0
+
     def _select(
         self,
         service: Service,
