Predict the work of requests and compare upstreams by it

Requests that look alike need very different work (prompts of 40 to 2,880 tokens, 2 to 58 events), but upstreams were compared by their number of requests. The headers with token counts were not read.

--- a/primroseyoke/gateway/authorization.py
+++ b/primroseyoke/gateway/authorization.py
@@ -5,6 +5,7 @@
 import random
 
 from ..exceptions import RequestFailed
+from ..scheduling.cost import StatedWork
 from ..verdicts import Verdict
 from .configuration import Client, Configuration, Engine, Execution, Route
 from .requests import CallerRequest
@@ -53,6 +54,28 @@
         service = self.configuration.services.get(self.service)
         return service.engine if service else None
 
+    @property
+    def stated_work(self) -> StatedWork | None:
+        """Return what the caller states of the length of a new stream.
+
+        It is None for a stream that continues an earlier one: the length that
+        its caller states includes what it has.
+        """
+        request = self.request
+        if (
+            request.prompt_tokens is None
+            or request.last_event_id
+            or self.route.execution is not Execution.STREAM
+        ):
+            return None
+        return StatedWork(
+            self.route.name,
+            request.prompt_tokens,
+            self.client.name if self.client else '',
+            request.max_output_tokens,
+            request.output_hint,
+        )
+
     @property
     def regions(self) -> frozenset[str]:
         """Return the regions that the request is restricted to, if any."""
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -16,6 +16,8 @@
     Mapping,
 )
 
+from ..scheduling.cost import StatedWork
+from ..scheduling.work import Job
 from ..shared_rates import SharedRate
 from .candidates import CandidateIndex, Candidates
 from .capacity import DEFAULT_PASS_SECONDS
@@ -23,6 +25,8 @@
 from .health import HealthTracker
 from .in_flight import InFlightRequests
 from .rank_groups import RankGroupMonitor
+from .request_costs import RequestCosts
+from .selection_scores import selection_score
 from .upstream_limits import UpstreamLimits
 from .upstreams import Upstream, UpstreamRegistry
 from .wait_queue import Urgency
@@ -34,14 +38,6 @@
 # Requests per slot that a plain service may have, running or in its own queue;
 # more than these wait there too long.
 _QUEUE_FACTOR = 1.5
-# Score bonus of an upstream in the gateway's own availability zone.
-_LOCAL_ZONE_BONUS_REQUESTS = 0.25
-# Random part of the score, so that hosts that see the same load do not all
-# select the same upstream.
-_SCORE_JITTER_REQUESTS = 0.4
-# A group whose gaps between events exceed the objective is used only if no
-# other group has a free slot.
-_SLOW_GROUP_PENALTY_REQUESTS = 100
 # Slots that are kept free of late requests, for each upstream of a plain
 # service and as a share of the limit of a rank group: a slot is occupied for
 # seconds, and a response on time is worth four late ones.
@@ -58,13 +54,15 @@
     decides whether reserved slots and slow groups may be used: late requests
     leave the reserved slots free, and only on-time requests avoid slow groups.
     ``longest_gap`` is the longest gap between events that still meets the
-    objective, in seconds.
+    objective, in seconds. ``stated_work`` is what the caller states of the
+    length of the request, None if nothing.
     """
 
     excluded: Collection[str] = ()
     regions: frozenset[str] = frozenset()
     urgency: Urgency = Urgency.ON_TIME
     longest_gap: float = math.inf
+    stated_work: StatedWork | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,11 +71,13 @@
 
     ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
     the number of hosts that this host shares them with, itself included.
+    ``job`` is the work of the request, None if it is not tracked.
     """
 
     upstream: Upstream
     rates: tuple[SharedRate, ...] = ()
     host_count: int = 0
+    job: Job | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +98,7 @@
 
     Attributes:
         in_flight: requests in progress, of this host and of the others.
+        costs: predicted work of the requests.
         limits: shared rates and pauses, from what upstreams state.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
@@ -125,6 +126,7 @@
         self.availability_zone = availability_zone
         self.generator = generator
         self.in_flight = InFlightRequests()
+        self.costs = RequestCosts(self.in_flight)
         self.on_acquire: Callable[[], None] = _do_nothing
         self.limits = UpstreamLimits(host, generator, registry)
         self.health = HealthTracker(generator)
@@ -142,20 +144,20 @@
     ) -> Reservation | None:
         """Reserve a slot at the least loaded upstream; None if all are full."""
         self.in_flight.expire(now)
-        service_settings = configuration.services.get(service) or Service(
-            service, 0
-        )
-        best = self._select(service_settings, now, criteria)
+        settings = configuration.services.get(service) or Service(service, 0)
+        best = self._select(settings, now, criteria)
         if best is None:
             return None
         self.in_flight.record_start(best.name)
+        job = self.costs.start(best.name, settings, criteria.stated_work, now)
         self.on_acquire()
-        rates = self.limits.record_send(best, service_settings, now)
-        return Reservation(best, rates, len(self.limits.sharing.hosts))
+        rates = self.limits.record_send(best, settings, now)
+        return Reservation(best, rates, len(self.limits.sharing.hosts), job)
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
         self.in_flight.record_end(reservation.upstream.name)
+        self.costs.end(reservation.job, time.monotonic())
 
     def record_event(
         self,
@@ -174,10 +176,12 @@
         """
         self.groups.record_event(upstream.name, now)
         estimator = self.groups.pass_estimator(upstream.name)
-        if estimator is not None:
-            members = self.groups.ranks_of_group(upstream.name)
-            used = self.in_flight.total_of(members)
-            estimator.observe(engine, len(members), used, gap, now)
+        if estimator is None:
+            self.costs.record_gap(upstream.name, engine, gap, now)
+            return
+        members = self.groups.ranks_of_group(upstream.name)
+        used = self.in_flight.total_of(members)
+        estimator.observe(engine, len(members), used, gap, now)
 
     def max_in_flight(self, upstream: Upstream, service: Service) -> float:
         """Return the maximum number of requests in progress at an upstream."""
@@ -259,6 +263,7 @@
         names = frozenset(self.registry.upstreams)
         self.health.retain(names)
         self.limits.retain(names, time.monotonic())
+        self.costs.retain(names)
 
     def _select(
         self,
@@ -287,6 +292,7 @@
         criteria: SelectionCriteria,
     ) -> Iterator[tuple[float, Upstream]]:
         """Yield the upstreams with a free slot, each after its score."""
+        choice = self.costs.choice(service, criteria.stated_work, now)
         group_of = self.groups.group_by_upstream
         for upstream in upstreams:
             capacity = capacities.get(group_of.get(upstream.name, ''))
@@ -297,8 +303,18 @@
                 taken < self._slot_limit(upstream, service, criteria)
                 and upstream.name not in criteria.excluded
                 and self._is_usable(upstream, service, now)
+                and choice.fits(upstream.name, taken)
             ):
-                yield self._score(upstream, taken, capacity), upstream
+                yield (
+                    selection_score(
+                        choice.load(upstream.name, taken),
+                        capacity.pass_time,
+                        capacity.slow,
+                        upstream.availability_zone == self.availability_zone,
+                        self.generator,
+                    ),
+                    upstream,
+                )
 
     def _slot_limit(
         self, upstream: Upstream, service: Service, criteria: SelectionCriteria
@@ -369,20 +385,6 @@
             pass_time=pass_time,
         )
 
-    def _score(
-        self, upstream: Upstream, taken: int, capacity: _GroupCapacity
-    ) -> float:
-        """Return the score of an upstream; the lowest is selected.
-
-        It is the load with one more request, weighted with the time per pass.
-        """
-        score = (taken + 1) * capacity.pass_time / DEFAULT_PASS_SECONDS
-        if capacity.slow:
-            score += _SLOW_GROUP_PENALTY_REQUESTS
-        if upstream.availability_zone == self.availability_zone:
-            score -= _LOCAL_ZONE_BONUS_REQUESTS
-        return score + self.generator.random() * _SCORE_JITTER_REQUESTS
-
     def _is_usable(
         self, upstream: Upstream, service: Service, now: float
     ) -> bool:
--- a/primroseyoke/gateway/gateway.py
+++ b/primroseyoke/gateway/gateway.py
@@ -85,6 +85,7 @@
             settings.region_of,
             settings.address,
         )
+        self.balancer.costs.enabled = settings.cost_aware
         self.pool = ConnectionPool(platform.codec, settings.response_limits)
         self.retry_budget = RetryBudget(
             settings.repeat_ratio,
@@ -193,6 +194,7 @@
         ]
         self.settings = settings
         self.platform.apply_settings(settings)
+        self.balancer.costs.enabled = settings.cost_aware
         self.retry_budget.ratio = settings.repeat_ratio
         self.retry_budget.slack = settings.repeat_slack
         self.retry_budget.window = settings.repeat_window
--- a/primroseyoke/gateway/metrics.py
+++ b/primroseyoke/gateway/metrics.py
@@ -18,6 +18,7 @@
 from prometheus_client.registry import Collector
 
 from .memory import MemoryBudget
+from .request_costs import RequestCosts
 
 __all__ = ('Metrics',)
 
@@ -148,6 +149,10 @@
         """Add the metrics of the memory that is held for callers."""
         self.registry.register(_MemoryCollector(budget))
 
+    def add_costs(self, costs: RequestCosts) -> None:
+        """Add the metrics of the predicted work of requests."""
+        self.registry.register(_CostCollector(costs))
+
     def record_topic(self, topic: str, state: Mapping[str, float]) -> None:
         """Set the gauges of one topic."""
         for name, number in state.items():
@@ -188,3 +193,47 @@
             'Requests refused for lack of memory',
             self.budget.refusals,
         )
+
+
+class _CostCollector(Collector):
+    """Reads predicted and observed work by kind when they are requested."""
+
+    def __init__(self, costs: RequestCosts) -> None:
+        self.costs = costs
+
+    def collect(self) -> Iterator[Metric]:
+        labels = ('service', 'kind')
+        requests = CounterMetricFamily(
+            'gateway_cost_requests',
+            'Whole streams whose work was predicted',
+            labels=labels,
+        )
+        predicted = CounterMetricFamily(
+            'gateway_cost_predicted_seconds',
+            'Their predicted work at the reference speed',
+            labels=labels,
+        )
+        observed = CounterMetricFamily(
+            'gateway_cost_observed_seconds',
+            'Their observed work at the reference speed',
+            labels=labels,
+        )
+        error = CounterMetricFamily(
+            'gateway_cost_error_seconds',
+            'Sum of the absolute differences of both',
+            labels=labels,
+        )
+        weight = GaugeMetricFamily(
+            'gateway_cost_weight',
+            'How far predictions decide choices, from 0 to 1',
+            labels=('service',),
+        )
+        for service, model in self.costs.models.items():
+            weight.add_metric((service,), model.weight)
+            for kind, totals in model.totals.items():
+                key = (service, kind)
+                requests.add_metric(key, totals.count)
+                predicted.add_metric(key, totals.predicted)
+                observed.add_metric(key, totals.observed)
+                error.add_metric(key, totals.error)
+        yield from (requests, predicted, observed, error, weight)
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -231,6 +231,7 @@
             self.draining,
             availability_zone=self.availability_zone,
             sequence=int(boot_time() * _MS_PER_SECOND),
+            work=balancer.costs.work.report(),
         )
 
     def _send_message(
@@ -299,7 +300,9 @@
         )
         if self.sharing is not None and report.topics:
             self.sharing.receive(address, report.topics)
-        balancer.in_flight.apply_report(report.host, report.running, now)
+        balancer.in_flight.apply_report(
+            report.host, report.running, now, report.work
+        )
         for told in report.limits:
             balancer.limits.notices.record_told(
                 _limit_statement(told, held, now)
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -48,6 +48,7 @@
         self.pool = pool
         self.retry_budget = retry_budget
         self.metrics = Metrics()
+        self.metrics.add_costs(balancer.costs)
         self.queues: dict[str, WaitQueue] = {}
         self.first_event_estimates: dict[str, Estimate] = {}
         self.timers: set[asyncio.Timeout] = set()
--- a/primroseyoke/gateway/request_forwarding.py
+++ b/primroseyoke/gateway/request_forwarding.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..exceptions import RequestFailed, UpstreamSilent, UpstreamWithdrawn
+from ..scheduling.work import Job
 from ..verdicts import Verdict
 from .attempt_history import AttemptHistory
 from .attempt_race import AttemptRace
@@ -44,6 +45,7 @@
         history: what has become of the attempts.
         race: attempts that run side by side while an upstream is silent.
         slots: acquires the slots of the attempts.
+        job: work of the last attempt, None if it is not tracked.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self.slots = SlotAcquisition(
             proxy, authorized, self.history, self.response_forwarder
         )
+        self.job: Job | None = None
 
     async def run(self) -> None:
         """Forward the request and its response, retrying where allowed.
@@ -106,6 +109,7 @@
             if first_event_at
             else None
         )
+        job = self.job
         return {
             'route': authorized.route.name,
             'service': authorized.service,
@@ -117,11 +121,18 @@
             'waited_ms': _to_milliseconds(self.slots.waited_seconds),
             'first_ms': _to_milliseconds(first_event_delay),
             'longest_gap_ms': _to_milliseconds(self.progress.longest_gap),
+            'predicted_work_ms': _to_milliseconds(
+                job.prediction.work if job else None
+            ),
+            'work_ahead_ms': _to_milliseconds(job.work_ahead if job else None),
         }
 
     async def _attempt(self) -> RequestFailed | None:
         """Send the request once; return the failure, or None on success."""
         reservation = await self.slots.acquire()
+        self.job = reservation.job
+        if self.job is not None:
+            self.job.is_first = not self.history.upstreams
         self.history.upstreams.append(reservation.upstream.name)
         if reservation.rates:
             self._log_limited_send(reservation)
--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -50,7 +50,9 @@
     (monotonic). ``headers`` holds the headers that are forwarded.
     ``last_event_id`` identifies the last event that the caller received of an
     earlier response. ``prompt_parts`` identifies the parts of the prompt that
-    other requests may share, in order.
+    other requests may share, in order. ``prompt_tokens`` and
+    ``max_output_tokens`` are what the caller states of the request,
+    ``output_hint`` is its estimate of the output in tokens; None if not stated.
     """
 
     method: str
@@ -65,6 +67,9 @@
     arrived_at: float = 0
     body: Body = Body()
     prompt_parts: tuple[str, ...] = ()
+    prompt_tokens: int | None = None
+    max_output_tokens: int | None = None
+    output_hint: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -261,9 +261,8 @@
         content_type = head.content_type
         if self.response.started and content_type != self.stream_type:
             # For example an error with a success status.
-            raise _broken_response(
-                connection, f'continued with {content_type!r}'
-            )
+            detail = f'continued with {content_type!r}'
+            raise _broken_response(connection, detail)
         if attempt.splitter is None:
             self._track(attempt)
             attempt.splitter = EventSplitter(self.proxy.pool.limits.event_bytes)
@@ -278,6 +277,7 @@
             raise _broken_response(connection, 'ended within an event')
         self.on_progress()
         self.response.finish()
+        self.proxy.balancer.costs.record_whole(attempt.reservation.job)
 
     async def _forward_events(
         self,
@@ -291,7 +291,7 @@
             return
         self.on_progress()
         self._track(attempt)
-        self._record_content(attempt.upstream, time.monotonic())
+        self._record_content(attempt, len(events), time.monotonic())
         # Time spent writing to a slow caller does not count as silence of the
         # upstream.
         timer.reschedule(None)
@@ -317,12 +317,13 @@
         self.stream_type = head.content_type
         self.response.start(head.status, head.stream_headers)
 
-    def _record_content(self, upstream: Upstream, now: float) -> None:
+    def _record_content(self, attempt: Attempt, count: int, now: float) -> None:
         progress = self.progress
         gap = now - progress.last_event_at if progress.last_event_at else 0
-        self.proxy.balancer.record_event(
-            upstream, self.authorized.engine, gap, now
-        )
+        balancer = self.proxy.balancer
+        engine = self.authorized.engine
+        balancer.record_event(attempt.upstream, engine, gap, now)
+        balancer.costs.record_events(attempt.reservation.job, engine, count)
         progress.longest_gap = max(progress.longest_gap, gap)
         progress.last_event_at = now
 
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -55,6 +55,8 @@
     and upstreams publish must be in force within ``max_update_delay``. Hosts
     know that an upstream has gone at most ``upstream_expiry`` after its crash.
     ``memory_bytes`` is what the process may use before it is killed.
+    ``cost_aware`` is whether upstreams are chosen by the predicted work of
+    requests that state their tokens.
     """
 
     host: str
@@ -75,3 +77,4 @@
     upstream_expiry: float = 6.6
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     response_limits: ResponseLimits = ResponseLimits()
+    cost_aware: bool = True
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -177,6 +177,7 @@
                 regions=authorized.regions,
                 urgency=position.urgency,
                 longest_gap=authorized.route.gap_objective,
+                stated_work=authorized.stated_work,
             ),
         )
 
--- a/primroseyoke/platform/headers.py
+++ b/primroseyoke/platform/headers.py
@@ -47,6 +47,12 @@
 _PROMPT_PARTS_HEADER = b'x-primroseyoke-prompt-prefix'
 # Further parts are ignored, to bound what a request costs.
 _MAX_PROMPT_PARTS = 32
+# Tokens of the prompt and maximum of output tokens, separated by a comma.
+_TOKEN_USAGE_HEADER = b'x-primroseyoke-token-usage'
+# Estimated number of output tokens.
+_LENGTH_HINT_HEADER = b'x-primroseyoke-length-hint'
+# Longer prompts or outputs than any model takes are malformed.
+_MAX_TOKENS = 10_000_000
 
 _HOP_BY_HOP_HEADERS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
 # Request headers that are not forwarded: the gateway sets them itself, or the
@@ -66,6 +72,7 @@
 # With these, Retry-After asks for a pause (RFC 9110, 10.2.3; RFC 6585, 4).
 _REJECTION_STATUSES = frozenset((429, 503))
 _DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{1,9})?')
+_TOKEN_COUNT = re.compile(rb'\d{1,9}')
 _AUTHORIZATION_SCHEME = 'bearer'
 
 
@@ -81,6 +88,8 @@
     ) -> CallerRequest:
         """Decode a request head; ``now`` is the monotonic time in seconds."""
         fields = dict(headers)
+        usage = _parse_token_counts(fields.get(_TOKEN_USAGE_HEADER, b''), 2)
+        hint = _parse_token_counts(fields.get(_LENGTH_HINT_HEADER, b''), 1)
         return CallerRequest(
             method=method,
             path=target.partition('?')[0],
@@ -99,6 +108,9 @@
             prompt_parts=_parse_shared_parts(
                 _decode_text(fields.get(_PROMPT_PARTS_HEADER, b''))
             ),
+            prompt_tokens=usage[0] if usage else None,
+            max_output_tokens=usage[1] if usage else None,
+            output_hint=hint[0] if hint else None,
         )
 
     def encode_request(
@@ -199,6 +211,17 @@
     return tuple(int(part) for part in parts)
 
 
+def _parse_token_counts(content: bytes, count: int) -> tuple[int, ...]:
+    """Return ``count`` numbers of tokens; empty if they are malformed."""
+    parts = [part.strip() for part in content.split(b',')]
+    if len(parts) != count or not all(
+        _TOKEN_COUNT.fullmatch(part) for part in parts
+    ):
+        return ()
+    numbers = tuple(int(part) for part in parts)
+    return numbers if max(numbers) <= _MAX_TOKENS else ()
+
+
 def _parse_load(content: bytes) -> Load | None:
     if not content:
         return None
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -46,6 +46,10 @@
     memory_mb: _NonNegativeFloat = 0
 
 
+class _Scheduling(msgspec.Struct):
+    cost_aware: bool = True
+
+
 class _Provider(msgspec.Struct):
     address: str
 
@@ -69,6 +73,7 @@
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    scheduling: _Scheduling = msgspec.field(default_factory=_Scheduling)
     heartbeat_ms: _NonNegativeFloat = _DEFAULT_HEARTBEAT_MS
 
 
@@ -130,6 +135,7 @@
         + _REMOVAL_MARGIN_SECONDS,
         memory_bytes=int(settings.limits.memory_mb * _BYTES_PER_MB)
         or DEFAULT_MEMORY_BYTES,
+        cost_aware=settings.scheduling.cost_aware,
     )
 
 
--- /dev/null
+++ b/primroseyoke/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which request runs next, and where."""
