Test the choice by predicted work, and let equal statements count as equal

What was learned moved the predictions of equal requests, so that they looked different and the choice was no longer that of the counts. Squared errors let one outlier decide whether predictions count.

The spread is now the difference between one prediction and the next, the error the mean absolute one, and the prior slope 0.5, since hints are often far off.

--- a/primroseyoke/gateway/request_costs.py
+++ b/primroseyoke/gateway/request_costs.py
@@ -184,7 +184,7 @@
         mean_left = max(left / taken, math.ulp(own))
         shared = -left * math.expm1(-own / mean_left)
         unread = self.costs.work.of(upstream).unread
-        unit = min(own, self.model.mean)
+        unit = min(own, self.model.mean or own)
         speed = self.costs.speeds.of(upstream, self.now)
         load = (shared + unread) / unit / speed
         return taken + weight * (load - taken)
@@ -200,7 +200,7 @@
         if not limit or not taken:
             return True
         sums = self.costs.work.of(upstream)
-        others = max(taken - sums.count, 0) * self.model.mean_tokens
+        others = max(taken - sums.count, 0) * self.model.typical().tokens
         return sums.tokens + others + self.prediction.tokens <= limit
 
 
--- a/primroseyoke/scheduling/cost.py
+++ b/primroseyoke/scheduling/cost.py
@@ -20,9 +20,12 @@
 _PRIOR_MAXIMUM_SHARE = 0.5
 _MAX_OUTPUT_TOKENS = 100_000.0
 # Observations that the prior counts for.
-_PRIOR_COUNT = 3
+_PRIOR_COUNT = 6
 # Variance of the logarithm of stated lengths that the prior counts for.
 _PRIOR_VARIANCE = 0.5
+# Slope of the output over the stated length until it is learned: estimates of
+# callers are right at the median, but often far off.
+_PRIOR_SLOPE = 0.5
 # Least weight of a new observation in the averages of a kind and of a client.
 _KIND_SMOOTHING_FACTOR = 0.02
 _CLIENT_SMOOTHING_FACTOR = 0.05
@@ -34,17 +37,18 @@
 _MAX_CLIENTS = 2048
 # Highest variance of logarithms that raises the mean above the median.
 _MAX_SKEW_VARIANCE = 1.0
-# Prior of the squared errors, relative to the mean cost: predictions count for
+# Prior of the mean errors, relative to the mean cost: predictions count for
 # half until there are observations.
-_PRIOR_CONSTANT_ERROR = 0.4
-_PRIOR_PREDICTION_ERROR = 0.35
+_PRIOR_CONSTANT_ERROR = 0.55
+_PRIOR_PREDICTION_ERROR = 0.5
 _PRIOR_ERROR_COUNT = 10
 _ERROR_SMOOTHING_FACTOR = 0.01
-# Limits how much one outlier changes the squared errors.
-_MAX_SQUARED_ERROR = 25.0
-# Predictions that explain this share of the variance of costs count in full.
-_FULL_EXPLAINED_SHARE = 0.25
-# Predictions that deviate less from their mean count as equal, relative to it.
+# Limits how much one outlier changes the mean errors.
+_MAX_ERROR = 4.0
+# Predictions whose mean error is smaller than that of the mean cost by this
+# share count in full.
+_FULL_EXPLAINED_SHARE = 0.18
+# Predictions that differ less count as equal, relative to their mean.
 _EQUAL_SPREAD = 0.1
 
 _HINT = 'hint'
@@ -108,15 +112,20 @@
 
     Attributes:
         mean: mean work of the predictions of requests that were sent, seconds.
-        spread: mean deviation of these from their mean, relative to it.
+        mean_prompt: mean of their prompts, in tokens.
+        mean_output: mean of their predicted outputs, in tokens.
+        spread: mean difference between one of these and the next, relative to
+            their mean. What is learned changes it little.
         totals: predicted and observed work by kind, for metrics.
     """
 
     def __init__(self) -> None:
         """Start with the prior."""
         self.mean = 0.0
-        self.mean_tokens = 0.0
+        self.mean_prompt = 0.0
+        self.mean_output = 0.0
         self.spread = 0.0
+        self.last_work = 0.0
         self.sent_count = 0
         self.totals: dict[str, KindTotals] = {}
         self.kinds: _AgedTable[_Line] = _AgedTable(_MAX_KINDS)
@@ -158,16 +167,23 @@
 
     def typical(self) -> Prediction:
         """Return the mean cost, for requests whose length is not known."""
-        return Prediction(0, self.mean_tokens, self.mean)
+        return Prediction(self.mean_prompt, self.mean_output, self.mean)
 
     def record_sent(self, prediction: Prediction) -> None:
         """Record the prediction of a request that was sent."""
         self.sent_count += 1
         factor = max(1 / self.sent_count, _KIND_SMOOTHING_FACTOR)
         self.mean += factor * (prediction.work - self.mean)
-        self.mean_tokens += factor * (prediction.tokens - self.mean_tokens)
-        deviation = abs(prediction.work - self.mean) / (self.mean or 1)
-        self.spread += factor * (deviation - self.spread)
+        self.mean_prompt += factor * (
+            prediction.prompt_tokens - self.mean_prompt
+        )
+        self.mean_output += factor * (
+            prediction.output_tokens - self.mean_output
+        )
+        difference = abs(prediction.work - self.last_work) / (self.mean or 1)
+        self.last_work = prediction.work
+        if self.sent_count > 1:
+            self.spread += _KIND_SMOOTHING_FACTOR * (difference - self.spread)
 
     def observe(
         self,
@@ -228,7 +244,9 @@
     def at(self, length: float) -> float:
         """Return the expected logarithm of the output."""
         prior = _PRIOR_VARIANCE * _PRIOR_COUNT / self.count
-        slope = (self.covariance + prior) / (self.length_variance + prior)
+        slope = (self.covariance + _PRIOR_SLOPE * prior) / (
+            self.length_variance + prior
+        )
         slope = min(max(slope, 0), 1)
         return self.mean_output + slope * (length - self.mean_length)
 
@@ -269,7 +287,7 @@
 
 
 class _Accuracy:
-    """Squared errors of predictions and of the mean cost, relative to it."""
+    """Mean errors of predictions and of the mean cost, relative to it."""
 
     def __init__(self) -> None:
         self.mean = 0.0
@@ -279,7 +297,7 @@
 
     @property
     def explained(self) -> float:
-        """Return the share of the variance that predictions explain."""
+        """Return by which share the error of predictions is smaller."""
         if not self.constant_error:
             return 0
         return max(1 - self.prediction_error / self.constant_error, 0)
@@ -295,7 +313,7 @@
             1 / (self.count + _PRIOR_ERROR_COUNT), _ERROR_SMOOTHING_FACTOR
         )
         errors = [
-            min(((estimate - observed) / self.mean) ** 2, _MAX_SQUARED_ERROR)
+            min(abs(estimate - observed) / self.mean, _MAX_ERROR)
             for estimate in (self.mean, predicted)
         ]
         self.constant_error += factor * (errors[0] - self.constant_error)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -180,3 +180,34 @@
 def test_upstreams_that_leave_are_recognized(status, contents, leaving) -> None:
     headers = [(b'server-leaving', content) for content in contents]
     assert CODEC.decode_response(status, headers).leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ('usage', 'hint', 'decoded'),
+    [
+        (b'1460,80', b'64', (1460, 80, 64)),
+        (b' 1460 , 80 ', b'', (1460, 80, None)),
+        (b'0,0', b'0', (0, 0, 0)),
+        (b'1460', b'-3', (None, None, None)),
+        (b'1460,80,1', b'6.5', (None, None, None)),
+        (b'1460,', b'many', (None, None, None)),
+        ('١٤,80'.encode(), b'1_000', (None, None, None)),
+        (b'1460,999999999', b'99999999999', (None, None, None)),
+    ],
+)
+def test_stated_tokens_are_decoded_and_forwarded_unchanged(
+    usage, hint, decoded
+) -> None:
+    """Guards against predictions from malformed or absurd values."""
+    headers = [
+        (b'x-primroseyoke-token-usage', usage),
+        (b'x-primroseyoke-length-hint', hint),
+    ]
+    request = CODEC.decode_request('POST', '/a/', headers, 50)
+    assert decoded == (
+        request.prompt_tokens,
+        request.max_output_tokens,
+        request.output_hint,
+    )
+    encoded = CODEC.encode_request(request, ForwardingInfo('i-7', math.inf))
+    assert set(headers) <= set(encoded)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -90,3 +90,18 @@
 def test_missing_settings_file_is_rejected(tmp_path: pathlib.Path) -> None:
     with pytest.raises(SettingsInvalid):
         load_platform_settings(str(tmp_path / 'missing.yaml'))
+
+
+@pytest.mark.parametrize(
+    ('scheduling', 'expected'),
+    [
+        ('', True),
+        ('scheduling: {}', True),
+        ('scheduling: {cost_aware: false}', False),
+    ],
+)
+def test_choice_by_predicted_work_can_be_turned_off(
+    tmp_path: pathlib.Path, scheduling: str, expected: bool
+) -> None:
+    path = write_settings(tmp_path, SETTINGS + scheduling)
+    assert load_platform_settings(path).cost_aware is expected
