Compare 16 upstreams before all of them where a sample of 4 is full

While most upstreams are full, a choice by work found all 4 of its sample full in 2 of 5 cases at 80 % and then compared all upstreams, up to 600.

The small sample is now followed by one of the usual size. A test counts the upstreams that are compared among 600 in two zones with 80 % full: at most 50 on average.

--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -16,33 +16,20 @@
 from primroseyoke.gateway import request_costs
 from primroseyoke.gateway.balancer import Balancer, SelectionCriteria
 from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
-from primroseyoke.scheduling.cost import CostModel, Rates, StatedWork
+from primroseyoke.scheduling.cost import StatedWork
 from tests.standins.routed_streams import (
     CONFIGURATION,
-    KINDS,
     SERVICE,
-    TOKENS_PER_EVENT,
     RoutedStreams,
     StatedCosts,
+    learned_costs,
 )
 
-
-def learned_costs():
-    """Return a model that has seen the requests of some minutes."""
-    generator = random.Random(1)
-    model = CostModel()
-    for _ in range(150):
-        for kind in KINDS:
-            _, event_count, stated = kind.draw(generator)
-            prediction = model.predict(stated, RATES, 0)
-            model.record_sent(prediction)
-            model.observe(
-                stated, prediction, event_count * TOKENS_PER_EVENT, RATES, 0
-            )
-    return model
-
-
-RATES = Rates(0.000017, 0.00181)
+UNITS = {
+    'first_event_p95': 's',
+    'imbalance_p95': 'ratio',
+    'abandoned': 'requests',
+}
 POLICIES = {'count': None, 'stated': StatedCosts, 'predicted': learned_costs}
 SAMPLE_SIZES = (None, 2, 8, 16, 63)
 SEEDS = (1, 2, 3)
@@ -82,11 +69,12 @@
     for policy, costs in POLICIES.items():
         figures = measure(sample_size, costs, hosts, seconds, seeds)
         baseline = baseline or figures
-        for name in ('first_event_p95', 'imbalance_p95', 'abandoned'):
+        size = sample_size or 'product'
+        for name, unit in UNITS.items():
             report(
-                f'costs_{policy}_{hosts}_hosts_d{sample_size or "_product"}_{name}',
+                f'costs_{policy}_{hosts}_hosts_{size}_{name}',
                 figures[name],
-                's' if name == 'first_event_p95' else 'ratio',
+                unit,
                 baseline[name],
             )
 
--- a/primroseyoke/gateway/candidates.py
+++ b/primroseyoke/gateway/candidates.py
@@ -46,19 +46,24 @@
     def samples(
         self, generator: random.Random, size: int = SAMPLE_SIZE_PER_SIDE
     ) -> Iterator[list[Upstream]]:
-        """Yield a sample, and then all upstreams if that was not all.
+        """Yield samples, and then all upstreams if none was all of them.
+
+        A small sample is followed by one of the usual size, so that all
+        upstreams are rarely compared while most of them are full.
 
         Args:
             generator: source of the random choices.
-            size: upstreams of the own zone and of the others in the sample.
+            size: upstreams of the own zone and of the others in the first one.
         """
-        sample = [
-            *_sample(self.local, generator, size),
-            *_sample(self.remote, generator, size),
-        ]
-        yield sample
-        if len(sample) < len(self.upstreams):
-            yield self.upstreams
+        for each_size in sorted({size, SAMPLE_SIZE_PER_SIDE}):
+            sample = [
+                *_sample(self.local, generator, each_size),
+                *_sample(self.remote, generator, each_size),
+            ]
+            yield sample
+            if len(sample) == len(self.upstreams):
+                return
+        yield self.upstreams
 
 
 class CandidateIndex:
--- a/tests/gateway/test_request_costs.py
+++ b/tests/gateway/test_request_costs.py
@@ -186,6 +186,34 @@
     assert len(calls) <= 20 * 16
 
 
+def test_cost_of_a_choice_stays_flat_while_most_upstreams_are_full(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a small sample that ends in a look at all upstreams."""
+    balancer = make_balancer(600)
+    for number in range(0, 600, 2):
+        balancer.registry.put(Upstream(f'u{number}', SERVICE.name, '', 1, 'b'))
+    for number in range(480):
+        balancer.in_flight.apply_report(
+            f'h{number}', {f'u{number}': 5}, 1, {f'u{number}': 900}
+        )
+    acquire(balancer, LONG)
+    acquire(balancer, SHORT)
+    looks = []
+    usable = balancer.in_flight.total
+    monkeypatch.setattr(
+        balancer.in_flight,
+        'total',
+        lambda name: looks.append(name) or usable(name),
+    )
+    choices = 200
+    for _ in range(choices):
+        balancer.release(acquire(balancer, LONG))
+    # 4 are all full twice in 5 times, 16 once in 35 times, so that 28 upstreams
+    # are compared on average: 4 + 0.41 * 16 + 0.028 * 600.
+    assert len(looks) <= choices * 50
+
+
 def test_interrupted_streams_teach_nothing() -> None:
     """Guards against predictions that shrink with each failure."""
     balancer = make_balancer(2, is_weighted=False)
--- a/tests/gateway/test_routed_streams.py
+++ b/tests/gateway/test_routed_streams.py
@@ -9,7 +9,12 @@
 import random
 
 from primroseyoke.scheduling.cost import StatedWork
-from tests.standins.routed_streams import KINDS, Outcome, RoutedStreams
+from tests.standins.routed_streams import (
+    KINDS,
+    Outcome,
+    RoutedStreams,
+    learned_costs,
+)
 
 # 1.6 times the requests of the deployment use 0.5 to 0.6 of the slots.
 LOAD = 1.6
@@ -114,3 +119,12 @@
             outcome.imbalance += part.imbalance
             outcome.abandoned += part.abandoned
     assert_not_worse(outcomes[0], outcomes[1])
+
+
+def test_390_hosts_do_not_choose_the_same_upstreams() -> None:
+    """Guards against hosts that all see the same upstream as the best."""
+    outcomes = [
+        RoutedStreams(1, hosts=390, costs=costs, load=LOAD).run(2, warm_up=2)
+        for costs in (learned_costs, None)
+    ]
+    assert_not_worse(*outcomes)
--- a/tests/standins/routed_streams.py
+++ b/tests/standins/routed_streams.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 import statistics
+from collections.abc import Callable
 
 from primroseyoke.gateway.balancer import (
     Balancer,
@@ -20,7 +21,7 @@
     Service,
 )
 from primroseyoke.gateway.upstreams import Upstream, UpstreamRegistry
-from primroseyoke.scheduling.cost import CostModel, StatedWork
+from primroseyoke.scheduling.cost import CostModel, Rates, StatedWork
 from tests import event_loop
 from tests.standins.simulated_engines import ENGINE, Job, SimulatedRankGroup
 
@@ -32,6 +33,7 @@
 TOKENS_PER_EVENT = ENGINE.steps_per_pass
 LONGEST_GAP = 0.12
 PREFILL_RATE = 47000
+REFERENCE_RATES = Rates(0.000017, ENGINE.sequence_time)
 # Delay of a report, in groups of receivers to bound the number of timers.
 REPORT_DELAYS = (0.01, 0.02, 0.03, 0.04, 0.05, 0.06)
 REPORT_INTERVAL = 0.01
@@ -95,6 +97,25 @@
         """Learn nothing."""
 
 
+def learned_costs():
+    """Return a model that has seen the requests of some minutes."""
+    generator = random.Random(1)
+    model = CostModel()
+    for _ in range(150):
+        for kind in KINDS:
+            _, event_count, stated = kind.draw(generator)
+            prediction = model.predict(stated, REFERENCE_RATES, 0)
+            model.record_sent(prediction)
+            model.observe(
+                stated,
+                prediction,
+                event_count * TOKENS_PER_EVENT,
+                REFERENCE_RATES,
+                0,
+            )
+    return model
+
+
 @dataclasses.dataclass
 class Outcome:
     """What was measured; times in seconds.
@@ -236,7 +257,7 @@
         hosts: int = 30,
         ranks: int = 63,
         kinds=KINDS,
-        costs: type[CostModel] | None = CostModel,
+        costs: Callable[[], CostModel] | None = CostModel,
         load: float = 1.0,
         change=None,
         lock_step: bool = True,
