--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -24,7 +24,9 @@
 from .health import HealthTracker
 from .in_flight import InFlightRequests
 from .rank_groups import RankGroupMonitor
+from .request_costs import RequestCosts
 from .selection import GroupCapacity, Reservation, SelectionCriteria
+from .selection_scores import selection_score
 from .upstream_limits import UpstreamLimits
 from .upstreams import Upstream, UpstreamRegistry
 
@@ -35,14 +37,6 @@
 # Requests per slot that a plain service may have, running or in its own queue;
 # more than these wait there too long.
 _QUEUE_FACTOR = 1.5
-# Score bonus of an upstream in the gateway's own availability zone.
-_LOCAL_ZONE_BONUS_REQUESTS = 0.25
-# Random part of the score, so that hosts that see the same load do not all
-# select the same upstream.
-_SCORE_JITTER_REQUESTS = 0.4
-# A group whose gaps between events exceed the objective is used only if no
-# other group has a free slot.
-_SLOW_GROUP_PENALTY_REQUESTS = 100
 # Slots that are kept free of late requests, for each upstream of a plain
 # service and as a share of the limit of a rank group: a slot is occupied for
 # seconds, and a response on time is worth four late ones.
@@ -55,6 +49,7 @@
 
     Attributes:
         in_flight: requests in progress, of this host and of the others.
+        costs: predicted work of the requests.
         limits: shared rates and pauses, from what upstreams state.
         health: failures and pauses of upstreams and zones.
         groups: membership and state of the rank groups.
@@ -85,6 +80,7 @@
         self.generator = generator
         self.in_flight = InFlightRequests()
         self.late_share = LateShare()
+        self.costs = RequestCosts(self.in_flight)
         self.on_acquire: Callable[[], None] = _do_nothing
         self.limits = UpstreamLimits(host, generator, registry)
         self.health = HealthTracker(generator)
@@ -103,29 +99,34 @@
     ) -> Reservation | None:
         """Reserve a slot at the least loaded upstream; None if all are full."""
         self.in_flight.expire(now)
-        service_settings = configuration.services.get(service) or Service(
-            service, 0
-        )
-        if not self._allows_late(service_settings, criteria, now):
+        settings = configuration.services.get(service) or Service(service, 0)
+        if not self._allows_late(settings, criteria, now):
             return None
-        best = self._select(service_settings, now, criteria)
+        best = self._select(settings, now, criteria)
         if best is None:
             return None
-        late_service = ''
-        if criteria.urgency is Urgency.LATE:
-            late_service = service
+        is_late = criteria.urgency is Urgency.LATE
+        if is_late:
             self.late_share.record_start(service)
         self.in_flight.record_start(best.name)
+        job = self.costs.start(best.name, settings, criteria.stated_work, now)
         self.on_acquire()
-        rates = self.limits.record_send(best, service_settings, now)
-        hosts = len(self.limits.sharing.hosts)
-        return Reservation(best, rates, hosts, late_service, now)
+        rates = self.limits.record_send(best, settings, now)
+        return Reservation(
+            best,
+            rates,
+            host_count=len(self.limits.sharing.hosts),
+            late_service=service if is_late else '',
+            job=job,
+            acquired_at=now,
+        )
 
     def release(self, reservation: Reservation) -> None:
         """Release the slot of a request that has ended."""
         self.in_flight.record_end(reservation.upstream.name)
         if reservation.late_service:
             self.late_share.record_end(reservation.late_service)
+        self.costs.end(reservation.job, time.monotonic())
 
     def record_event(
         self,
@@ -144,10 +145,12 @@
         """
         self.groups.record_event(upstream.name, now)
         estimator = self.groups.pass_estimator(upstream.name)
-        if estimator is not None:
-            members = self.groups.ranks_of_group(upstream.name)
-            used = self.in_flight.total_of(members)
-            estimator.observe(engine, len(members), used, gap, now)
+        if estimator is None:
+            self.costs.record_gap(upstream.name, engine, gap, now)
+            return
+        members = self.groups.ranks_of_group(upstream.name)
+        used = self.in_flight.total_of(members)
+        estimator.observe(engine, len(members), used, gap, now)
 
     def max_in_flight(self, upstream: Upstream, service: Service) -> float:
         """Return the maximum number of requests in progress at an upstream."""
@@ -232,6 +235,7 @@
         names = frozenset(self.registry.upstreams)
         self.health.retain(names)
         self.limits.retain(names, time.monotonic())
+        self.costs.retain(names)
 
     def used_slots(self, service: str, regions: frozenset[str]) -> int:
         """Return the requests of all hosts at the upstreams of a service."""
@@ -290,7 +294,8 @@
         capacities = self._group_capacities(candidates, service, criteria, now)
         if not any(capacity.has_room for capacity in capacities.values()):
             return None
-        for upstreams in candidates.samples(self.generator):
+        size = self.costs.sample_size(service, criteria.stated_work)
+        for upstreams in candidates.samples(self.generator, size):
             scored = self._scored(upstreams, capacities, service, now, criteria)
             best = min(scored, key=lambda pair: pair[0], default=None)
             if best is not None:
@@ -306,6 +311,7 @@
         criteria: SelectionCriteria,
     ) -> Iterator[tuple[float, Upstream]]:
         """Yield the upstreams with a free slot, each after its score."""
+        choice = self.costs.choice(service, criteria.stated_work, now)
         group_of = self.groups.group_by_upstream
         for upstream in upstreams:
             capacity = capacities.get(group_of.get(upstream.name, ''))
@@ -316,8 +322,18 @@
                 taken < self._slot_limit(upstream, service, criteria)
                 and upstream.name not in criteria.excluded
                 and self._is_usable(upstream, service, now)
+                and choice.fits(upstream.name, taken)
             ):
-                yield self._score(upstream, taken, capacity), upstream
+                yield (
+                    selection_score(
+                        choice.load(upstream.name, taken),
+                        capacity.pass_time,
+                        capacity.slow,
+                        upstream.availability_zone == self.availability_zone,
+                        self.generator,
+                    ),
+                    upstream,
+                )
 
     def _allows_late(
         self, service: Service, criteria: SelectionCriteria, now: float
@@ -406,20 +422,6 @@
             pass_time=pass_time,
         )
 
-    def _score(
-        self, upstream: Upstream, taken: int, capacity: GroupCapacity
-    ) -> float:
-        """Return the score of an upstream; the lowest is selected.
-
-        It is the load with one more request, weighted with the time per pass.
-        """
-        score = (taken + 1) * capacity.pass_time / DEFAULT_PASS_SECONDS
-        if capacity.slow:
-            score += _SLOW_GROUP_PENALTY_REQUESTS
-        if upstream.availability_zone == self.availability_zone:
-            score -= _LOCAL_ZONE_BONUS_REQUESTS
-        return score + self.generator.random() * _SCORE_JITTER_REQUESTS
-
     def _is_usable(
         self, upstream: Upstream, service: Service, now: float
     ) -> bool:
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -263,6 +263,7 @@
             sequence=int(boot_time() * _MS_PER_SECOND),
             waiting=waiting,
             lease=self.held_lease() or 0,
+            work=balancer.costs.work.report(),
         )
 
     def _load(self, balancer: Balancer) -> _Load:
@@ -344,7 +345,9 @@
     def _apply_load(
         self, report: Report, balancer: Balancer, sent_at: float, now: float
     ) -> None:
-        balancer.in_flight.apply_report(report.host, report.running, now)
+        balancer.in_flight.apply_report(
+            report.host, report.running, now, report.work
+        )
         balancer.groups.adopt_pass_costs(report.pass_costs, now)
         self.backlog.apply_report(report.host, report.waiting, sent_at)
         if report.clients:
--- a/primroseyoke/gateway/proxy.py
+++ b/primroseyoke/gateway/proxy.py
@@ -49,6 +49,7 @@
         self.metrics = self.context.metrics
         self.authorizer = authorizer
         self.balancer = balancer
+        self.metrics.add_costs(balancer.costs)
         self.timers: set[asyncio.Timeout] = set()
         self.exit_at = math.inf
         self.arrivals: collections.Counter[str] = collections.Counter()
--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -5,6 +5,8 @@
 from collections.abc import Collection
 
 from ..scheduling.admission import Urgency
+from ..scheduling.cost import StatedWork
+from ..scheduling.work import Job
 from ..shared_rates import SharedRate
 from .upstreams import Upstream
 
@@ -21,13 +23,15 @@
     and those of accounts above their share leave the reserved slots free, and
     only on-time requests avoid slow groups.
     ``longest_gap`` is the longest gap between events that still meets the
-    objective, in seconds.
+    objective, in seconds. ``stated_work`` is what the caller states of the
+    length of the request, None if nothing.
     """
 
     excluded: Collection[str] = ()
     regions: frozenset[str] = frozenset()
     urgency: Urgency = Urgency.ON_TIME
     longest_gap: float = math.inf
+    stated_work: StatedWork | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +41,7 @@
     ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
     the number of hosts that this host shares them with, itself included.
     ``late_service`` is the service if the request counts as late there.
+    ``job`` is the work of the request, None if it is not tracked.
     ``acquired_at`` is in monotonic seconds.
     """
 
@@ -44,6 +49,7 @@
     rates: tuple[SharedRate, ...] = ()
     host_count: int = 0
     late_service: str = ''
+    job: Job | None = None
     acquired_at: float = 0
 
 
--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -99,6 +99,8 @@
     ``memory_bytes`` is what the process may use before it is killed. ``duties``
     is None if the platform asks for no duty that is known; ``unknown_duties``
     are the names of others that it asks for.
+    ``cost_aware`` is whether upstreams are chosen by the predicted work of
+    requests that state their tokens.
     """
 
     host: str
@@ -121,3 +123,4 @@
     response_limits: ResponseLimits = ResponseLimits()
     duties: DutySettings | None = None
     unknown_duties: tuple[str, ...] = ()
+    cost_aware: bool = True
--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -213,6 +213,7 @@
             regions=authorized.regions,
             urgency=position.urgency,
             longest_gap=authorized.route.gap_objective,
+            stated_work=authorized.stated_work,
         )
         if self._is_left_to_others(position, criteria, now):
             return None
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -57,6 +57,10 @@
     memory_mb: _NonNegativeFloat = 0
 
 
+class _Scheduling(msgspec.Struct):
+    cost_aware: bool = True
+
+
 class _Provider(msgspec.Struct):
     address: str
 
@@ -96,6 +100,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     cloud: _Cloud | None = None
+    scheduling: _Scheduling = msgspec.field(default_factory=_Scheduling)
     heartbeat_ms: _NonNegativeFloat = _DEFAULT_HEARTBEAT_MS
 
 
@@ -159,6 +164,7 @@
         or DEFAULT_MEMORY_BYTES,
         duties=_duty_settings(path, settings),
         unknown_duties=_unknown_duties(settings),
+        cost_aware=settings.scheduling.cost_aware,
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -167,3 +167,18 @@
     text = SETTINGS.replace('graceS: 8', 'graceS: 8, leaseMs: 0')
     with pytest.raises(SettingsInvalid, match='bounds.leaseMs'):
         load_platform_settings(write_settings(tmp_path, text))
+
+
+@pytest.mark.parametrize(
+    ('scheduling', 'expected'),
+    [
+        ('', True),
+        ('scheduling: {}', True),
+        ('scheduling: {cost_aware: false}', False),
+    ],
+)
+def test_choice_by_predicted_work_can_be_turned_off(
+    tmp_path: pathlib.Path, scheduling: str, expected: bool
+) -> None:
+    path = write_settings(tmp_path, SETTINGS + scheduling)
+    assert load_platform_settings(path).cost_aware is expected
