--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -4,7 +4,6 @@
 by all its ranks; see ``in_flight`` and ``capacity``.
 """
 
-import dataclasses
 import math
 import random
 import time
@@ -18,9 +17,9 @@
 from ..scheduling.admission import Urgency
 from ..scheduling.late_share import LateShare
 from ..scheduling.shares import ClientShares
-from .candidates import CandidateIndex, Candidates
-from .capacity import DEFAULT_PASS_SECONDS
+from .candidates import CandidateIndex
 from .configuration import Configuration, Engine, Service
+from .group_capacities import GroupCapacities
 from .health import HealthTracker
 from .in_flight import InFlightRequests
 from .rank_groups import RankGroupMonitor
@@ -37,11 +36,9 @@
 # Requests per slot that a plain service may have, running or in its own queue;
 # more than these wait there too long.
 _QUEUE_FACTOR = 1.5
-# Slots that are kept free of late requests, for each upstream of a plain
-# service and as a share of the limit of a rank group: a slot is occupied for
-# seconds, and a response on time is worth four late ones.
+# Slots of each upstream of a plain service that are kept free of late requests:
+# a slot is occupied for long, and a response on time is worth four late ones.
 _RESERVED_SLOT_COUNT = 2
-_RESERVED_SLOT_SHARE = 0.2
 
 
 class Balancer:
@@ -86,6 +83,7 @@
         self.health = HealthTracker(generator)
         self.groups = RankGroupMonitor()
         self.shares = ClientShares()
+        self.capacities = GroupCapacities(self.groups, self.in_flight)
         self.candidates = CandidateIndex(
             registry, self.groups, availability_zone, region_of
         )
@@ -254,7 +252,7 @@
         Upstreams without a rank group are counted up to ``enough`` slots.
         """
         candidates = self.candidates.find(service.name, criteria.regions)
-        capacities = self._group_capacities(candidates, service, criteria, now)
+        capacities = self.capacities.find(candidates, service, criteria, now)
         free = 0
         unlimited = set()
         for group, capacity in capacities.items():
@@ -291,7 +289,7 @@
     ) -> Upstream | None:
         """Return the upstream with the lowest score that has a free slot."""
         candidates = self.candidates.find(service.name, criteria.regions)
-        capacities = self._group_capacities(candidates, service, criteria, now)
+        capacities = self.capacities.find(candidates, service, criteria, now)
         if not any(capacity.has_room for capacity in capacities.values()):
             return None
         size = self.costs.sample_size(service, criteria.stated_work)
@@ -361,67 +359,6 @@
             limit -= _RESERVED_SLOT_COUNT
         return limit
 
-    def _group_capacities(
-        self,
-        candidates: Candidates,
-        service: Service,
-        criteria: SelectionCriteria,
-        now: float,
-    ) -> dict[str, GroupCapacity]:
-        """Return the capacity of each rank group; the key '' is for no group.
-
-        Stalled and broken groups are left out. A request that can be on time is
-        not sent to a slow group, where it would be late, unless all groups are
-        slow.
-        """
-        engine = service.engine
-        capacities = {
-            group: self._group_capacity(group, count, engine, criteria, now)
-            for group, count in candidates.ranks.items()
-            if not self.groups.is_group_avoided(group, now)
-        }
-        all_slow = all(
-            capacity.slow for group, capacity in capacities.items() if group
-        )
-        if criteria.urgency is Urgency.ON_TIME and not all_slow:
-            capacities = {
-                group: dataclasses.replace(
-                    capacity,
-                    room=0 if capacity.slow else capacity.room,
-                )
-                for group, capacity in capacities.items()
-            }
-        return capacities
-
-    def _group_capacity(
-        self,
-        group: str,
-        ranks: int,
-        engine: Engine | None,
-        criteria: SelectionCriteria,
-        now: float,
-    ) -> GroupCapacity:
-        """Return the capacity of a group with ``ranks`` accepting requests."""
-        members = self.groups.ranks_by_group.get(group)
-        if engine is None or not members:
-            return GroupCapacity(
-                room=math.inf, slow=False, pass_time=DEFAULT_PASS_SECONDS
-            )
-        estimator = self.groups.group_estimator(group)
-        limit = estimator.max_requests(
-            engine, len(members), criteria.longest_gap, now
-        )
-        # Other ranks may be draining or in a zone taken out of service.
-        limit = min(limit, engine.slots * ranks)
-        if criteria.urgency >= Urgency.LATE:
-            limit *= 1 - _RESERVED_SLOT_SHARE
-        pass_time = estimator.pass_time(now)
-        return GroupCapacity(
-            room=limit - self.in_flight.total_of(members),
-            slow=pass_time > criteria.longest_gap,
-            pass_time=pass_time,
-        )
-
     def _is_usable(
         self, upstream: Upstream, service: Service, now: float
     ) -> bool:
