--- a/primroseyoke/exceptions.py
+++ b/primroseyoke/exceptions.py
@@ -3,6 +3,7 @@
 from .verdicts import Verdict
 
 __all__ = (
+    'ConfigurationFieldInvalid',
     'ConfigurationInvalid',
     'ConnectionBroken',
     'LinkClosed',
@@ -33,6 +34,20 @@
     """A configuration record violates a validation rule."""
 
 
+class ConfigurationFieldInvalid(ConfigurationInvalid):
+    """A field of a configuration has an invalid value.
+
+    The message contains no values, since API keys are among them.
+    """
+
+    def __init__(self, path: str, reason: str) -> None:
+        """Store the path (``routes[3].timeoutMs``), '' if none, and reason."""
+        field = f'{path}: ' if path else ''
+        super().__init__(f'invalid configuration: {field}{reason}')
+        self.path = path
+        self.reason = reason
+
+
 class MessageInvalid(PrimroseyokeError):
     """A message between processes cannot be decoded."""
 
--- a/primroseyoke/gateway/configuration.py
+++ b/primroseyoke/gateway/configuration.py
@@ -158,10 +158,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Client:
-    """A client account with its API keys."""
+    """A client account with its API keys, which are secret."""
 
     name: str
-    keys: frozenset[str]
+    keys: frozenset[str] = dataclasses.field(repr=False)
     priority: int | None = None
     regions: frozenset[str] = frozenset()
 
--- a/primroseyoke/platform/entries.py
+++ b/primroseyoke/platform/entries.py
@@ -2,12 +2,14 @@
 
 import logging
 import math
-from collections.abc import Iterable
+import re
+from collections.abc import Callable, Iterable
+from types import MappingProxyType
 from typing import Annotated, Any
 
 import msgspec
 
-from ..exceptions import ConfigurationInvalid
+from ..exceptions import ConfigurationFieldInvalid, ConfigurationInvalid
 from ..gateway.configuration import (
     Autoscale,
     CallerLimits,
@@ -22,7 +24,12 @@
 from ..gateway.upstreams import Upstream
 from ..settings import Address
 
-__all__ = ('decode_configuration', 'decode_upstream')
+__all__ = (
+    'ENTRY_TYPES',
+    'decode_configuration',
+    'decode_upstream',
+    'convert_field_error',
+)
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +42,9 @@
 _MAX_COLD_MS = 86_400_000
 _MAX_TIME_MS = 2**53
 
+# How msgspec writes the reason and the path of an invalid field.
+_FIELD_ERROR = re.compile(r'(?s)(.*) - at `\$\.?(.*)`')
+
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
@@ -150,6 +160,11 @@
     tenants: tuple[_Client, ...] = ()
 
 
+# Types of the entries, by the name of the list that has them.
+ENTRY_TYPES = MappingProxyType(
+    {'routes': _Route, 'services': _Service, 'tenants': _Client}
+)
+
 _upstream_entry_decoder = msgspec.json.Decoder(_UpstreamEntry)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _autoscale_decoder = msgspec.json.Decoder(_Autoscale | None)
@@ -192,28 +207,56 @@
     )
 
 
-def decode_configuration(content: bytes) -> Configuration:
+def decode_configuration(
+    content: bytes,
+    report_autoscale: Callable[[str, str], None] | None = None,
+) -> Configuration:
     """Decode a configuration that operators published.
 
+    Args:
+        content: the configuration as JSON.
+        report_autoscale: called with the name of each service whose scaling
+            bounds are invalid, and the reason; by default, they are logged.
+
     Raises:
-        ConfigurationInvalid: it is malformed or has invalid values.
+        ConfigurationFieldInvalid: a field has an invalid value.
+        ConfigurationInvalid: it is malformed.
     """
+    report = report_autoscale or _log_invalid_autoscale
     try:
         configuration = _configuration_decoder.decode(content)
         return Configuration(
             version=configuration.version,
             routes=tuple(_to_route(route) for route in configuration.routes),
             services={
-                service.name: _to_service(service)
+                service.name: _to_service(service, report)
                 for service in configuration.services
             },
             clients=tuple(_to_clients(configuration.tenants)),
             limits=_to_limits(configuration.limits),
         )
+    except msgspec.ValidationError as error:
+        raise convert_field_error(error) from error
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigurationInvalid(f'invalid configuration: {error}') from error
 
 
+def convert_field_error(
+    error: msgspec.ValidationError, parent: str = ''
+) -> ConfigurationFieldInvalid:
+    """Return the error of a field.
+
+    Args:
+        error: what the decoder raised.
+        parent: path of the decoded object in the configuration.
+    """
+    match = _FIELD_ERROR.fullmatch(str(error))
+    reason, path = match.groups() if match else (str(error), '')
+    return ConfigurationFieldInvalid(
+        '.'.join(part for part in (parent, path) if part), reason
+    )
+
+
 def _to_route(route: _Route) -> Route:
     targets = [Target(split.service, split.weight) for split in route.split]
     if route.service:
@@ -245,31 +288,35 @@
     return Execution.NON_IDEMPOTENT
 
 
-def _to_service(service: _Service) -> Service:
+def _to_service(
+    service: _Service, report: Callable[[str, str], None]
+) -> Service:
     return Service(
         name=service.name,
         max_connections=service.max_conns,
         cold_rate=service.cold_per_s,
         engine=_to_engine(service.engine) if service.engine else None,
-        autoscale=_to_autoscale(service),
+        autoscale=_to_autoscale(service, report),
     )
 
 
-def _to_autoscale(service: _Service) -> Autoscale | None:
+def _to_autoscale(
+    service: _Service, report: Callable[[str, str], None]
+) -> Autoscale | None:
     """Return the bounds of orders; None if there are none or they are invalid.
 
-    Invalid bounds are logged. They do not make the configuration invalid,
+    Invalid bounds are reported. They do not make the configuration invalid,
     since hosts route without them.
     """
     try:
         bounds = _autoscale_decoder.decode(service.autoscale)
     except (msgspec.MsgspecError, RecursionError) as error:
-        _log_invalid_autoscale(service.name, str(error))
+        report(service.name, str(error))
         return None
     if bounds is None:
         return None
     if bounds.min > bounds.max:
-        _log_invalid_autoscale(service.name, 'min exceeds max')
+        report(service.name, 'min exceeds max')
         return None
     return Autoscale(bounds.min, bounds.max, bounds.boot_s)
 
