Use the only slot of an upstream for requests of any urgency

Where a plain upstream states one slot, late requests and those of client accounts above their share waited for 0.7 s and were refused, also while the upstream was idle. The waits of such an account count as contention, so it got no slot at all for as long as it sent requests.

Cause: two slots of each plain upstream are kept free of these requests, which left -1 of 1.

Change: at least one slot is open to them.

Measured: the new test failed for both urgencies before, and passes. A second request still finds no slot.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -342,7 +342,8 @@
     ) -> int:
         limit = math.floor(self.max_in_flight(upstream, service))
         if service.engine is None and criteria.urgency >= Urgency.LATE:
-            limit -= _RESERVED_SLOT_COUNT
+            # An upstream with one slot has none to keep free.
+            limit = max(limit - _RESERVED_SLOT_COUNT, 1)
         return limit
 
     def _group_capacities(
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -90,6 +90,23 @@
     )
 
 
+@pytest.mark.parametrize('urgency', [Urgency.LATE, Urgency.ABOVE_SHARE])
+def test_an_idle_upstream_with_one_slot_takes_requests_of_all_urgencies(
+    urgency: Urgency,
+) -> None:
+    """Guards against requests that are refused while nothing else runs.
+
+    Those of an account above its share never got a slot, and as their waits
+    count as contention, the account stayed behind.
+    """
+    balancer = make_balancer(1)
+    balancer.limits.notices.loads['u0'] = Load(0, 0, 1)
+    plain = make_configuration(Service('app', 100))
+    criteria = SelectionCriteria(urgency=urgency)
+    assert balancer.acquire(plain, 'app', 1, criteria) is not None
+    assert balancer.acquire(plain, 'app', 1, criteria) is None
+
+
 def test_on_time_requests_avoid_slow_groups() -> None:
     """Guards against late responses while another group is fast enough."""
     balancer = make_rank_group(4)
