Limit accounts above their share after a recovery like late requests

In the 4 s after the recovery of a rank group, late requests may hold 0.4 of the slots, so that there is no wave of late answers. Requests of a client account above its share were not limited, even when they were late, and went to the slots that the limit had kept free for on-time requests.

Cause: the limit was checked and counted for the urgency LATE only. A late request of an account above its share has the lower urgency ABOVE_SHARE.

Change: the limit holds for both together.

Measured: with 8 ranks and 20 late requests, the new test found further slots given to such an account before, and none after; on-time requests still get slots. The effect in a whole deployment was not measured.

--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -112,7 +112,7 @@
         if best is None:
             return None
         late_service = ''
-        if criteria.urgency is Urgency.LATE:
+        if criteria.urgency >= Urgency.LATE:
             late_service = service
             self.late_share.record_start(service)
         self.in_flight.record_start(best.name)
@@ -324,9 +324,11 @@
     ) -> bool:
         """Tell whether the share of late requests allows this one.
 
-        It is limited for some time after a group has recovered.
+        It is limited for some time after a group has recovered. Requests of
+        accounts above their share count as late: many of them are, and late
+        requests of other accounts go before them.
         """
-        if service.engine is None or criteria.urgency is not Urgency.LATE:
+        if service.engine is None or criteria.urgency < Urgency.LATE:
             return True
         candidates = self.candidates.find(service.name, criteria.regions)
         if not self.groups.has_recovered(candidates.ranks, now):
--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -36,7 +36,8 @@
 
     ``rates`` are the shared rates that hold at the upstream, ``host_count`` is
     the number of hosts that this host shares them with, itself included.
-    ``late_service`` is the service if the request counts as late there.
+    ``late_service`` is the service if the request counts as late there, as one
+    of an account above its share does.
     ``acquired_at`` is in monotonic seconds.
     """
 
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -1,5 +1,6 @@
 """Selection of upstreams within their concurrency limits."""
 
+import math
 import random
 import sys
 
@@ -107,6 +108,20 @@
     assert balancer.acquire(plain, 'app', 1, criteria) is None
 
 
+def test_accounts_above_their_share_count_as_late_after_a_recovery() -> None:
+    """Guards against a recovery whose slots all go to a heavy account."""
+    above = SelectionCriteria(urgency=Urgency.ABOVE_SHARE, longest_gap=0.12)
+    balancer = make_rank_group(8)
+    balancer.groups.record_stream_start('u0', 1)
+    # Events resume after a stall.
+    for now in (1.1, 3):
+        balancer.groups.record_event('u0', now)
+    late = len(fill_slots(balancer, 3, LATE))
+    assert late == math.ceil(0.4 * 8 * ENGINE.slots)
+    assert not fill_slots(balancer, 3, above)
+    assert fill_slots(balancer, 3)
+
+
 def test_on_time_requests_avoid_slow_groups() -> None:
     """Guards against late responses while another group is fast enough."""
     balancer = make_rank_group(4)
