Record no contention where there are no client accounts

In deployments without client accounts, heartbeats named the services for which requests had waited, and the metric of contended services never fell again.

Cause: each wait was recorded as contention, whether or not the configuration has accounts. Expired entries are dropped only when a request of an account arrives.

Change: without accounts, waits are not recorded. With accounts, those of requests without one are recorded as before.

Measured: the new test failed before, and passes with the nine others of its file.

--- a/primroseyoke/gateway/client_sharing.py
+++ b/primroseyoke/gateway/client_sharing.py
@@ -80,7 +80,12 @@
             )
 
     def record_wait(self, authorized: 'AuthorizedRequest', now: float) -> None:
-        """Record that a request waits for a slot."""
+        """Record that a request waits for a slot.
+
+        Without accounts, there are no shares that contention matters for.
+        """
+        if not authorized.configuration.clients:
+            return
         if self.must_yield(authorized, now):
             self.yielded_waits.labels(authorized.service).inc()
         client = authorized.client
--- a/tests/gateway/test_client_sharing.py
+++ b/tests/gateway/test_client_sharing.py
@@ -1,6 +1,7 @@
 """Shares of client accounts in the queue and in the reports of gateways."""
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -34,12 +35,15 @@
 ROUTE = Route(
     'r', 'h', '/', Execution.IDEMPOTENT, (Target('app', 1),), 4, objective=0.5
 )
+ACCOUNT = Client('light', frozenset())
 
 
 def authorized(client: str, request_id: str = '') -> AuthorizedRequest:
     return AuthorizedRequest(
         request=CallerRequest('GET', '/', '/', 'h', (), request_id),
-        configuration=Configuration(1, (ROUTE,), {}, (), CallerLimits()),
+        configuration=Configuration(
+            1, (ROUTE,), {}, (ACCOUNT,), CallerLimits()
+        ),
         route=ROUTE,
         service='app',
         client=Client(client, frozenset()) if client else None,
@@ -154,6 +158,18 @@
     assert 'gateway_contended_services 1.0' in content
 
 
+def test_waits_are_not_told_where_there_are_no_accounts() -> None:
+    """Guards against reports that grow in deployments without accounts."""
+    sharing = ClientSharing(ClientShares(), CollectorRegistry())
+    request = authorized('')
+    configuration = dataclasses.replace(request.configuration, clients=())
+    without = dataclasses.replace(request, configuration=configuration)
+    sharing.record_wait(without, 1)
+    assert not sharing.shares.top_clients(1)
+    sharing.record_wait(request, 1)
+    assert sharing.shares.top_clients(1)
+
+
 def test_an_early_retry_counts_against_its_account() -> None:
     sharing = ClientSharing(ClientShares(), CollectorRegistry())
     sharing.record_refusal(authorized('light', 'r'), 2, now=1)
