Soak priorities, client accounts, retries and the duties

Not covered before: the soak played one priority and one client account, its callers never came back after a refusal, and no duty was enabled. So nothing showed that streams stay whole while the new parts act, or that usage reports and fencing numbers stay right around planned stops and a slow store.

The configuration now has two priorities and 20 client accounts. One account sends a burst from 50 callers for 4 s. A refused caller sends the request again with the time it has left, after Retry-After or, for a fifth of the callers, at once. The settings enable metering and autoscale. A stand-in of the API answers 3 in 10 calls late, with 429 or not at all. Broken are also: a window accepted with two different counts, a fencing number of two hosts, a number below an earlier one, and a play in which no window was accepted.

The excuse for a request past its time now uses the time of that request, and starts before a retry don't count as passing the retry on.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,5 +1,8 @@
 """Randomized soak: streams through gateways that are stopped and restarted.
 
+The streams have two priorities and several client accounts, one of which sends
+a burst. The gateways report usage and order upstreams at an API that fails.
+
 ``python -m tests.soak --seeds 50`` plays seeds 0 to 49 and reports what broke.
 A seed decides the days, not the timing of the processes: play it several times.
 """
@@ -17,7 +20,8 @@
 
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
-from tests.gateway.deployment import configuration, free_port
+from tests.gateway.deployment import configuration, free_port, route
+from tests.standins.cloud_api import FaultyApi
 from tests.standins.gateway_process import (
     CallerConnection,
     GatewayProcess,
@@ -33,6 +37,25 @@
 PLAY_SECONDS = 18
 GRACE_SECONDS = 8
 TIMEOUT_MS = 8000
+# Callers are spread evenly over these client accounts; the last one also sends
+# a burst. In the first 60 s of a gateway only accounts with eight times the mean
+# work are above their share, which takes well over eight accounts.
+CLIENTS = tuple(f'client-{number}' for number in range(20))
+BURST_CALLER_COUNT = 50
+BURST_SECONDS = 4.0
+# Short enough that some requests can't be served in time and are refused.
+BURST_TIMEOUT_MS = 2500
+URGENT_SHARE = 0.4
+# Callers that retry at once when they are refused; the others wait as told.
+HASTY_SHARE = 0.2
+HASTY_RETRY_COUNT = 4
+API_FAULT_SHARE = 0.3
+REPORT_WINDOW_SECONDS = 1
+REPORT_DELAY_SECONDS = 4
+# Without other faults a window is accepted within this time: a new holder of the
+# lease after 3 s and 1 s for each gateway, a window that no earlier holder may
+# have reported after 1 s, its report after 4 s, and 4 s for faults of the API.
+FIRST_REPORT_SECONDS = 15
 EVENT_SECONDS = 0.06
 # Callers leave a stream after this gap; the patient ones stay.
 CALLER_GAP_SECONDS = 2.0
@@ -108,11 +131,17 @@
 
 @dataclasses.dataclass
 class Call:
-    """A request as its caller saw it; times in monotonic seconds."""
+    """A request as its caller saw it; times in monotonic seconds.
+
+    A request that was refused may be sent again with the same identifier;
+    ``starts_before`` is how often upstreams had started it until then.
+    """
 
     request_id: str
     gateway: GatewayProcess
     count: int
+    timeout_ms: int
+    starts_before: int
     sent_at: float
     ended_at: float = 0
     left: bool = False
@@ -121,6 +150,31 @@
     )
 
 
+@dataclasses.dataclass
+class Caller:
+    """Sends requests of one client account until ``end_at``.
+
+    A patient caller stays while a stream is silent; a hasty one does not wait
+    for ``Retry-After`` when it was refused.
+    """
+
+    number: int
+    client: str
+    end_at: float
+    patient: bool
+    hasty: bool
+    path: str
+    timeout_ms: int = TIMEOUT_MS
+    turn: int = 0
+    gateway: GatewayProcess | None = None
+    connection: CallerConnection | None = None
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
+
+
 @dataclasses.dataclass
 class Report:
     """What a play showed."""
@@ -128,6 +182,9 @@
     calls: list[Call]
     broken: list[str]
     restarts: int
+    windows: int
+    orders: int
+    fencing_numbers: int
 
     @property
     def whole_streams(self) -> int:
@@ -136,6 +193,12 @@
             for call in self.calls
         )
 
+    @property
+    def refused(self) -> int:
+        return sum(
+            'retry-after' in call.response.headers for call in self.calls
+        )
+
 
 class Soak:
     """One play of a seed."""
@@ -144,6 +207,7 @@
         self.generator = random.Random(seed)
         self.folder = folder
         self.store = SlowStore()
+        self.api = FaultyApi(random.Random(seed), API_FAULT_SHARE)
         self.upstreams = [
             StreamingUpstream(f'rank-{group}-{rank}')
             for group in range(GROUP_COUNT)
@@ -163,7 +227,11 @@
         tasks = [
             asyncio.ensure_future(task)
             for task in (
-                *(self._call_repeatedly(n) for n in range(CALLER_COUNT)),
+                *(
+                    self._call_repeatedly(self._caller(n, self.end_at))
+                    for n in range(CALLER_COUNT)
+                ),
+                self._burst(),
                 self._silence_upstreams(),
                 self._slow_the_store(),
                 self._reload_and_reconfigure(),
@@ -172,19 +240,31 @@
         ]
         try:
             await asyncio.gather(*tasks)
+            await self._await_report()
         finally:
             for task in (*tasks, *self.restarts):
                 task.cancel()
             await asyncio.gather(*tasks, *self.restarts, return_exceptions=True)
             for gateway in self.gateways:
                 gateway.kill()
-            for server in (self.store, *self.upstreams):
+            for server in (self.store, self.api, *self.upstreams):
                 server.stop()
         broken = [text for call in self.calls if (text := self._check(call))]
-        return Report(self.calls, broken, len(self.stops))
+        broken += self.api.violations()
+        if not self.api.reported_windows():
+            broken.append('no usage window was accepted')
+        return Report(
+            self.calls,
+            broken,
+            len(self.stops),
+            len(self.api.reported_windows()),
+            sum(call.path == '/scale' for call in self.api.calls),
+            len({call.fencing_number for call in self.api.calls}),
+        )
 
     async def _start(self) -> None:
         await self.store.start()
+        await self.api.start()
         for upstream in self.upstreams:
             await upstream.start()
             entry = {**upstream.entry('model'), 'slots': SLOTS}
@@ -204,40 +284,113 @@
             gateway.settings['seeds'] = [
                 f'{each.address}:{peer_port}' for each in self.gateways
             ]
+            gateway.settings['cloud'] = {
+                'address': f'127.0.0.1:{self.api.port}',
+                'duties': ['metering', 'autoscale'],
+                'dutyPerS': 10,
+            }
+            gateway.settings['bounds'] |= {
+                'reportWindowS': REPORT_WINDOW_SECONDS,
+                'usageLateS': REPORT_DELAY_SECONDS,
+            }
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
         await asyncio.sleep(1)
 
     def _publish(self) -> None:
-        document = configuration(self.version)
-        for route in document['routes']:  # type: ignore[attr-defined]
-            route['timeoutMs'] = TIMEOUT_MS
+        tenants = [
+            {'name': name, 'apiKeys': [f'key-of-{name}']} for name in CLIENTS
+        ]
+        document = configuration(self.version, tenants=tenants)
+        urgent = route(
+            '/urgent/',
+            'streaming',
+            'model',
+            resumable=True,
+            gapAimMs=120,
+            priority=0,
+        )
+        document['routes'].append(urgent)  # type: ignore[attr-defined]
+        for each in document['routes']:  # type: ignore[attr-defined]
+            each['timeoutMs'] = TIMEOUT_MS
+        for service in document['services']:  # type: ignore[attr-defined]
+            if service['name'] == 'model':
+                service['autoscale'] = {'min': 1, 'max': 6, 'bootS': 5}
         self.store.put('keyed.op', 'config', document)
         self.version += 1
 
-    async def _call_repeatedly(self, number: int) -> None:
+    def _caller(
+        self, number: int, end_at: float, timeout_ms: int = TIMEOUT_MS
+    ) -> Caller:
+        return Caller(
+            number,
+            CLIENTS[number % len(CLIENTS)],
+            end_at,
+            patient=self.generator.random() < PATIENT_SHARE,
+            hasty=self.generator.random() < HASTY_SHARE,
+            path='/urgent'
+            if self.generator.random() < URGENT_SHARE
+            else '/draft',
+            timeout_ms=timeout_ms,
+        )
+
+    async def _burst(self) -> None:
+        """Send several times the usual traffic of the last account."""
+        await asyncio.sleep(self.generator.uniform(2, 10))
+        end_at = min(time.monotonic() + BURST_SECONDS, self.end_at)
+        callers = [
+            self._caller(CALLER_COUNT + number, end_at, BURST_TIMEOUT_MS)
+            for number in range(BURST_CALLER_COUNT)
+        ]
+        for caller in callers:
+            caller.client = CLIENTS[-1]
+        await asyncio.gather(*map(self._call_repeatedly, callers))
+
+    async def _await_report(self) -> None:
+        """Wait for a first usage report; a slow store may have prevented it."""
+        deadline = time.monotonic() + FIRST_REPORT_SECONDS
+        while not self.api.reported_windows() and time.monotonic() < deadline:
+            await asyncio.sleep(0.1)
+
+    async def _call_repeatedly(self, caller: Caller) -> None:
         await asyncio.sleep(self.generator.random())
-        patient = self.generator.random() < PATIENT_SHARE
-        connection = gateway = None
-        for turn in range(1000):
-            if time.monotonic() > self.end_at:
+        while time.monotonic() < caller.end_at:
+            caller.turn += 1
+            await self._send_request(caller)
+
+    async def _send_request(self, caller: Caller) -> None:
+        """Send a request, and send it again if it was refused."""
+        count = self.generator.randint(10, 50)
+        deadline = time.monotonic() + caller.timeout_ms / 1000
+        for _ in range(1 + (HASTY_RETRY_COUNT if caller.hasty else 1)):
+            timeout_ms = int((deadline - time.monotonic()) * 1000)
+            if timeout_ms <= 0:
+                return
+            if not await self._connect(caller):
+                await asyncio.sleep(0.1)
+                return
+            call = await self._call(caller, count, timeout_ms)
+            if call.response.status == 200 or call.left:
+                return
+            pause = call.response.headers.get('retry-after')
+            if pause is None:
                 break
-            if connection is None or gateway is None:
-                gateway = self._ready_gateway()
-                if gateway is None:
-                    await asyncio.sleep(0.1)
-                    continue
-                try:
-                    connection = await CallerConnection.open(gateway)
-                except OSError:
-                    continue
-            call = await self._call(
-                connection, gateway, f'{number}-{turn}', patient
-            )
-            if call.left or call.response.closes or not call.response.complete:
-                connection.close()
-                connection = None
-            if call.response.status != 200:
-                await asyncio.sleep(0.2)
+            if not caller.hasty:
+                # A pause may exceed the 2 s after which a gateway closes an
+                # idle connection; a request sent then would be lost.
+                caller.close()
+                await asyncio.sleep(float(pause))
+        await asyncio.sleep(0.2)
+
+    async def _connect(self, caller: Caller) -> bool:
+        if caller.connection is None:
+            caller.gateway = self._ready_gateway()
+            if caller.gateway is None:
+                return False
+            try:
+                caller.connection = await CallerConnection.open(caller.gateway)
+            except OSError:
+                return False
+        return True
 
     def _ready_gateway(self) -> GatewayProcess | None:
         stopped = {gateway for gateway, _ in self.stops if gateway.stopping}
@@ -246,19 +399,33 @@
 
     async def _call(
         self,
-        connection: CallerConnection,
-        gateway: GatewayProcess,
-        request_id: str,
-        patient: bool,
+        caller: Caller,
+        count: int,
+        timeout_ms: int,
     ) -> Call:
-        count = self.generator.randint(10, 50)
-        call = Call(request_id, gateway, count, time.monotonic())
+        connection, gateway = caller.connection, caller.gateway
+        assert connection is not None and gateway is not None
+        request_id = f'{caller.number}-{caller.turn}'
+        call = Call(
+            request_id,
+            gateway,
+            count,
+            timeout_ms,
+            self._start_count(request_id),
+            time.monotonic(),
+        )
         self.calls.append(call)
-        connection.send_head(f'/draft/{count}', request_id, 0, TIMEOUT_MS)
+        connection.send_head(
+            f'{caller.path}/{count}',
+            request_id,
+            0,
+            timeout_ms,
+            api_key=f'key-of-{caller.client}',
+        )
         receiving = asyncio.ensure_future(connection.receive())
         size = 0
         while not receiving.done():
-            gap = None if patient else CALLER_GAP_SECONDS
+            gap = None if caller.patient else CALLER_GAP_SECONDS
             await asyncio.wait({receiving}, timeout=gap)
             if not receiving.done() and connection.received_bytes == size:
                 call.left = True
@@ -268,8 +435,13 @@
         call.ended_at = time.monotonic()
         if not call.left:
             call.response = receiving.result()
+        if call.left or call.response.closes or not call.response.complete:
+            caller.close()
         return call
 
+    def _start_count(self, request_id: str) -> int:
+        return sum(upstream.started[request_id] for upstream in self.upstreams)
+
     async def _silence_upstreams(self) -> None:
         while time.monotonic() < self.end_at:
             await asyncio.sleep(self.generator.uniform(0.5, 2.5))
@@ -356,11 +528,9 @@
 
     def _is_excused(self, call: Call) -> bool:
         lasted = call.ended_at - call.sent_at
-        if lasted >= TIMEOUT_MS / 1000:
+        if lasted >= call.timeout_ms / 1000:
             return True
-        passed_on = any(
-            upstream.started[call.request_id] for upstream in self.upstreams
-        )
+        passed_on = self._start_count(call.request_id) > call.starts_before
         if not passed_on and lasted <= CROSSING_SECONDS:
             return True
         # Still at work in the last sixth of the grace period.
@@ -393,7 +563,10 @@
         print(
             f'seed {seed}: {len(report.calls)} calls, '
             f'{report.whole_streams} whole streams, '
-            f'{report.restarts} restarts, {len(report.broken)} broken'
+            f'{report.restarts} restarts, {report.refused} refused, '
+            f'{report.windows} windows, {report.orders} orders, '
+            f'{report.fencing_numbers} fencing numbers, '
+            f'{len(report.broken)} broken'
             + (f'; logs in {folder}' if report.broken else ''),
             flush=True,
         )
--- a/tests/standins/gateway_process.py
+++ b/tests/standins/gateway_process.py
@@ -152,6 +152,7 @@
         length: int | None,
         timeout_ms: int = 8000,
         method: str = 'POST',
+        api_key: str = API_KEY,
     ) -> None:
         """Send the head of a request; a body without a length is chunked."""
         framing = (
@@ -166,7 +167,7 @@
                 ('Host', VIRTUAL_HOST),
                 ('X-Primroseyoke-Request-Id', request_id),
                 ('X-Primroseyoke-Request-Timeout-Ms', str(timeout_ms)),
-                ('Authorization', f'Bearer {API_KEY}'),
+                ('Authorization', f'Bearer {api_key}'),
                 framing,
             ],
         )
