--- a/primroseyoke/gateway/report_relay.py
+++ b/primroseyoke/gateway/report_relay.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 
 from .clocks import boot_time
@@ -17,9 +17,13 @@
 
 # Minimum time between two batches.
 _BATCH_INTERVAL_SECONDS = 0.02
-# Keeps a datagram below the usual size of a packet on loopback and the maximum
-# size of a datagram.
+# Keep a datagram below the usual size of a packet on loopback and the maximum
+# size of a datagram. Reports are not encoded to learn their size: a report has
+# about as many bytes as these constants say.
 _MAX_BATCH_LENGTH = 32
+_MAX_BATCH_BYTES = 8000
+_REPORT_BYTES = 100
+_ENTRY_BYTES = 28
 
 Send = Callable[[Batch, Iterable[str]], None]
 
@@ -105,6 +109,35 @@
         pass_on: bool,
         addresses: list[str],
     ) -> None:
-        for start in range(0, len(entries), _MAX_BATCH_LENGTH):
-            part = tuple(entries[start : start + _MAX_BATCH_LENGTH])
-            self.send(Batch(part, pass_on), addresses)
+        for part in _parts(entries):
+            self.send(Batch(tuple(part), pass_on), addresses)
+
+
+def _parts(entries: Iterable[RelayedReport]) -> Iterator[list[RelayedReport]]:
+    """Divide reports so that each part fits in a datagram."""
+    part: list[RelayedReport] = []
+    size = 0
+    for entry in entries:
+        entry_size = _size_of(entry.report)
+        is_full = size + entry_size > _MAX_BATCH_BYTES
+        if part and (is_full or len(part) == _MAX_BATCH_LENGTH):
+            yield part
+            part = []
+            size = 0
+        part.append(entry)
+        size += entry_size
+    if part:
+        yield part
+
+
+def _size_of(report: Report) -> int:
+    """Return about how many bytes a report takes."""
+    mappings = (
+        report.running,
+        report.clients,
+        report.work,
+        report.waiting,
+        report.pass_costs,
+    )
+    entry_count = len(report.limits) + sum(map(len, mappings))
+    return _REPORT_BYTES + _ENTRY_BYTES * entry_count
--- a/primroseyoke/gateway/scaling.py
+++ b/primroseyoke/gateway/scaling.py
@@ -315,7 +315,7 @@
     def _log(self, service: str, order: ScalingOrder, outcome: str) -> None:
         self.metrics.orders.labels(service, outcome).inc()
         log.info(
-            'upstreams ordered',
+            'call that orders upstreams',
             extra={
                 'service': service,
                 'ordered_zone': order.zone,
