--- a/primroseyoke/scheduling/shares.py
+++ b/primroseyoke/scheduling/shares.py
@@ -34,9 +34,10 @@
 _MIN_SHARE_MULTIPLE = 1.5
 # Until this host has counted for this long, it does not know what is usual. Under
 # contention it takes at most this multiple of the mean for usual: a few accounts
-# are large, and one may be heavy just then.
+# are large, and one may be heavy just then. The largest of 24 accounts can have a
+# third of all requests, which is eight times the mean.
 _LEARNING_SECONDS = 60.0
-_MAX_LEARNED_MULTIPLE = 4.0
+_MAX_LEARNED_MULTIPLE = 6.0
 # An account with less work, current and usual, is no longer tracked.
 _MIN_WORK = 0.01
 # Interval at which the usual work is updated.
@@ -57,6 +58,8 @@
 # Start of the keys that name the services for whose slots requests wait at the
 # sender, and how many of them a report names.
 _CONTENDED_PREFIX = '\0'
+# Start of the keys that name the accounts above their share, as the sender knows.
+_ABOVE_PREFIX = '\1'
 _MAX_SERVICE_COUNT = 8
 
 
@@ -120,6 +123,7 @@
         self.updated_at = -math.inf
         self.contended_until: dict[str, float] = {}
         self.told_until: dict[str, float] = {}
+        self.told_above_until: dict[str, float] = {}
 
     def record(self, client: str, cost: float, now: float) -> None:
         """Record a request of an account when it arrives."""
@@ -177,6 +181,10 @@
 
         Shares matter only while the service is contended.
         """
+        is_told = now < self.told_above_until.get(client, -math.inf)
+        if is_told and self._is_learning(now):
+            # Other hosts know what is usual.
+            return True
         usage = self.usages.get(client)
         return usage is not None and self._work(client, now) > self._share(
             usage, now
@@ -200,9 +208,14 @@
         total = round(self.total.at(now) * _REPORT_UNITS)
         if not total and not contended:
             return {}
+        above = [] if self._is_learning(now) else self.above_share(now)
+        told = [
+            *contended[:_MAX_SERVICE_COUNT],
+            *(f'{_ABOVE_PREFIX}{client}' for client in above),
+        ]
         return {
             **top,
-            **dict.fromkeys(contended[:_MAX_SERVICE_COUNT], 1),
+            **dict.fromkeys(told[: 2 * _MAX_SERVICE_COUNT], 1),
             _TOTAL: total,
         }
 
@@ -218,6 +231,9 @@
             if client.startswith(_CONTENDED_PREFIX):
                 service = client.removeprefix(_CONTENDED_PREFIX)
                 self.told_until[service] = now + _TOLD_CONTENTION_SECONDS
+            elif client.startswith(_ABOVE_PREFIX):
+                name = client.removeprefix(_ABOVE_PREFIX)
+                self.told_above_until[name] = now + _REPORT_LIFETIME_SECONDS
             elif len(kept) <= _MAX_REPORTED_COUNT:
                 kept[client] = amount
                 self.reported[client] += amount
@@ -275,6 +291,7 @@
                 self.drop_report(host)
         self.contended_until = _later(self.contended_until, now)
         self.told_until = _later(self.told_until, now)
+        self.told_above_until = _later(self.told_above_until, now)
         elapsed = now - max(self.updated_at, self.started_at)
         for client, usage in tuple(self.usages.items()):
             work = min(
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -398,3 +398,18 @@
         shares.apply_report(f'host-{number}', clients, 1)
     assert len(shares.reports) <= 512
     assert len(shares.reported) <= 512 * 13
+
+
+def test_a_large_account_is_within_its_share_from_the_start() -> None:
+    """Guards against a large account that waits behind all others at a start.
+
+    Its share was eight times the mean until a host knew what is usual, and the
+    largest of 24 accounts has a third of the requests.
+    """
+    shares = ClientShares()
+    for step in range(1, 500):
+        now = step / 10
+        for number in range(24):
+            shares.record(f'account-{number:02}', (number + 1) ** -1.2, now)
+        shares.record_wait('account-01', 'model', now)
+    assert not shares.is_above_share('account-00', now)
