Leave the choice by predicted work off unless settings turn it on

The setting scheduling.cost_aware turns it on. The tests of the settings expect the new default; the others turn it on themselves.

--- a/primroseyoke/gateway/settings.py
+++ b/primroseyoke/gateway/settings.py
@@ -123,4 +123,4 @@
     response_limits: ResponseLimits = ResponseLimits()
     duties: DutySettings | None = None
     unknown_duties: tuple[str, ...] = ()
-    cost_aware: bool = True
+    cost_aware: bool = False
--- a/primroseyoke/platform/settings.py
+++ b/primroseyoke/platform/settings.py
@@ -58,7 +58,7 @@
 
 
 class _Scheduling(msgspec.Struct):
-    cost_aware: bool = True
+    cost_aware: bool = False
 
 
 class _Provider(msgspec.Struct):
--- a/tests/gateway/test_request_costs.py
+++ b/tests/gateway/test_request_costs.py
@@ -214,19 +214,22 @@
     assert len(looks) <= choices * 50
 
 
-def test_reloaded_settings_turn_the_choice_by_work_off(
+def test_reloaded_settings_turn_the_choice_by_work_on_and_off(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
         async with deployment() as system:
             gateway = system.gateway
-            assert gateway.balancer.costs.enabled
-            settings = dataclasses.replace(gateway.settings, cost_aware=False)
-            monkeypatch.setattr(
-                gateway.platform, 'read_settings', lambda: settings
-            )
-            gateway.reload()
             assert not gateway.balancer.costs.enabled
+            for cost_aware in (True, False):
+                settings = dataclasses.replace(
+                    gateway.settings, cost_aware=cost_aware
+                )
+                monkeypatch.setattr(
+                    gateway.platform, 'read_settings', lambda: settings
+                )
+                gateway.reload()
+                assert gateway.balancer.costs.enabled is cost_aware
 
     asyncio.run(scenario())
 
@@ -274,6 +277,7 @@
 
     async def scenario() -> None:
         async with deployment(model=(stream,)) as system:
+            system.gateway.balancer.costs.enabled = True
             changed = configuration(2)
             changed['services'][1]['engine'] = engine
             system.store.put('keyed.op', 'config', changed)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -172,12 +172,13 @@
 @pytest.mark.parametrize(
     ('scheduling', 'expected'),
     [
-        ('', True),
-        ('scheduling: {}', True),
+        ('', False),
+        ('scheduling: {}', False),
+        ('scheduling: {cost_aware: true}', True),
         ('scheduling: {cost_aware: false}', False),
     ],
 )
-def test_choice_by_predicted_work_can_be_turned_off(
+def test_choice_by_predicted_work_can_be_turned_on(
     tmp_path: pathlib.Path, scheduling: str, expected: bool
 ) -> None:
     path = write_settings(tmp_path, SETTINGS + scheduling)
