Count no refusal for callers that leave

Callers that gave up while they waited counted as refusals of their priority, so that a kind whose callers leave early was taken for starved and went before the most urgent one. Only refusals count now; the new test failed before.

--- a/primroseyoke/gateway/slot_acquisition.py
+++ b/primroseyoke/gateway/slot_acquisition.py
@@ -2,6 +2,7 @@
 
 import time
 
+from ..exceptions import RequestFailed
 from ..scheduling.admission import (
     REFUSAL_SHARE,
     QueuePosition,
@@ -68,12 +69,16 @@
         limits = self._wait_limits(started)
         admission = self.source.admission
         admission.returns_waiting += limits.is_retried
-        reservation = None
         try:
             reservation = await self._acquire(started, limits)
+        except RequestFailed:
+            self._record_decision(granted=False)
+            raise
         finally:
             admission.returns_waiting -= limits.is_retried
-            self._record_end(reservation is not None, started)
+            self.waited_seconds += time.monotonic() - started
+            self.source.queue.wake_next()
+        self._record_decision(granted=True)
         return reservation
 
     async def _acquire(self, started: float, limits: WaitLimits) -> Reservation:
@@ -109,14 +114,15 @@
             self.authorized.request.arrived_at
         )
 
-    def _record_end(self, granted: bool, started: float) -> None:
-        now = time.monotonic()
-        self.waited_seconds += now - started
+    def _record_decision(self, granted: bool) -> None:
+        """Record whether the request got its first slot.
+
+        A caller that has left is no refusal.
+        """
         if not self.history.upstreams:
             self.source.admission.record_decision(
-                self.authorized.priority, granted, now
+                self.authorized.priority, granted, time.monotonic()
             )
-        self.source.queue.wake_next()
 
     def _update_priorities(self) -> None:
         authorized = self.authorized
--- a/tests/gateway/test_slot_acquisition.py
+++ b/tests/gateway/test_slot_acquisition.py
@@ -405,3 +405,20 @@
     assert urgent.priority_for(1) < other.priority_for(1)
     assert other.priority_for(0) < urgent.priority_for(1)
     assert urgent.priority_for(None) < other.priority_for(None)
+
+
+def test_a_caller_that_leaves_does_not_count_as_refused() -> None:
+    """Guards against kinds that go first because their callers give up."""
+
+    async def scenario() -> None:
+        host = Host(0, TWO_PRIORITIES)
+        acquiring = [asyncio.ensure_future(host.acquire(2)) for _ in range(20)]
+        await asyncio.sleep(0.05)
+        for each in acquiring:
+            each.cancel()
+        await asyncio.gather(*acquiring, return_exceptions=True)
+        for _ in range(20):
+            host.admission.record_decision(0, True, time.monotonic())
+        assert not host.admission.history.is_starved(22, time.monotonic())
+
+    simulate(scenario())
