--- a/tests/gateway/test_slot_acquisition.py
+++ b/tests/gateway/test_slot_acquisition.py
@@ -412,6 +412,7 @@
 
     async def scenario() -> None:
         host = Host(0, TWO_PRIORITIES)
+        host.report({})
         acquiring = [asyncio.ensure_future(host.acquire(2)) for _ in range(20)]
         await asyncio.sleep(0.05)
         for each in acquiring:
