Correct what the bound on late requests rests on

The log shows that all hosts were killed in them and that no request was sent from 41.2 to 42.3 s, so the figures say nothing about late requests.

--- a/primroseyoke/gateway/report_relay.py
+++ b/primroseyoke/gateway/report_relay.py
@@ -9,7 +9,6 @@
 import dataclasses
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
-
 from .clocks import boot_time
 from .peer_reports import Batch, RelayedReport, Report
 
--- a/primroseyoke/scheduling/late_share.py
+++ b/primroseyoke/scheduling/late_share.py
@@ -6,8 +6,8 @@
 __all__ = ('LateShare',)
 
 # After an outage, callers that were refused return together. A slot is held for
-# seconds, so requests that can be on time found none for two seconds when late
-# ones had taken all that were free.
+# seconds, so requests that can be on time would find none while late ones hold
+# all that were free.
 _MAX_SHARE = 0.4
 
 
