--- a/review/7/play.py
+++ b/review/7/play.py
@@ -46,7 +46,8 @@
         ):
             self.cut_at.set()
             self.set_silent(True)
-            # From here on, each order that arrives is answered.
+            # From here on, each order that arrives is answered, and written.
+            self.group.notes = 0
             self.group.unanswered_share = 0.0
 
     def set_silent(self, silent):
--- a/review/lib-2/ranks.py
+++ b/review/lib-2/ranks.py
@@ -16,6 +16,8 @@
 PASS_SECONDS = 0.06
 COPY_SECONDS = 0.015
 REPORT_LAG_SECONDS = 0.2
+# Further orders are not written to the record.
+MAX_NOTES = 800
 # A client abandons a stream after a gap of so long.
 PATIENCE_SECONDS = 2.01
 KEY = 'n2ctnfzs989anu6wsjnb'
@@ -40,6 +42,7 @@
         # Called with a rank and an order that it left unanswered.
         self.on_unanswered = None
         self.step = 0
+        self.notes = 0
         self.ranks = []
         self.generator = random.Random(46)
         self.popularity = [1.0] * (LAYERS * EXPERTS)
@@ -209,6 +212,9 @@
         self.note(order, f'{self.execute(order)} (late)')
 
     def note(self, order, outcome):
+        self.group.notes += 1
+        if self.group.notes > MAX_NOTES:
+            return
         text = {k: v for k, v in order.items() if k != 'placement'}
         self.group.record.write(
             f'rank {self.number} {json.dumps(text)} -> {outcome}'
