Disarm each rank for the version that it is armed with

What callers saw: no stream of a rank group got an event any more.

Cause: an undo sent every rank the order to disarm the group's highest version. After an undo that reached only some ranks, those have a higher version than the one that the others are armed with, so these were never disarmed and refused each newer version. Before each undo, completing the change was tried for half a second, which cannot succeed then.

The log now names the armed versions, the highest one, and each rank that does not confirm.

Change: after a conflict the rank is asked what it is armed with, and that is disarmed. The pass is still released only when every rank has taken a newer version, which an armed rank refuses, so this cannot release it early. A change is completed only if no rank has had a later version.

--- a/primroseyoke/gateway/engines.py
+++ b/primroseyoke/gateway/engines.py
@@ -56,6 +56,15 @@
     held_step: int | None = None
     slowdown: float = 1
 
+    @property
+    def highest_version(self) -> int:
+        """Return the highest placement version that the rank reports."""
+        return max(
+            self.placement_version,
+            self.prepared_version or 0,
+            self.armed_version or 0,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpertCounts:
--- a/primroseyoke/gateway/group_discovery.py
+++ b/primroseyoke/gateway/group_discovery.py
@@ -144,7 +144,7 @@
             epoch=first.epoch,
             ranks=upstreams,
             highest_version=max(
-                _highest_version(report) for _, report in members
+                report.highest_version for _, report in members
             ),
             placement=await self._placement(first, upstreams, engine),
             step=first.step,
@@ -214,14 +214,28 @@
         """Complete or undo a change that was abandoned."""
         log.warning(
             'completing or undoing unfinished expert placement change',
-            extra={'group': group.name, 'held': held_step, 'armed': len(armed)},
+            extra={
+                'group': group.name,
+                'held': held_step,
+                'armed': len(armed),
+                'armed_versions': sorted(
+                    {report.armed_version or 0 for report in armed}
+                ),
+                'highest_version': group.highest_version,
+            },
         )
         switch = PlacementSwitch(self.engines, group.ranks, group.epoch)
         if held_step is not None and armed and _have_same_target(armed):
             first = armed[0]
             version = first.armed_version or 0
             step = first.armed_step or held_step
-            if step == held_step and await switch.finish(version, step):
+            # A later version shows that an undo has begun.
+            is_newest = version == group.highest_version
+            if (
+                is_newest
+                and step == held_step
+                and await switch.finish(version, step)
+            ):
                 return
         is_undone = await switch.undo(group.highest_version, group.placement)
         if is_undone and held_step is not None:
@@ -248,14 +262,6 @@
     return len(reports) == reports[0].ranks and len(states) == 1
 
 
-def _highest_version(report: RankReport) -> int:
-    return max(
-        report.placement_version,
-        report.prepared_version or 0,
-        report.armed_version or 0,
-    )
-
-
 def _held_step(reports: Sequence[RankReport]) -> int | None:
     held_steps = [
         report.held_step for report in reports if report.held_step is not None
--- a/primroseyoke/gateway/placement_switch.py
+++ b/primroseyoke/gateway/placement_switch.py
@@ -12,10 +12,11 @@
    cannot begin, so the ranks never run with different placements.
 4. When every rank has confirmed, the pass is released.
 
-If a rank cannot be armed, every rank is disarmed and prepares one more version
-that contains the placement in use, so that a delayed order to arm the old
-version conflicts. Only then is the pass released. Each order carries the epoch
-of the group, so a delayed order has no effect after a rank has restarted.
+If a rank cannot be armed, every rank is disarmed, whichever version it is armed
+with, and prepares one more version that contains the placement in use, so that
+a delayed order to arm the old version conflicts. Only then is the pass
+released. Each order carries the epoch of the group, so a delayed order has no
+effect after a rank has restarted.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
 import logging
 from collections.abc import Sequence
 
+from ..exceptions import ServiceUnavailable
 from .engines import (
     Arm,
     Disarm,
@@ -31,6 +33,7 @@
     Order,
     OrderResult,
     Prepare,
+    RankReport,
     Release,
 )
 from .placement import Placement
@@ -189,27 +192,55 @@
         version: int,
         current: Placement,
     ) -> bool:
-        newer_version = version
+        """Disarm a rank; return whether it is certain that it cannot switch.
+
+        It is certain once the rank has prepared a newer version, which it
+        refuses while it is armed. It may be armed with a version other than
+        ``version``, after an undo that ended early or an order that was
+        executed late, so it is asked after each conflict.
+        """
+        armed_version = version
+        newest_version = version
         for _ in range(_UNDO_ATTEMPTS):
-            disarm = Disarm(self.epoch, version)
-            result = await self._send_with_retries(
-                rank,
-                disarm,
-                _ORDER_ATTEMPTS,
+            newest_version += VERSION_STRIDE
+            orders = (
+                Disarm(self.epoch, armed_version),
+                Prepare(self.epoch, newest_version, current),
             )
-            if result is OrderResult.REFUSED:
-                return True
-            newer_version += VERSION_STRIDE
-            prepare = Prepare(self.epoch, newer_version, current)
-            result = await self._send_with_retries(
-                rank,
-                prepare,
-                _ORDER_ATTEMPTS,
-            )
-            if result in {OrderResult.ACCEPTED, OrderResult.REFUSED}:
+            for order in orders:
+                result = await self._send_with_retries(
+                    rank, order, _ORDER_ATTEMPTS
+                )
+                if result is OrderResult.REFUSED:
+                    return True
+            if result is OrderResult.ACCEPTED:
                 return True
+            await asyncio.sleep(_CONFLICT_RETRY_SECONDS)
+            report = await self._report(rank)
+            if report is not None:
+                armed_version = report.armed_version or armed_version
+                newest_version = max(newest_version, report.highest_version)
+        log.warning(
+            'rank did not confirm the undo; the pass stays held',
+            extra={
+                'upstream': rank.name,
+                'armed_version': armed_version,
+                'newest_version': newest_version,
+                'last_result': result.value,
+            },
+        )
         return False
 
+    async def _report(self, rank: Upstream) -> RankReport | None:
+        try:
+            return await self.engines.report(rank)
+        except ServiceUnavailable as error:
+            log.info(
+                'rank did not report which version it is armed with',
+                extra={'upstream': rank.name, 'reason': str(error)},
+            )
+            return None
+
     async def _send_to_all(self, order: Order, attempts: int) -> bool:
         results = await asyncio.gather(
             *(
