Hold a pass until each unreachable rank can be asked

The leader undid a change while a partition refused connections to ranks that were armed.

Cause: an order that found no connection had the same result as one answered by another process, and the undo took both as proof that the rank had ended. So it released the pass, and the ranks across the partition switched alone.

Change: the result of an order tells GONE (another process answers) from UNREACHABLE (no connection); only the first one ends the undo of a rank. An undo also ends when any rank reports another epoch, in which nothing is held or armed, so a rank that has really ended does not keep its group waiting. The undo of a rank and the repeated sending of orders are modules of their own.

--- a/primroseyoke/gateway/engines.py
+++ b/primroseyoke/gateway/engines.py
@@ -82,8 +82,10 @@
     ACCEPTED = 'accepted'
     #: It contradicts the state of the rank and had no effect.
     CONFLICT = 'conflict'
-    #: No effect: no process, or another one, listens at the address.
-    REFUSED = 'refused'
+    #: No effect: the address belongs to another process, so the rank has ended.
+    GONE = 'gone'
+    #: No effect: no connection. The rank may run beyond a network partition.
+    UNREACHABLE = 'unreachable'
     #: No response: it may have been executed, or may be seconds later.
     UNKNOWN = 'unknown'
 
--- a/primroseyoke/gateway/placement_switch.py
+++ b/primroseyoke/gateway/placement_switch.py
@@ -24,44 +24,20 @@
 import logging
 from collections.abc import Sequence
 
-from ..exceptions import ServiceUnavailable
-from .engines import (
-    Arm,
-    Disarm,
-    EngineClient,
-    Hold,
-    Order,
-    OrderResult,
-    Prepare,
-    RankReport,
-    Release,
-)
+from .engines import Arm, EngineClient, Hold, OrderResult, Prepare, Release
+from .order_sending import OrderSender
 from .placement import Placement
+from .placement_undo import UNDO_ATTEMPTS, RankUndo
 from .upstreams import Upstream
 
 __all__ = ('PlacementSwitch', 'SwitchOutcome')
 
 log = logging.getLogger(__name__)
 
-# Time-out of the first attempt of an order. It is short because a pass may be
-# held meanwhile and a round trip between zones takes only 3 ms. It doubles with
-# each unanswered attempt up to the maximum, since a slow host needs longer.
-_FIRST_ORDER_TIMEOUT_SECONDS = 0.04
-_MAX_ORDER_TIMEOUT_SECONDS = 0.4
-# Attempts to send an order before the change is abandoned.
-_ORDER_ATTEMPTS = 6
 # Attempts to arm a rank before the change is undone. Arming conflicts while a
 # rank is still loading weights, so it takes more attempts than other orders.
 # The pass may be held meanwhile.
 _ARM_ATTEMPTS = 12
-# Attempts to undo a change or release a pass. They end once each rank confirms
-# or is gone; there are many because the group is stalled until then.
-_UNDO_ATTEMPTS = 30
-# Delay before an order that conflicted is sent again.
-_CONFLICT_RETRY_SECONDS = 0.04
-# The remainder of a version modulo this number identifies the host that chose
-# it, so that different hosts never choose the same version.
-VERSION_STRIDE = 1024
 
 
 class SwitchOutcome(enum.Enum):
@@ -85,7 +61,7 @@
 
     Attributes:
         held_step: the pass that may be held, None if there is none.
-        unanswered_count: number of order attempts without a response.
+        sender: sends the orders.
     """
 
     def __init__(
@@ -95,16 +71,15 @@
         epoch: int,
     ) -> None:
         """Send orders to ``ranks``, which are sorted by rank number."""
-        self.engines = engines
+        self.sender = OrderSender(engines)
         self.ranks = ranks
         self.epoch = epoch
         self.held_step: int | None = None
-        self.unanswered_count = 0
 
     async def prepare(self, version: int, placement: Placement) -> bool:
         """Make every rank load the weights; return whether all confirmed."""
         order = Prepare(self.epoch, version, placement)
-        return await self._send_to_all(order, _ORDER_ATTEMPTS)
+        return await self.sender.send_to_all(self.ranks, order)
 
     async def switch(
         self,
@@ -119,10 +94,9 @@
             current: the placement in use, restored by an undo.
             step: a future pass at which to switch.
         """
-        hold_result = await self._send_with_retries(
+        hold_result = await self.sender.send(
             self.ranks[0],
             Hold(self.epoch, step),
-            _ORDER_ATTEMPTS,
         )
         if hold_result is OrderResult.UNKNOWN:
             # The pass may be held now or later. No rank is armed, so it is
@@ -138,7 +112,8 @@
     async def finish(self, version: int, step: int) -> bool:
         """Arm every rank for a held pass, then release it."""
         self.held_step = step
-        if not await self._send_to_all(
+        if not await self.sender.send_to_all(
+            self.ranks,
             Arm(self.epoch, version, step),
             _ARM_ATTEMPTS,
         ):
@@ -157,18 +132,23 @@
             extra={'version': version, 'epoch': self.epoch},
         )
         undone = await asyncio.gather(
-            *(self._undo_rank(rank, version, current) for rank in self.ranks),
+            *(
+                RankUndo(
+                    self.sender, self.ranks, rank, self.epoch, version
+                ).run(current)
+                for rank in self.ranks
+            ),
         )
         return all(undone)
 
     async def release(self, step: int) -> None:
         """Allow the held pass to begin."""
-        result = await self._send_with_retries(
+        result = await self.sender.send(
             self.ranks[0],
             Release(self.epoch, step),
-            _UNDO_ATTEMPTS,
+            UNDO_ATTEMPTS,
         )
-        if result is not OrderResult.UNKNOWN:
+        if result not in {OrderResult.UNKNOWN, OrderResult.UNREACHABLE}:
             self.held_step = None
 
     async def _arm_and_release(
@@ -179,102 +159,9 @@
     ) -> SwitchOutcome:
         outcome = SwitchOutcome.SWITCHED
         order = Arm(self.epoch, version, step)
-        if not await self._send_to_all(order, _ARM_ATTEMPTS):
+        if not await self.sender.send_to_all(self.ranks, order, _ARM_ATTEMPTS):
             if not await self.undo(version, current):
                 return SwitchOutcome.STUCK
             outcome = SwitchOutcome.UNDONE
         await self.release(step)
         return outcome
-
-    async def _undo_rank(
-        self,
-        rank: Upstream,
-        version: int,
-        current: Placement,
-    ) -> bool:
-        """Disarm a rank; return whether it is certain that it cannot switch.
-
-        It is certain once the rank has prepared a newer version, which it
-        refuses while it is armed. It may be armed with a version other than
-        ``version``, after an undo that ended early or an order that was
-        executed late, so it is asked after each conflict.
-        """
-        armed_version = version
-        newest_version = version
-        for _ in range(_UNDO_ATTEMPTS):
-            newest_version += VERSION_STRIDE
-            orders = (
-                Disarm(self.epoch, armed_version),
-                Prepare(self.epoch, newest_version, current),
-            )
-            for order in orders:
-                result = await self._send_with_retries(
-                    rank, order, _ORDER_ATTEMPTS
-                )
-                if result is OrderResult.REFUSED:
-                    return True
-            if result is OrderResult.ACCEPTED:
-                return True
-            await asyncio.sleep(_CONFLICT_RETRY_SECONDS)
-            report = await self._report(rank)
-            if report is not None:
-                armed_version = report.armed_version or armed_version
-                newest_version = max(newest_version, report.highest_version)
-        log.warning(
-            'rank did not confirm the undo; the pass stays held',
-            extra={
-                'upstream': rank.name,
-                'armed_version': armed_version,
-                'newest_version': newest_version,
-                'last_result': result.value,
-            },
-        )
-        return False
-
-    async def _report(self, rank: Upstream) -> RankReport | None:
-        try:
-            return await self.engines.report(rank)
-        except ServiceUnavailable as error:
-            log.info(
-                'rank did not report which version it is armed with',
-                extra={'upstream': rank.name, 'reason': str(error)},
-            )
-            return None
-
-    async def _send_to_all(self, order: Order, attempts: int) -> bool:
-        results = await asyncio.gather(
-            *(
-                self._send_with_retries(rank, order, attempts)
-                for rank in self.ranks
-            ),
-        )
-        return all(result is OrderResult.ACCEPTED for result in results)
-
-    async def _send_with_retries(
-        self,
-        rank: Upstream,
-        order: Order,
-        attempts: int,
-    ) -> OrderResult:
-        """Send an order until it is accepted or refused.
-
-        A conflict ends the attempts, except for orders to arm. Retries are
-        safe because orders are idempotent: they are sent unchanged, and a rank
-        that is in the requested state already, because it executed an order
-        whose response was lost, accepts them.
-        """
-        result = OrderResult.UNKNOWN
-        timeout = _FIRST_ORDER_TIMEOUT_SECONDS
-        for _ in range(attempts):
-            if result is OrderResult.CONFLICT:
-                await asyncio.sleep(_CONFLICT_RETRY_SECONDS)
-            result = await self.engines.order(rank, order, timeout)
-            if result is OrderResult.UNKNOWN:
-                self.unanswered_count += 1
-                timeout = min(timeout * 2, _MAX_ORDER_TIMEOUT_SECONDS)
-            if result in {OrderResult.ACCEPTED, OrderResult.REFUSED}:
-                return result
-            retries_conflicts = isinstance(order, Arm)
-            if result is OrderResult.CONFLICT and not retries_conflicts:
-                return result
-        return result
--- a/primroseyoke/gateway/placement_updates.py
+++ b/primroseyoke/gateway/placement_updates.py
@@ -12,7 +12,8 @@
 from .engines import EngineClient
 from .group_discovery import RankGroup
 from .placement import PlacementPlan
-from .placement_switch import VERSION_STRIDE, PlacementSwitch, SwitchOutcome
+from .placement_switch import PlacementSwitch, SwitchOutcome
+from .placement_undo import VERSION_STRIDE
 
 __all__ = ('PlacementUpdater',)
 
@@ -115,7 +116,7 @@
                 version,
             )
         finally:
-            if switch.unanswered_count:
+            if switch.sender.unanswered_count:
                 self.unanswered_at = time.monotonic()
 
     async def _prepare_and_switch(
@@ -128,7 +129,7 @@
     ) -> SwitchOutcome:
         if not await switch.prepare(version, plan.placement):
             return SwitchOutcome.NOT_PREPARED
-        if switch.unanswered_count:
+        if switch.sender.unanswered_count:
             self.unanswered_at = time.monotonic()
         load_time = max(plan.load_counts) * engine.expert_load_time
         await asyncio.sleep(load_time + _LOAD_MARGIN_SECONDS)
--- a/primroseyoke/platform/engines.py
+++ b/primroseyoke/platform/engines.py
@@ -33,7 +33,7 @@
         200: OrderResult.ACCEPTED,
         202: OrderResult.ACCEPTED,
         409: OrderResult.CONFLICT,
-        421: OrderResult.REFUSED,
+        421: OrderResult.GONE,
     }
 )
 
@@ -163,7 +163,7 @@
                 {_EXPECTED_UPSTREAM_HEADER: upstream.name},
             )
         except ServiceRefused:
-            return OrderResult.REFUSED
+            return OrderResult.UNREACHABLE
         except ServiceUnavailable:
             return OrderResult.UNKNOWN
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.CONFLICT)
--- a/tests/gateway/test_group_discovery.py
+++ b/tests/gateway/test_group_discovery.py
@@ -5,7 +5,7 @@
 
 from primroseyoke.gateway.engines import Arm, Hold, Order, Prepare
 from primroseyoke.gateway.group_discovery import GroupDiscovery
-from primroseyoke.gateway.placement_switch import VERSION_STRIDE
+from primroseyoke.gateway.placement_undo import VERSION_STRIDE
 from tests.event_loop import run
 from tests.gateway.test_expert_rebalancing import SMALL_ENGINE
 from tests.standins.fake_rank_group import (
--- a/tests/gateway/test_placement_switch.py
+++ b/tests/gateway/test_placement_switch.py
@@ -7,10 +7,10 @@
 
 from primroseyoke.gateway.engines import Arm, Hold
 from primroseyoke.gateway.placement_switch import (
-    VERSION_STRIDE,
     PlacementSwitch,
     SwitchOutcome,
 )
+from primroseyoke.gateway.placement_undo import VERSION_STRIDE
 from tests.event_loop import run
 from tests.standins.fake_rank_group import (
     EPOCH,
@@ -181,3 +181,85 @@
         assert not group.inconsistent_steps
 
     run(scenario())
+
+
+def test_a_rank_that_refuses_connections_is_not_taken_as_gone() -> None:
+    """Guards against a pass in which the ranks across a partition switch alone.
+
+    Their host can refuse connections for the time of a partition, while the
+    ranks run and are armed.
+    """
+
+    async def scenario() -> None:
+        group = FakeRankGroup(
+            random.Random(1),
+            loss_probability=0,
+            late_probability=0,
+        )
+        passes = asyncio.ensure_future(group.run_passes())
+        switch = PlacementSwitch(group, upstreams(), EPOCH)
+        assert await switch.prepare(VERSION_STRIDE, PLACEMENT)
+        step = group.step + 3
+        group.execute(group.ranks[3], Arm(EPOCH, VERSION_STRIDE, step))
+        group.unreachable = {3}
+        switching = asyncio.ensure_future(
+            switch.switch(VERSION_STRIDE, PLACEMENT, step)
+        )
+        await asyncio.sleep(1)
+        assert group.step < step
+        group.unreachable.clear()
+        assert await switching is SwitchOutcome.UNDONE
+        await asyncio.sleep(1)
+        passes.cancel()
+        assert group.step > step
+        assert not group.inconsistent_steps
+
+    run(scenario())
+
+
+def test_a_pass_stays_held_while_a_rank_is_unreachable() -> None:
+    """Guards against a release that rests on a rank which was never asked."""
+
+    async def scenario() -> None:
+        group = FakeRankGroup(
+            random.Random(1),
+            loss_probability=0,
+            late_probability=0,
+        )
+        passes = asyncio.ensure_future(group.run_passes())
+        switch = PlacementSwitch(group, upstreams(), EPOCH)
+        assert await switch.prepare(VERSION_STRIDE, PLACEMENT)
+        step = group.step + 3
+        group.unreachable = {3}
+        outcome = await switch.switch(VERSION_STRIDE, PLACEMENT, step)
+        passes.cancel()
+        assert outcome is SwitchOutcome.STUCK
+        assert group.ranks[0].held_step == step
+
+    run(scenario())
+
+
+def test_an_undo_ends_when_the_group_has_a_new_epoch() -> None:
+    """Guards against a group that is not rebalanced after one of its ranks ended.
+
+    Nothing of the earlier epoch is left to undo.
+    """
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        group = FakeRankGroup(
+            random.Random(1),
+            loss_probability=0,
+            late_probability=0,
+        )
+        switch = PlacementSwitch(group, upstreams(), EPOCH)
+        assert await switch.prepare(VERSION_STRIDE, PLACEMENT)
+        group.unreachable = {3}
+        undoing = asyncio.ensure_future(switch.undo(VERSION_STRIDE, PLACEMENT))
+        await asyncio.sleep(1)
+        group.restart()
+        restarted_at = loop.time()
+        assert await undoing
+        assert loop.time() - restarted_at < 1
+
+    run(scenario())
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from primroseyoke.gateway.engines import OrderResult, Release
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.upstreams import Upstream
@@ -53,6 +54,30 @@
     asyncio.run(scenario())
 
 
+async def misdirected(
+    upstream: StandInUpstream, request: CallerRequest, response: ResponseWriter
+) -> None:
+    response.respond(421, (), b'{}')
+
+
+def test_a_refused_connection_does_not_show_that_an_upstream_has_gone() -> None:
+    """Guards against a partition that looks like the end of a rank."""
+
+    async def scenario() -> None:
+        upstream = StandInUpstream('rank-0', misdirected)
+        await upstream.start()
+        engines = HttpEngines()
+        order = Release(epoch=1, step=2)
+        answered = await engines.order(known(upstream), order, 1)
+        assert answered is OrderResult.GONE
+        upstream.stop()
+        await wait_until(lambda: not upstream.listener.connections)
+        refused = await engines.order(known(upstream), order, 1)
+        assert refused is OrderResult.UNREACHABLE
+
+    asyncio.run(scenario())
+
+
 def test_a_call_in_progress_is_not_cut_off() -> None:
     async def scenario() -> None:
         engines = HttpEngines()
--- a/tests/standins/fake_rank_group.py
+++ b/tests/standins/fake_rank_group.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from primroseyoke.exceptions import ServiceUnavailable
 from primroseyoke.gateway.engines import (
     Arm,
     Disarm,
@@ -47,6 +48,7 @@
         loss_probability: share of the executed orders without a response.
         late_probability: share of the orders that are executed late.
         inconsistent_steps: passes that began with different placements.
+        unreachable: numbers of the ranks that refuse connections.
     """
 
     def __init__(
@@ -66,6 +68,13 @@
         self.placements: dict[int, Placement] = {0: PLACEMENT}
         self.slowdowns = [1.0 for _ in range(RANKS)]
         self.late_tasks: set[asyncio.Task[None]] = set()
+        self.unreachable: set[int] = set()
+        self.epoch = EPOCH
+
+    def restart(self) -> None:
+        """Begin a new epoch, as after the end of a rank."""
+        self.epoch += 1
+        self.ranks = [Rank() for _ in range(RANKS)]
 
     async def run_passes(self) -> None:
         while True:
@@ -88,6 +97,8 @@
         timeout: float,
     ) -> OrderResult:
         rank = self.ranks[int(upstream.name)]
+        if int(upstream.name) in self.unreachable:
+            return OrderResult.UNREACHABLE
         if self.generator.random() < self.late_probability:
             task = asyncio.ensure_future(self._execute_late(rank, order))
             self.late_tasks.add(task)
@@ -105,6 +116,8 @@
         self.execute(rank, order)
 
     def execute(self, rank: Rank, order: Order) -> OrderResult:
+        if order.epoch != self.epoch:
+            return OrderResult.CONFLICT
         accepted = _HANDLERS[type(order)](self, rank, order)
         return OrderResult.ACCEPTED if accepted else OrderResult.CONFLICT
 
@@ -148,9 +161,11 @@
 
     async def report(self, upstream: Upstream) -> RankReport | None:
         rank = self.ranks[int(upstream.name)]
+        if int(upstream.name) in self.unreachable:
+            raise ServiceUnavailable(f'rank {upstream.name}: refused')
         return RankReport(
             group='g',
-            epoch=EPOCH,
+            epoch=self.epoch,
             rank=int(upstream.name),
             ranks=RANKS,
             is_open=True,
@@ -171,7 +186,7 @@
             before + chosen
             for before, chosen in zip(self.selection_counts, self.popularity)
         ]
-        return ExpertCounts(EPOCH, self.step, tuple(self.selection_counts))
+        return ExpertCounts(self.epoch, self.step, tuple(self.selection_counts))
 
     async def placement(
         self,
