Let other tasks run between the tiny parts of what peers send

Cause: all parts that had been received were handled in one turn of the event loop: chunks of a response by the parser, events of a chunk one by one, each with a write of its own. Only the bodies of callers were read in turns.

Endless comments or blank lines as events fail here, too.

Change: the parser lets other tasks run after 64 parts of a connection, whoever reads; so the answers of the store, engines and gateways are covered. Events are taken 64 at a time, or 64 KiB, and written together. The tests of the splitter call feed and take now; what they check is unchanged.

--- a/primroseyoke/gateway/body_reading.py
+++ b/primroseyoke/gateway/body_reading.py
@@ -15,9 +15,6 @@
 
 __all__ = ('BodyReader', 'declared_length', 'next_request_event')
 
-# Parts of a body that are read before other tasks may run. Tiny chunks arrive by
-# the thousand.
-_EVENTS_PER_TURN = 64
 _TOO_LARGE = 413
 
 
@@ -39,7 +36,6 @@
         self.blocks: list[bytes] = []
         self.last_block = bytearray()
         self.size = 0
-        self.event_count = 0
 
     async def read(self, declared: int | None, timeout: float) -> Body:
         """Return the body.
@@ -64,7 +60,7 @@
             self.connection.write(self.parser.send(interim) or b'')
         event = await self._next_event()
         while isinstance(event, h11.Data):
-            await self._add(event.data)
+            self._add(event.data)
             if self.size > SMALL_BODY_BYTES:
                 await self._reserve(expected, timeout)
             event = await self._next_event()
@@ -73,7 +69,7 @@
             self.blocks.append(bytes(self.last_block))
         return Body(tuple(self.blocks))
 
-    async def _add(self, content: bytes) -> None:
+    def _add(self, content: bytes) -> None:
         self.last_block += content
         while len(self.last_block) >= BLOCK_BYTES:
             self.blocks.append(bytes(self.last_block[:BLOCK_BYTES]))
@@ -82,9 +78,6 @@
         self.memory.record_received(len(content))
         if self.size > self.limits.body_bytes:
             raise RequestInvalid('the body is too large', _TOO_LARGE)
-        self.event_count += 1
-        if self.event_count % _EVENTS_PER_TURN == 0:
-            await asyncio.sleep(0)
 
     async def _reserve(self, expected: int, timeout: float) -> None:
         """Reserve memory for the whole body, once."""
--- a/primroseyoke/gateway/connections.py
+++ b/primroseyoke/gateway/connections.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from .turns import TurnCounter
+
 __all__ = ('WRITE_BUFFER_LIMIT_BYTES', 'Connection', 'connect')
 
 # Reading from the socket pauses above this amount of unread data.
@@ -45,6 +47,7 @@
         writable: cleared while the send buffer is full.
         write_limit: size in bytes above which the send buffer is full.
         unsent: what ``write_gradually`` has not moved to the send buffer yet.
+        turns: counts the parts of messages that are read.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.writable.set()
         self.write_limit = WRITE_BUFFER_LIMIT_BYTES
         self.unsent: collections.deque[bytes] = collections.deque()
+        self.turns = TurnCounter()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -265,9 +265,13 @@
                 self.context.pool.limits.event_bytes
             )
         try:
+            # Reading may have been interrupted between two events.
+            await self._forward_received(attempt, head, attempt.splitter, timer)
             async for content in connection.body():
-                events = attempt.splitter.feed(content)
-                await self._forward_events(attempt, head, events, timer)
+                attempt.splitter.feed(content)
+                await self._forward_received(
+                    attempt, head, attempt.splitter, timer
+                )
         except ResponseInvalid as error:
             raise _broken_response(connection, str(error)) from error
         if attempt.splitter.pending or not attempt.event_count:
@@ -277,6 +281,22 @@
         self.response.finish()
         self.context.balancer.costs.record_whole(attempt.reservation.job)
 
+    async def _forward_received(
+        self,
+        attempt: Attempt,
+        head: ResponseHead,
+        splitter: EventSplitter,
+        timer: asyncio.Timeout,
+    ) -> None:
+        """Forward the complete events that were received, a few at a time."""
+        events = splitter.take()
+        # Only complete events are progress.
+        while events:
+            await self._forward_events(attempt, head, events, timer)
+            events = splitter.take()
+            if events:
+                await asyncio.sleep(0)
+
     async def _forward_events(
         self,
         attempt: Attempt,
@@ -284,25 +304,23 @@
         events: list[Event],
         timer: asyncio.Timeout,
     ) -> None:
-        if not events:
-            # Only complete events are progress.
-            return
         self.on_progress()
         self._track(attempt)
         self._record_content(attempt, len(events), time.monotonic())
         # Time spent writing to a slow caller does not count as silence of the
         # upstream.
         timer.reschedule(None)
+        if not self.response.started:
+            self._start_stream(attempt, head)
+        await self.response.send(b''.join(event.content for event in events))
+        attempt.event_count += len(events)
+        self.context.crash_detector.record_event(
+            attempt.candidate, attempt.event_count
+        )
         for event in events:
-            if not self.response.started:
-                self._start_stream(attempt, head)
-            await self.response.send(event.content)
-            attempt.event_count += 1
-            self.context.crash_detector.record_event(
-                attempt.candidate, attempt.event_count
+            self.progress.last_event_id = (
+                event.event_id or self.progress.last_event_id
             )
-            if event.event_id:
-                self.progress.last_event_id = event.event_id
         limit = silence_limit(self.authorized.route)
         if limit is not None:
             timer.reschedule(asyncio.get_running_loop().time() + limit)
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -7,7 +7,15 @@
 from hypothesis import strategies as st
 
 from primroseyoke.exceptions import ResponseInvalid
-from primroseyoke.gateway.events import EventSplitter
+from primroseyoke.gateway.events import Event, EventSplitter
+
+
+def take_all(splitter: EventSplitter) -> list[Event]:
+    events = []
+    while taken := splitter.take():
+        events += taken
+    return events
+
 
 STREAM = b'id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid:3\r\ndata: d\r\n\r\n'
 
@@ -20,7 +28,8 @@
     events = []
     position = 0
     for boundary in [*sorted(boundaries), len(STREAM)]:
-        events += splitter.feed(STREAM[position:boundary])
+        splitter.feed(STREAM[position:boundary])
+        events += take_all(splitter)
         position = boundary
     assert b''.join(event.content for event in events) == STREAM
     assert [event.event_id for event in events] == ['1', '2', '3']
@@ -29,7 +38,8 @@
 
 def test_an_incomplete_event_is_kept_back() -> None:
     splitter = EventSplitter(2**20)
-    assert not splitter.feed(b'id: 1\ndata: hal')
+    splitter.feed(b'id: 1\ndata: hal')
+    assert not splitter.take()
     assert splitter.pending
 
 
@@ -38,6 +48,7 @@
     with pytest.raises(ResponseInvalid):
         for _ in range(1001):
             splitter.feed(b'x')
+            splitter.take()
 
 
 def test_bytes_are_searched_once() -> None:
@@ -46,5 +57,27 @@
     started = time.process_time()
     for _ in range(4096):
         splitter.feed(b'x' * 1024)
+        assert not splitter.take()
     assert time.process_time() - started < 1
-    assert len(splitter.feed(b'\n\n')) == 1
+    splitter.feed(b'\n\n')
+    assert len(splitter.take()) == 1
+
+
+@pytest.mark.parametrize('event', [b'\n\n', b': c\n\n', b'data: x\r\n\r\n'])
+def test_many_small_events_are_taken_a_few_at_a_time(event: bytes) -> None:
+    """Guards against work without a bound for what was received at once."""
+    splitter = EventSplitter(2**20)
+    splitter.feed(event * 10_000)
+    taken = splitter.take()
+    assert 0 < len(taken) <= 64
+    total = len(taken) + len(take_all(splitter))
+    assert total == 10_000
+    assert not splitter.pending
+
+
+def test_complete_events_before_an_endless_one_are_not_lost() -> None:
+    splitter = EventSplitter(max_event_bytes=1000)
+    splitter.feed(b'id: 1\n\n' + b'x' * 2000)
+    assert [event.event_id for event in splitter.take()] == ['1']
+    with pytest.raises(ResponseInvalid):
+        splitter.take()
