Refuse requests whose regions have nothing in common

What callers saw: nothing; their requests ran.

Cause: an empty set of regions meant "no restriction". The intersection of two disjoint restrictions is empty, too, and lifted both.

Change: None is no restriction, from the adapter on, and a set restricts whatever it contains. A request without a region in common is refused at once with 503, not_run, as for a route without a service.

--- a/primroseyoke/gateway/authorization.py
+++ b/primroseyoke/gateway/authorization.py
@@ -77,12 +77,16 @@
         )
 
     @property
-    def regions(self) -> frozenset[str]:
-        """Return the regions that the request is restricted to, if any."""
-        bound = self.client.regions if self.client else frozenset()
-        if bound and self.route.regions:
-            return bound & self.route.regions
-        return bound or self.route.regions
+    def regions(self) -> frozenset[str] | None:
+        """Return the regions that the request is restricted to.
+
+        Those of the route and of the client account hold together, so no
+        region may be left. None is for no restriction.
+        """
+        bound = self.client.regions if self.client else None
+        if bound is None or self.route.regions is None:
+            return self.route.regions if bound is None else bound
+        return bound & self.route.regions
 
 
 class Authorizer:
@@ -124,7 +128,7 @@
         timeout = min(request.timeout, route.timeout)
         deadline = request.arrived_at + timeout
         self.check_time_left(deadline, now)
-        return AuthorizedRequest(
+        authorized = AuthorizedRequest(
             request=request,
             configuration=configuration,
             route=route,
@@ -134,6 +138,11 @@
             first_attempt_at=request.arrived_at
             - self._time_since_first_attempt(route, request),
         )
+        if authorized.regions is not None and not authorized.regions:
+            raise _temporarily_refused(
+                'the route and the client account have no region in common'
+            )
+        return authorized
 
     def check_time_left(self, deadline: float, now: float) -> None:
         """Check that a request that is sent now can end before the exit.
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -169,7 +169,7 @@
 
         Upstreams that work but have no free slot do not count as down.
         """
-        candidates = self.candidates.find(service, frozenset())
+        candidates = self.candidates.find(service)
         return all(
             self.groups.is_broken(upstream.name, now)
             or self.health.is_zone_paused(upstream, now)
@@ -177,12 +177,12 @@
         )
 
     def delay(
-        self, service: Service, regions: frozenset[str], now: float
+        self, service: Service, regions: frozenset[str] | None, now: float
     ) -> float:
         """Return the time until an upstream takes a request of this host.
 
         Full upstreams count as taking one. ``regions`` restricts the upstreams;
-        it is empty for any.
+        it is None for any.
 
         Returns:
             Seconds; infinity if only other hosts may send to them.
@@ -217,7 +217,7 @@
             if self.limits.delay(upstream, service, now)
         ]
         taken = self.in_flight.total_of(upstream.name for upstream in accepting)
-        usable = self.candidates.find(service.name, frozenset()).upstreams
+        usable = self.candidates.find(service.name).upstreams
         outside = len(accepting) - len(usable)
         return (
             f'{len(known)} upstreams known, {len(accepting)} in service, '
@@ -235,7 +235,7 @@
         self.limits.retain(names, time.monotonic())
         self.costs.retain(names)
 
-    def used_slots(self, service: str, regions: frozenset[str]) -> int:
+    def used_slots(self, service: str, regions: frozenset[str] | None) -> int:
         """Return the requests of all hosts at the upstreams of a service."""
         upstreams = self.candidates.find(service, regions).upstreams
         return self.in_flight.total_of(upstream.name for upstream in upstreams)
--- a/primroseyoke/gateway/candidates.py
+++ b/primroseyoke/gateway/candidates.py
@@ -82,10 +82,12 @@
         self.availability_zone = availability_zone
         self.region_of = region_of
         self.version: tuple[object, ...] = ()
-        self.found: dict[tuple[str, frozenset[str]], Candidates] = {}
+        self.found: dict[tuple[str, frozenset[str] | None], Candidates] = {}
 
-    def find(self, service: str, regions: frozenset[str]) -> Candidates:
-        """Return the upstreams of a service in ``regions``; empty for any.
+    def find(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> Candidates:
+        """Return the upstreams of a service in ``regions``; None for any.
 
         Only ranks have a group. While any accepting upstream of the service is
         in one, upstreams in no known group are left out: a rank that has joined
@@ -111,7 +113,7 @@
         return candidates
 
     def _in_groups_if_any(
-        self, service: str, regions: frozenset[str]
+        self, service: str, regions: frozenset[str] | None
     ) -> list[Upstream]:
         group_of = self.groups.group_by_upstream
         upstreams = self.registry.accepting(service, regions, self.region_of)
--- a/primroseyoke/gateway/configuration.py
+++ b/primroseyoke/gateway/configuration.py
@@ -50,7 +50,7 @@
     ``gap_objective`` the target for the longest gap between events, ``timeout``
     the maximum duration of a response. ``attempts`` is the maximum number of
     upstreams that one request is sent to. ``regions`` restricts the upstreams;
-    it is empty for no restriction.
+    it is None for no restriction.
     """
 
     name: str
@@ -65,7 +65,7 @@
     priority: int = 5
     public: bool = False
     resumable: bool = False
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
     @property
     def retryable(self) -> bool:
@@ -158,12 +158,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Client:
-    """A client account with its API keys, which are secret."""
+    """A client account with its API keys, which are secret.
+
+    ``regions`` restricts the upstreams; it is None for no restriction.
+    """
 
     name: str
     keys: frozenset[str] = dataclasses.field(repr=False)
     priority: int | None = None
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primroseyoke/gateway/selection.py
+++ b/primroseyoke/gateway/selection.py
@@ -18,7 +18,7 @@
     """Constraints on the upstream that a request is sent to.
 
     ``excluded`` names the upstreams that were tried before, ``regions`` the
-    regions that the request is restricted to (empty for any). ``urgency``
+    regions that the request is restricted to (None for any). ``urgency``
     decides whether reserved slots and slow groups may be used: late requests
     and those of accounts above their share leave the reserved slots free, and
     only on-time requests avoid slow groups.
@@ -28,7 +28,7 @@
     """
 
     excluded: Collection[str] = ()
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
     urgency: Urgency = Urgency.ON_TIME
     longest_gap: float = math.inf
     stated_work: StatedWork | None = None
--- a/primroseyoke/gateway/upstreams.py
+++ b/primroseyoke/gateway/upstreams.py
@@ -122,14 +122,14 @@
     def accepting(
         self,
         service: str,
-        regions: Collection[str] = (),
+        regions: Collection[str] | None = None,
         region_of: Mapping[str, str] | None = None,
     ) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests.
 
         Args:
             service: name of the service.
-            regions: regions that requests are restricted to; empty for any.
+            regions: regions that requests are restricted to; None for any.
             region_of: region of each availability zone.
         """
         regions_by_zone = region_of or {}
@@ -145,9 +145,9 @@
 
 def _is_in_regions(
     upstream: Upstream,
-    regions: Collection[str],
+    regions: Collection[str] | None,
     region_of: Mapping[str, str],
 ) -> bool:
-    if not regions:
+    if regions is None:
         return True
     return region_of.get(upstream.availability_zone) in regions
--- a/primroseyoke/platform/entries.py
+++ b/primroseyoke/platform/entries.py
@@ -274,7 +274,7 @@
         priority=route.priority,
         public=route.public,
         resumable=route.resumable,
-        regions=frozenset(route.allowed_regions),
+        regions=_to_regions(route.allowed_regions),
     )
 
 
@@ -353,10 +353,15 @@
             name=tenant.name,
             keys=frozenset(tenant.api_keys),
             priority=tenant.priority,
-            regions=frozenset(tenant.allowed_regions),
+            regions=_to_regions(tenant.allowed_regions),
         )
 
 
+def _to_regions(names: tuple[str, ...]) -> frozenset[str] | None:
+    """Return the regions that an entry names; None for no restriction."""
+    return frozenset(names) if names else None
+
+
 def _to_limits(limits: Any) -> CallerLimits:
     return CallerLimits(
         header_bytes=limits.max_header_bytes,
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -5,7 +5,7 @@
 import dataclasses
 import socket
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import h11
 
@@ -166,6 +166,7 @@
     configured: bool = True,
     grace: float = 2.0,
     duties: DutySettings | None = None,
+    region_of: Mapping[str, str] | None = None,
 ) -> AsyncIterator[Deployment]:
     """Run a gateway with one upstream per request handler."""
     store = StandInStore()
@@ -189,6 +190,7 @@
         repeat_slack=92,
         grace=grace,
         duties=duties,
+        region_of=region_of or {},
     )
     gateway = Gateway(settings, PlatformAdapter(settings, 'missing.yaml'))
     running = asyncio.ensure_future(gateway.run())
--- a/tests/gateway/test_upstreams.py
+++ b/tests/gateway/test_upstreams.py
@@ -65,3 +65,5 @@
     regions = {'a': 'north', 'b': 'south'}
     found = registry.accepting('app', frozenset({'south'}), regions)
     assert [upstream.name for upstream in found] == ['two']
+    assert not registry.accepting('app', frozenset(), regions)
+    assert len(registry.accepting('app', None, regions)) == 2
