Let an empty API key match no client account

What callers saw: nothing known. A configuration with an empty API key let each request without a key pass for one of that account.

Cause: a request without a key has an empty one, which was looked up like any other.

Result: test_an_empty_key_is_the_key_of_no_client fails before and passes now.

--- a/primroseyoke/gateway/configuration.py
+++ b/primroseyoke/gateway/configuration.py
@@ -237,4 +237,7 @@
 
     @functools.cached_property
     def _clients_by_key(self) -> dict[str, Client]:
-        return {key: client for client in self.clients for key in client.keys}
+        # A request without a key has an empty one.
+        return {
+            key: client for client in self.clients for key in client.keys if key
+        }
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -53,6 +53,14 @@
     assert configuration.requires_key
 
 
+def test_an_empty_key_is_the_key_of_no_client() -> None:
+    """Guards against a request without a key that passes for a client's."""
+    clients = (Client('one', frozenset({''})),)
+    configuration = make_configuration(clients=clients)
+    assert configuration.client_by_key('') is None
+    assert configuration.requires_key
+
+
 def test_only_resumable_streams_are_retryable() -> None:
     stream = {'execution': Execution.STREAM}
     assert make_route('/a/', **stream, resumable=True).retryable
