Take no status above 599 for an answer

What callers saw: an upstream in trouble answered 999, signed, and callers of routes that may not be repeated got that as their answer (MIXED; reported of similar systems with 000).

Cause: the parser accepts three digits from 200 on, and nobody asked more. 000, 001, 099 and interim statuses as the last answer were rejected before, too.

Change: a status outside 100 to 599 (RFC 9110, section 15) is a broken response.

--- a/primroseyoke/gateway/connection_pool.py
+++ b/primroseyoke/gateway/connection_pool.py
@@ -32,6 +32,8 @@
 # Subtracted from the Keep-Alive timeout of an upstream, for the transit time.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 _BAD_GATEWAY = 502
+# RFC 9110, section 15. The parser rejects a status below 100.
+_LAST_STATUS = 599
 # A longer request is not copied to the send buffer at once.
 _WRITE_AT_ONCE_BYTES = 65536
 
@@ -191,8 +193,12 @@
             await self._discard_response()
         for _ in range(self.limits.informational_count + 1):
             head = await self._next_event()
-            if not isinstance(head, h11.InformationalResponse):
-                return head
+            if isinstance(head, h11.InformationalResponse):
+                continue
+            if head.status_code > _LAST_STATUS:
+                detail = f'invalid status {head.status_code}'
+                raise self._failure(detail, self.sent)
+            return head
         raise self._failure('too many informational responses', self.sent)
 
     async def _next_event(self) -> Any:
