Forward a refusal only if the upstream states it did not run

What callers saw: an upstream that answers 408, 429 or 503 without the header that says it did not run the request had these forwarded, signed, also on routes that may not be repeated. Callers take them as a promise and send the request again, which may run twice.

Cause: only the header decided whether a response is a rejection, and any other signed status below 500, or the last one from 500 on, was forwarded.

--- a/primroseyoke/gateway/requests.py
+++ b/primroseyoke/gateway/requests.py
@@ -19,6 +19,8 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 _SUCCESS_STATUSES = range(200, 300)
+# Callers repeat a request after these, whether it may run twice or not.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Size of the blocks of a body.
 BLOCK_BYTES = 65536
 
@@ -126,6 +128,14 @@
         """Tell whether the status is 2xx."""
         return self.status in _SUCCESS_STATUSES
 
+    @property
+    def claims_not_run(self) -> bool:
+        """Tell whether callers take the status for a promise not to run.
+
+        It is true only if the upstream states so: see ``executed``.
+        """
+        return self.status in _NOT_RUN_STATUSES
+
     @property
     def content_type(self) -> bytes:
         """Return the content type in lower case, b'' if there is none."""
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -390,6 +390,7 @@
         if (
             self.response.started
             or not head.signed
+            or head.claims_not_run
             or (failed and not last_attempt)
         ):
             raise _broken_response(connection, f'answered {head.status}')
--- a/tests/gateway/test_statuses.py
+++ b/tests/gateway/test_statuses.py
@@ -14,6 +14,7 @@
 # Final to no request: interim, or a switch to another protocol.
 INTERIM = ('100', '101', '102', '103', '199')
 NOT_EXECUTED = b'X-Primroseyoke-Not-Executed: 1\r\n'
+# Callers take these as a statement that the request has not run.
 PROMISES = ('408', '429', '503')
 FINAL = ('200', '201', '400', '403', '404', '409', '418', '451', '500', '599')
 
@@ -70,6 +71,20 @@
         assert is_signed(response), status
 
 
+@pytest.mark.parametrize('route', ROUTES)
+def test_a_promise_that_the_upstream_did_not_make_is_not_forwarded(
+    route: str,
+) -> None:
+    """Guards against ``not run`` for a request that an upstream has run.
+
+    Without its statement that it did not, the status alone promises nothing.
+    """
+    responses = answers_to(route, PROMISES)
+    for status, response in responses.items():
+        assert response.status in {502, 504}, status
+        assert not is_signed(response), status
+
+
 def test_a_rejection_is_forwarded_as_not_run() -> None:
     responses = answers_to('/book/', PROMISES, NOT_EXECUTED)
     for status, response in responses.items():
