Count incomplete events and responses in the memory budget

What callers saw: a gateway was killed above its memory limit, and all requests that it held ended with it (LOST). Upstreams had sent events without end: each stream keeps up to 1 MiB of an incomplete event, and many streams together exceed the limit.

Cause: the budget counted what callers send and do not read, not what was received of upstreams and cannot be sent on yet.

Change: above 64 KiB, what is received of an answer holds memory of the budget until its attempt ends. Without memory a stream ends as broken, and a response is forwarded from there on instead of being buffered.

--- a/primroseyoke/gateway/attempts.py
+++ b/primroseyoke/gateway/attempts.py
@@ -23,6 +23,7 @@
     ``may_have_run`` is whether it counts as an attempt that the upstream may
     have run, which is so once it was silent for too long. ``tracked`` is
     whether its events tell whether the group of its upstream stands still.
+    ``held_bytes`` is the memory that is held for what was received of it.
     """
 
     reservation: Reservation
@@ -35,6 +36,7 @@
     event_count: int = 0
     may_have_run: bool = False
     tracked: bool = False
+    held_bytes: int = 0
 
     @property
     def upstream(self) -> Upstream:
--- a/primroseyoke/gateway/memory.py
+++ b/primroseyoke/gateway/memory.py
@@ -289,6 +289,12 @@
         self.hold(MemoryUse.RESPONSES, size)
         return True
 
+    def release_response(self, size: int) -> None:
+        """Release ``size`` bytes that ``extend_response`` has held."""
+        if size:
+            self.hold(MemoryUse.RESPONSES, -size)
+            self.budget.grant_waiting()
+
     def hold(self, use: MemoryUse, size: int) -> None:
         """Add ``size`` bytes to the memory in use."""
         self.held[use] += size
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -36,6 +36,8 @@
 # Responses up to this size are buffered completely before any byte is sent to
 # the caller, so that a truncated response can be retried.
 _BUFFERED_BODY_LIMIT_BYTES = 262144
+# What every request holds memory for; more of a response takes further memory.
+_FREE_BYTES = 65536
 # No attempt is made with less time left: an upstream could not respond.
 MIN_REMAINING_SECONDS = 0.05
 _FIRST_SERVER_ERROR_STATUS = 500
@@ -196,6 +198,8 @@
     def _end(self, attempt: Attempt) -> None:
         self._untrack(attempt)
         self.attempts.remove(attempt)
+        self.response.memory.release_response(attempt.held_bytes)
+        attempt.held_bytes = 0
         self.context.crash_detector.end(attempt.candidate)
         self._release(attempt.reservation)
 
@@ -281,6 +285,22 @@
         self.response.finish()
         self.context.balancer.costs.record_whole(attempt.reservation.job)
 
+    def _hold(self, attempt: Attempt, size: int) -> bool:
+        """Hold memory for ``size`` bytes that were received and not sent on.
+
+        Returns:
+            Whether there is enough.
+        """
+        missing = size - _FREE_BYTES - attempt.held_bytes
+        if missing <= 0:
+            return True
+        # By doubling, so that tiny parts need few steps.
+        extension = max(missing, attempt.held_bytes, _FREE_BYTES)
+        if not self.response.memory.extend_response(extension):
+            return False
+        attempt.held_bytes += extension
+        return True
+
     async def _forward_received(
         self,
         attempt: Attempt,
@@ -288,7 +308,12 @@
         splitter: EventSplitter,
         timer: asyncio.Timeout,
     ) -> None:
-        """Forward the complete events that were received, a few at a time."""
+        """Forward the complete events that were received, a few at a time.
+
+        Raises:
+            ResponseInvalid: the next event is too large, or there is too little
+                memory for it.
+        """
         events = splitter.take()
         # Only complete events are progress.
         while events:
@@ -296,6 +321,8 @@
             events = splitter.take()
             if events:
                 await asyncio.sleep(0)
+        if not self._hold(attempt, len(splitter.pending)):
+            raise ResponseInvalid('out of memory for an event')
 
     async def _forward_events(
         self,
@@ -350,7 +377,8 @@
         body = attempt.body
         async for content in attempt.connection.body():
             body += content
-            if len(body) > _BUFFERED_BODY_LIMIT_BYTES:
+            has_memory = self._hold(attempt, len(body))
+            if len(body) > _BUFFERED_BODY_LIMIT_BYTES or not has_memory:
                 await self._forward_part(attempt, head, last_attempt)
         if self.unbuffered:
             await self.response.send(bytes(body))
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -9,7 +9,7 @@
 
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
-from tests.gateway.deployment import configuration
+from tests.gateway.deployment import configuration, route
 from tests.standins.gateway_process import (
     CallerConnection,
     GatewayProcess,
@@ -28,6 +28,9 @@
     'idleTimeoutMs': 15000,
 }
 MAX_RETRIES = 30
+EVENT_BYTES = 2**20 - len(PART)
+STALLED_CALLERS = 400
+STALLED_MS = 6000
 TIMEOUT_MS = 30000
 Call = Callable[[], Awaitable[ReceivedResponse]]
 Play = Callable[[GatewayProcess], Awaitable[None]]
@@ -36,6 +39,7 @@
 def patient_configuration() -> dict[str, object]:
     """Return one without short timeouts: memory is what is tested."""
     document = configuration(limits=LIMITS)
+    document['routes'].append(route('/stream/', 'streaming', 'app'))
     for each in document['routes']:
         each['timeoutMs'] = TIMEOUT_MS
     return document
@@ -52,7 +56,9 @@
     response.respond(200, headers, b'y' * BODY_BYTES)
 
 
-def run(folder: pathlib.Path, play: Play, handler=answer_ok) -> float:
+def run(
+    folder: pathlib.Path, play: Play, handler=answer_ok, upstream_count: int = 3
+) -> float:
     """Run ``play`` beside a gateway; return its largest resident size in MB.
 
     Like the platform, it kills the process above its limit.
@@ -61,7 +67,9 @@
     async def scenario() -> float:
         store = StandInStore()
         await store.start()
-        upstreams = [StandInUpstream(f'app-{n}', handler) for n in range(3)]
+        upstreams = [
+            StandInUpstream(f'app-{n}', handler) for n in range(upstream_count)
+        ]
         for upstream in upstreams:
             await upstream.start()
             entry = {**upstream.entry('app'), 'slots': CALLERS}
@@ -222,3 +230,47 @@
         assert all(len(each.body) == BODY_BYTES for each in responses)
 
     assert run(tmp_path, play, respond_long) <= MEMORY_MB
+
+
+async def stall_in_event(
+    upstream: StandInUpstream, request: CallerRequest, response: ResponseWriter
+) -> None:
+    """Send most of the largest event; send the rest never."""
+    response.start(
+        200,
+        [
+            (b'x-primroseyoke-response-signature', b's'),
+            (b'x-primroseyoke-request-id', request.request_id.encode()),
+            (b'transfer-encoding', b'chunked'),
+        ],
+    )
+    for _ in range(EVENT_BYTES // len(PART)):
+        await response.send(PART)
+    await asyncio.sleep(60)
+
+
+async def read_stalled(
+    gateway: GatewayProcess, number: int
+) -> ReceivedResponse:
+    connection = await CallerConnection.open(gateway)
+    connection.send_head('/stream/x', f'stalled-{number}', 0, STALLED_MS)
+    return await connection.receive()
+
+
+def test_endless_events_of_many_upstreams_stay_within_memory(tmp_path) -> None:
+    """Guards against a process that keeps what has no end, and is killed.
+
+    Each upstream stays below the largest size of one event.
+    """
+
+    async def play(gateway: GatewayProcess) -> None:
+        others = [
+            asyncio.ensure_future(read_stalled(gateway, number))
+            for number in range(STALLED_CALLERS)
+        ]
+        responses = await asyncio.gather(*others)
+        assert gateway.running
+        assert set(statuses(responses)) <= {502, 503, 504}
+
+    peak = run(tmp_path, play, stall_in_event, upstream_count=24)
+    assert peak <= MEMORY_MB
