Bound the reports of engines to 1 MiB each

Cause: all calls of the HTTP client allowed 32 MiB, which only the topics of other gateways need, and kept the parts beside the joined body. A host asks all ranks of a service at once.

Change: 1 MiB for engines, 4 MiB for the store and the platform's API, 32 MiB for topics of gateways; parts are joined as they arrive.

--- a/primroseyoke/gateway/http_client.py
+++ b/primroseyoke/gateway/http_client.py
@@ -14,8 +14,8 @@
 
 # A round trip between zones takes 3 ms.
 _CONNECT_TIMEOUT_SECONDS = 0.5
-# The store answers with 1 MB at most, other gateways with a whole topic.
-_MAX_BODY_BYTES = 2**25
+# The store answers with 1 MB of records at most, a third more in Base64.
+_MAX_BODY_BYTES = 4 * 2**20
 
 
 def _allow() -> None:
@@ -34,13 +34,21 @@
 class HttpClient:
     """Calls one address over a persistent connection, one call at a time."""
 
-    def __init__(self, host: str, port: int, resets: bool = False) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        resets: bool = False,
+        max_body_bytes: int = _MAX_BODY_BYTES,
+    ) -> None:
         """Call the service at ``host`` and ``port``; connect on first use.
 
         With ``resets``, closing the connection discards what the kernel has not
-        yet sent, so that a call that timed out is not delivered later.
+        yet sent, so that a call that timed out is not delivered later. A
+        response with a body over ``max_body_bytes`` is a failure.
         """
         self.host = host
+        self.max_body_bytes = max_body_bytes
         self.resets = resets
         self.port = port
         self.connection: Connection | None = None
@@ -162,8 +170,7 @@
     async def _receive(self, connection: Connection) -> HttpResponse:
         status = 0
         headers: dict[str, str] = {}
-        size = 0
-        chunks: list[bytes] = []
+        body = bytearray()
         event = await next_event(self.parser, connection)
         while isinstance(event, h11.Response | h11.Data):
             if isinstance(event, h11.Response):
@@ -173,13 +180,14 @@
                     for name, text in event.headers
                 }
             else:
-                chunks.append(bytes(event.data))
-                size += len(event.data)
-            if size > _MAX_BODY_BYTES:
-                raise ConnectionResetError(f'body over {_MAX_BODY_BYTES} bytes')
+                body += event.data
+            if len(body) > self.max_body_bytes:
+                raise ConnectionResetError(
+                    f'body over {self.max_body_bytes} bytes'
+                )
             event = await next_event(self.parser, connection)
         if not isinstance(event, h11.EndOfMessage):
             raise ConnectionResetError(
                 'connection closed before the response was complete',
             )
-        return HttpResponse(status, b''.join(chunks), headers)
+        return HttpResponse(status, bytes(body), headers)
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -287,7 +287,7 @@
         target = f'{_PATH_PREFIX}{name}'
         if position is not None:
             target = f'{target}?from={position.offset}&era={position.era}'
-        client = HttpClient(address, self.port)
+        client = HttpClient(address, self.port, max_body_bytes=_MAX_PAGE_BYTES)
         try:
             answer = await client.call(
                 'GET', target, timeout=_FETCH_TIMEOUT_SECONDS
--- a/primroseyoke/platform/engines.py
+++ b/primroseyoke/platform/engines.py
@@ -27,6 +27,8 @@
 
 # An engine answers status requests in a few ms, also while all slots are busy.
 _REPORT_TIMEOUT_SECONDS = 0.5
+# The counts of hundreds of experts in each of hundreds of layers.
+_MAX_REPORT_BYTES = 2**20
 _EXPECTED_UPSTREAM_HEADER = 'X-Primroseyoke-Expect-Instance'
 _RESULT_BY_STATUS = types.MappingProxyType(
     {
@@ -203,7 +205,11 @@
     if connection is None or (connection.host, connection.port) != address:
         if connection is not None:
             connection.close()
-        connection = HttpClient(upstream.host, upstream.port)
+        connection = HttpClient(
+            upstream.host,
+            upstream.port,
+            max_body_bytes=_MAX_REPORT_BYTES,
+        )
         connections[upstream.name] = connection
     return connection
 
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -3,14 +3,21 @@
 import asyncio
 import json
 
+import pytest
+
+from primroseyoke.exceptions import ServiceUnavailable
 from primroseyoke.gateway.engines import OrderResult, Release
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.upstreams import Upstream
 from primroseyoke.platform.engines import HttpEngines
 from tests.gateway.deployment import deployment, wait_until
+from tests.gateway.test_endless_messages import EndlessUpstream
 from tests.standins.platform import StandInUpstream, answer_ok
 
+# Far more than a rank reports; sockets and buffers hold the rest.
+MAX_REPORT_BYTES = 2 * 2**20
+SOCKET_BYTES = 2**20
 REPORT = json.dumps({'group': None}).encode()
 
 
@@ -121,3 +128,22 @@
             await wait_until(lambda: not engines.report_connections, 8)
 
     asyncio.run(scenario())
+
+
+def test_an_endless_report_is_given_up() -> None:
+    """Guards against a host that keeps an answer without end of each rank."""
+
+    async def scenario() -> None:
+        endless = EndlessUpstream(
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+            b'1000\r\n' + b'1' * 4096 + b'\r\n',
+        )
+        upstream = StandInUpstream('rank-0', endless.respond)
+        await upstream.start()
+        with pytest.raises(ServiceUnavailable):
+            await HttpEngines().report(known(upstream))
+        await wait_until(lambda: endless.closed)
+        assert endless.sent_bytes < MAX_REPORT_BYTES + SOCKET_BYTES
+        upstream.stop()
+
+    asyncio.run(scenario())
