Let other tasks run between the records of a page

What callers saw: nothing known.

Change: records are decoded in turns of 64 and applied in turns of 1,024, each of which leaves the replica as if the page had ended there.

--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -18,6 +18,7 @@
 from .clocks import boot_time
 from .topic_replica import TopicPage, TopicReplica
 from .topics import (
+    KeyedPage,
     KeyedRecord,
     KeyedTopic,
     RecordsExpired,
@@ -46,6 +47,9 @@
 # Minimum time between two fetches from other gateways, so that changes in quick
 # succession are fetched together.
 _MIN_FETCH_INTERVAL_SECONDS = 0.2
+# Records of a page that are applied before other tasks run. Each time takes some
+# ms more where the topic has many keys.
+_RECORDS_PER_TURN = 1024
 
 
 class TopicSource(Protocol):
@@ -238,7 +242,7 @@
             # The offset was of another era: what it returned proves nothing.
             self.needs_listing = True
             return
-        records = self.replica.update(page.records, page.next_position)
+        records = await self._apply(page)
         # A read without records was answered after the wait.
         confirmed_at = sent_at if page.records else sent_at + wait
         self.replica.read_at = confirmed_at
@@ -246,6 +250,21 @@
         if self.source is not None and self.replica.digest != digest:
             self.source.announce_changes()
 
+    async def _apply(self, page: KeyedPage) -> tuple[KeyedRecord, ...]:
+        """Apply the records of a page; return those that are not outdated.
+
+        Other tasks run in between. The replica is as if pages had ended there.
+        """
+        applied: list[KeyedRecord] = []
+        for first in range(0, len(page.records), _RECORDS_PER_TURN):
+            if first:
+                await asyncio.sleep(0)
+            part = page.records[first : first + _RECORDS_PER_TURN]
+            end = Position(page.era, part[-1].offset + 1)
+            applied += self.replica.update(part, end)
+        self.replica.update((), page.next_position)
+        return tuple(applied)
+
     def _is_outdated(self, position: Position) -> bool:
         """Tell whether the store has named a later era than that of a copy."""
         return position.era < self.topic.eras.era
--- a/primroseyoke/platform/store.py
+++ b/primroseyoke/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import logging
 import struct
+from collections.abc import Iterator
 from typing import Any
 from urllib.parse import urlencode
 
@@ -18,6 +19,7 @@
     RecordsExpired,
     TopicMissing,
 )
+from ..gateway.turns import TurnCounter
 from ..positions import EraTracker, Position
 
 __all__ = ('HttpKeyedTopic', 'decode_records')
@@ -114,13 +116,14 @@
                 f'got {len(answer.body)} bytes',
             )
         era = self.eras.era
-        records = decode_records(answer.body[_READ_HEADER.size :], offset, era)
-        end_offset = offset + len(records)
-        return KeyedPage(
-            tuple(record for record in records if record is not None),
-            end_offset,
-            era,
-        )
+        content = answer.body[_READ_HEADER.size :]
+        records: list[KeyedRecord] = []
+        turns = TurnCounter()
+        for record in decode_records(content, offset, era):
+            await turns.count_part()
+            if record is not None:
+                records.append(record)
+        return KeyedPage(tuple(records), offset + turns.part_count, era)
 
     async def append(self, key: str, content: bytes) -> None:
         """Set the value of a key; an empty value removes the key.
@@ -253,12 +256,12 @@
     content: bytes,
     first_offset: int,
     era: int = 0,
-) -> list[KeyedRecord | None]:
-    """Return the complete records in ``content``, from ``first_offset`` on.
+) -> Iterator[KeyedRecord | None]:
+    """Yield the complete records in ``content``, from ``first_offset`` on.
 
     A malformed record is None, so that the offsets of the others stay correct.
     """
-    records: list[KeyedRecord | None] = []
+    offset = first_offset
     position = 0
     while position + _RECORD_LENGTH.size <= len(content):
         length = _RECORD_LENGTH.unpack_from(content, position)[0]
@@ -266,11 +269,9 @@
         if position + length > len(content):
             break
         record = content[position : position + length]
-        records.append(
-            _decode_record(record, Position(era, first_offset + len(records)))
-        )
+        yield _decode_record(record, Position(era, offset))
+        offset += 1
         position += length
-    return records
 
 
 def _decode_record(record: bytes, position: Position) -> KeyedRecord | None:
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Awaitable, Iterator
 from typing import Any
 
@@ -21,14 +22,20 @@
 from primroseyoke.gateway.memory import MemoryBudget, RequestMemory
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.settings import ResponseLimits
+from primroseyoke.gateway.topic_consumers import TopicConsumer
+from primroseyoke.gateway.topics import KeyedPage, KeyedRecord, TopicUpdate
 from primroseyoke.gateway.upstreams import Upstream
 from primroseyoke.platform.headers import HeaderCodec
+from primroseyoke.platform.store import HttpKeyedTopic
+from primroseyoke.positions import EraTracker
 from tests.gateway.deployment import deployment
 from tests.standins.platform import StandInUpstream
 
 PARTS = 10_000
 # Other tasks have to run at least once for so many parts.
 MAX_PARTS_PER_TURN = 100
+# Records of a topic are applied in larger groups.
+MAX_RECORDS_PER_TURN = 1024
 CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
 TINY_CHUNKS = b'1\r\nx\r\n' * PARTS + b'0\r\n\r\n'
 UPSTREAM = Upstream('u', 'app', '127.0.0.1', 1, 'zone-a')
@@ -149,6 +156,62 @@
     asyncio.run(scenario())
 
 
+def test_a_page_of_tiny_records_lets_other_tasks_run() -> None:
+    """Guards against the same stop by whoever writes to a topic."""
+
+    async def scenario() -> None:
+        body = bytes(16) + b'\0\0\0\x02\x01a' * PARTS
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+        client = HttpClient('127.0.0.1', 1)
+        client.connection = PreparedTransport(head + body).connection
+        topic = HttpKeyedTopic(client, 'keyed.servers')
+        turns = await turns_during(topic.read(0, 0))
+        assert turns > PARTS / MAX_PARTS_PER_TURN
+
+    asyncio.run(scenario())
+
+
+class TinyRecords:
+    """Topic that has many records of one key."""
+
+    def __init__(self) -> None:
+        self.eras = EraTracker('store')
+
+    async def read_latest(self) -> KeyedPage:
+        return KeyedPage((), 0)
+
+    async def read(self, offset: int, wait: float) -> KeyedPage:
+        if offset:
+            await asyncio.sleep(60)
+        records = (KeyedRecord('a', b'b', number) for number in range(PARTS))
+        return KeyedPage(tuple(records), PARTS)
+
+
+def test_many_records_at_once_let_other_tasks_run() -> None:
+    updates: list[TopicUpdate] = []
+    consumer = TopicConsumer(
+        'tiny', TinyRecords(), updates.append, 0, random.Random(1)
+    )
+
+    def applied_count() -> int:
+        position = consumer.replica.next_position
+        return position.offset if position else 0
+
+    async def scenario() -> None:
+        consuming = asyncio.ensure_future(consumer.run())
+        before = 0
+        while before < PARTS:
+            await asyncio.sleep(0)
+            applied = applied_count()
+            assert applied - before <= MAX_RECORDS_PER_TURN
+            before = applied
+        await asyncio.sleep(0)
+        consuming.cancel()
+
+    asyncio.run(scenario())
+    assert len(updates[-1].records) == PARTS
+
+
 @pytest.fixture
 def sent_in_a_turn(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[int]]:
     """Record the events that are sent to callers, by turn of the loop."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -51,7 +51,7 @@
 def test_records_after_a_malformed_record_keep_their_offsets() -> None:
     malformed = RECORD_LENGTH.pack(2) + b'\x09x'
     content = encode_record(b'a', b'1') + malformed + encode_record(b'b', b'')
-    records = decode_records(content, 40)
+    records = list(decode_records(content, 40))
     assert (records[0].key, records[0].value, records[0].offset) == (
         'a',
         b'1',
