--- a/primroseyoke/upstream_client.py
+++ b/primroseyoke/upstream_client.py
@@ -36,6 +36,8 @@
 _EVENT_END_BYTES = 4
 _LOAD_TIMEOUT_SECONDS = 2.0
 _CONNECT_TIMEOUT_SECONDS = 2.0
+# RFC 9110, section 15: others are invalid, interim or a switch of protocols.
+_FINAL_STATUSES = range(200, 600)
 
 # Raised on the shutdown of a connection that is already closed or released.
 _SHUTDOWN_ERRORS = (HTTPError, OSError, ValueError, RuntimeError)
@@ -141,7 +143,8 @@
         Raises:
             RequestFailed: no response; ``not_run`` if no connection was made,
                 otherwise ``may_have_run``.
-            ConnectionBroken: the upstream closed the connection.
+            ConnectionBroken: the upstream closed the connection, or answered
+                with a status that is not valid.
         """
         pool = self.pool if request.idempotent else self._new_pool(1)
         try:
@@ -168,6 +171,13 @@
                 f'the upstream gave no answer: {error}',
                 error,
             ) from error
+        if response.status not in _FINAL_STATUSES:
+            response.close()
+            raise ConnectionBroken(
+                f'the upstream answered with status {response.status}',
+                Verdict.MAY_HAVE_RUN,
+                502,
+            )
         return UpstreamAnswer(response)
 
     def fetch_load(self) -> UpstreamLoad:
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -107,6 +107,15 @@
     return b''.join(client.send_request(request).chunks())
 
 
+@pytest.mark.parametrize('status', [b'000', b'099', b'101', b'600', b'999'])
+def test_invalid_status_is_a_failure_that_may_have_run(status):
+    """Guards against a status that no caller understands, as an answer."""
+    head = b'HTTP/1.1 %s Odd\r\nContent-Length: 0\r\n\r\n' % status
+    with pytest.raises(RequestFailed) as failure:
+        receive(ScriptedServer(head))
+    assert failure.value.verdict is Verdict.MAY_HAVE_RUN
+
+
 HEADS = {
     'length': OK + b'X-A: b\r\nContent-Length: 0\r\nX-B: c\r\n\r\n',
     'no body': b'HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n',
