Bound the load report that an agent reads

What callers saw: nothing known.

Result: the new case of test_an_endless_load_report_is_no_report took all 16 MiB that its server sends before; a report over 64 KiB fails now.

--- a/primroseyoke/upstream_client.py
+++ b/primroseyoke/upstream_client.py
@@ -35,6 +35,8 @@
 _EVENT_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
 _EVENT_END_BYTES = 4
 _LOAD_TIMEOUT_SECONDS = 2.0
+# A report has a few numbers.
+_MAX_LOAD_BYTES = 65536
 _CONNECT_TIMEOUT_SECONDS = 2.0
 # RFC 9110, section 15: others are invalid, interim or a switch of protocols.
 _FINAL_STATUSES = range(200, 600)
@@ -189,9 +191,12 @@
         """
         try:
             response = self.pool.request(
-                'GET', '/load', timeout=_LOAD_TIMEOUT_SECONDS
+                'GET',
+                '/load',
+                timeout=_LOAD_TIMEOUT_SECONDS,
+                preload_content=False,
             )
-            return _parse_load(response.data)
+            return _parse_load(_read_report(response))
         except NewConnectionError as error:
             raise ServiceRefused(
                 f'load report: connection refused: {error}'
@@ -217,6 +222,16 @@
     return ConnectionBroken(text, Verdict.MAY_HAVE_RUN, 502)
 
 
+def _read_report(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the body of a report; the connection is kept if it has ended."""
+    content = response.read(_MAX_LOAD_BYTES + 1)
+    if len(content) > _MAX_LOAD_BYTES:
+        response.close()
+        raise HTTPError(f'body over {_MAX_LOAD_BYTES} bytes')
+    response.release_conn()
+    return content
+
+
 def _parse_load(content: bytes) -> UpstreamLoad:
     decoded: Any = msgspec.json.decode(content)
     return msgspec.convert(decoded, UpstreamLoad)
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -68,8 +68,12 @@
     assert server.sent_bytes < MAX_SENT_BYTES
 
 
-def test_an_endless_load_report_is_no_report():
-    server = EndlessServer(*ENDLESS['informational responses'])
+@pytest.mark.parametrize(
+    'endless', [ENDLESS['informational responses'], (OK + b'\r\n', b'[1, 2]')]
+)
+def test_an_endless_load_report_is_no_report(endless):
+    """Guards against an agent that keeps all bytes of a report without end."""
+    server = EndlessServer(*endless)
     with pytest.raises(ServiceUnavailable):
         UpstreamClient(server.address, 1).fetch_load()
     assert server.sent_bytes < MAX_SENT_BYTES
