--- a/tests/standins/gateways.py
+++ b/tests/standins/gateways.py
@@ -14,6 +14,7 @@
 
 from primroseyoke.gateway.authorization import Authorizer
 from primroseyoke.gateway.balancer import Balancer
+from primroseyoke.gateway.memory import MemoryBudget, RequestMemory
 from primroseyoke.gateway.retry_budget import RetryBudget
 from primroseyoke.gateway.configuration import (
     CallerLimits,
@@ -130,6 +131,7 @@
     """Records the status and the arrival times of events."""
 
     def __init__(self):
+        self.memory = RequestMemory(MemoryBudget())
         self.started = False
         self.finished = False
         self.status = 0
