Show that a resumed leader releases a pass that another one is undoing

The rank that was not reached switches alone.

Not mended here, since the protocol would need another hold.

--- a/tests/gateway/test_placement_switch.py
+++ b/tests/gateway/test_placement_switch.py
@@ -263,3 +263,35 @@
         assert loop.time() - restarted_at < 1
 
     run(scenario())
+
+
+def test_a_resumed_leader_does_not_release_what_another_has_undone() -> None:
+    """Guards against a pass that a suspended host releases after an undo began.
+
+    It had armed all ranks. Its successor cannot reach one of them, and has
+    disarmed the others.
+    """
+
+    async def scenario() -> None:
+        group = FakeRankGroup(
+            random.Random(1),
+            loss_probability=0,
+            late_probability=0,
+        )
+        passes = asyncio.ensure_future(group.run_passes())
+        switch = PlacementSwitch(group, upstreams(), EPOCH)
+        assert await switch.prepare(VERSION_STRIDE, PLACEMENT)
+        step = group.step + 3
+        group.execute(group.ranks[0], Hold(EPOCH, step))
+        for rank in group.ranks:
+            group.execute(rank, Arm(EPOCH, VERSION_STRIDE, step))
+        group.unreachable = {3}
+        successor = PlacementSwitch(group, upstreams(), EPOCH)
+        assert not await successor.finish(VERSION_STRIDE, step)
+        assert not await successor.undo(VERSION_STRIDE, PLACEMENT)
+        await switch.release(step)
+        await asyncio.sleep(1)
+        passes.cancel()
+        assert not group.inconsistent_steps
+
+    run(scenario())
