--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -28,6 +28,7 @@
     'idleTimeoutMs': 15000,
 }
 MAX_RETRIES = 30
+# The largest event, but for its last part.
 EVENT_BYTES = 2**20 - len(PART)
 STALLED_CALLERS = 400
 STALLED_MS = 6000
@@ -264,11 +265,12 @@
     """
 
     async def play(gateway: GatewayProcess) -> None:
-        others = [
-            asyncio.ensure_future(read_stalled(gateway, number))
-            for number in range(STALLED_CALLERS)
-        ]
-        responses = await asyncio.gather(*others)
+        responses = await asyncio.gather(
+            *(
+                read_stalled(gateway, number)
+                for number in range(STALLED_CALLERS)
+            )
+        )
         assert gateway.running
         assert set(statuses(responses)) <= {502, 503, 504}
 
--- a/tests/gateway/test_tiny_chunks.py
+++ b/tests/gateway/test_tiny_chunks.py
@@ -114,7 +114,7 @@
 ) -> None:
     """Guards against a faulty upstream that keeps a gateway busy.
 
-    Two endless answers held up the requests to other services for 2 to 30 s.
+    Two endless answers left requests to other services without an answer.
     """
     path, repeated = ENDLESS[kind]
     block = repeated * (65536 // len(repeated))
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -232,7 +232,7 @@
 ) -> None:
     """Guards against events in one chunk that are all forwarded in one turn.
 
-    Endless comments of two upstreams held up other requests for 30 s.
+    Endless comments of two upstreams left other requests without an answer.
     """
     chunk = event * PARTS
 
