Hold the pass at a second rank before undoing a change

Cause: a leader that had armed every rank, was suspended and resumed released the held pass at rank 0, while its successor could not reach one rank and had disarmed the others. Nothing else held the pass.

Before an undo disarms any rank it now holds the pass at another rank too. The first leader releases rank 0 only, so the pass cannot begin before the undo has ended. A host that finds the pass held at such a rank undoes the change, and releases it at every rank that reports the hold.

--- a/primroseyoke/gateway/group_discovery.py
+++ b/primroseyoke/gateway/group_discovery.py
@@ -202,16 +202,19 @@
         unfinished_since = self.unfinished_since.setdefault(group.name, now)
         is_abandoned = now - unfinished_since >= _TAKEOVER_DELAY_SECONDS
         if is_abandoned or self.is_stalled(group.name):
-            await self._end_unfinished_change(group, held_step, armed)
+            await self._end_unfinished_change(group, reports)
         return False
 
     async def _end_unfinished_change(
         self,
         group: RankGroup,
-        held_step: int | None,
-        armed: Sequence[RankReport],
+        reports: Sequence[RankReport],
     ) -> None:
         """Complete or undo a change that was abandoned."""
+        held_step = _held_step(reports)
+        armed = [
+            report for report in reports if report.armed_version is not None
+        ]
         log.warning(
             'completing or undoing unfinished expert placement change',
             extra={
@@ -225,19 +228,20 @@
             },
         )
         switch = PlacementSwitch(self.engines, group.ranks, group.epoch)
-        if held_step is not None and armed and _have_same_target(armed):
-            first = armed[0]
-            version = first.armed_version or 0
-            step = first.armed_step or held_step
-            # A later version shows that an undo has begun.
-            is_newest = version == group.highest_version
-            if (
-                is_newest
-                and step == held_step
-                and await switch.finish(version, step)
-            ):
-                return
-        is_undone = await switch.undo(group.highest_version, group.placement)
+        switch.held_step = held_step
+        switch.holders = [
+            rank
+            for rank, report in zip(group.ranks, reports)
+            if report.held_step == held_step or rank is group.ranks[0]
+        ]
+        version = group.highest_version
+        if (
+            held_step is not None
+            and _may_finish(group, reports, held_step)
+            and await switch.finish(version, held_step)
+        ):
+            return
+        is_undone = await switch.undo(version, group.placement)
         if is_undone and held_step is not None:
             await switch.release(held_step)
 
@@ -269,6 +273,26 @@
     return held_steps[0] if held_steps else None
 
 
+def _may_finish(
+    group: RankGroup,
+    reports: Sequence[RankReport],
+    held_step: int,
+) -> bool:
+    """Return whether the change of a held pass may be completed.
+
+    A later version than the armed one, or a pass that is held at a rank other
+    than the first, shows that an undo has begun.
+    """
+    if any(report.held_step is not None for report in reports[1:]):
+        return False
+    targets = {
+        (report.armed_version, report.armed_step or held_step)
+        for report in reports
+        if report.armed_version is not None
+    }
+    return targets == {(group.highest_version, held_step)}
+
+
 def _have_same_target(armed: Sequence[RankReport]) -> bool:
     return (
         len({(report.armed_version, report.armed_step) for report in armed})
--- a/primroseyoke/gateway/placement_switch.py
+++ b/primroseyoke/gateway/placement_switch.py
@@ -17,6 +17,10 @@
 a delayed order to arm the old version conflicts. Only then is the pass
 released. Each order carries the epoch of the group, so a delayed order has no
 effect after a rank has restarted.
+
+A host that armed every rank, was suspended, and resumes releases the pass at
+the first rank. Before an undo disarms any rank, it therefore holds the pass at
+another rank too. Whoever finds the pass held at such a rank may only undo.
 """
 
 import asyncio
@@ -38,6 +42,9 @@
 # rank is still loading weights, so it takes more attempts than other orders.
 # The pass may be held meanwhile.
 _ARM_ATTEMPTS = 12
+_UNCONFIRMED_RESULTS = frozenset(
+    (OrderResult.UNKNOWN, OrderResult.UNREACHABLE),
+)
 
 
 class SwitchOutcome(enum.Enum):
@@ -61,6 +68,7 @@
 
     Attributes:
         held_step: the pass that may be held, None if there is none.
+        holders: the ranks at which it may be held; ``release`` applies to them.
         sender: sends the orders.
     """
 
@@ -75,6 +83,7 @@
         self.ranks = ranks
         self.epoch = epoch
         self.held_step: int | None = None
+        self.holders = [ranks[0]]
 
     async def prepare(self, version: int, placement: Placement) -> bool:
         """Make every rank load the weights; return whether all confirmed."""
@@ -127,6 +136,14 @@
         Returns:
             Whether every rank has confirmed, so that the pass may be released.
         """
+        if self.held_step is not None and not await self._hold_for_undo(
+            self.held_step
+        ):
+            log.warning(
+                'no other rank holds the pass; no rank is disarmed',
+                extra={'version': version, 'epoch': self.epoch},
+            )
+            return False
         log.warning(
             'undoing expert placement change: disarming all ranks',
             extra={'version': version, 'epoch': self.epoch},
@@ -143,14 +160,31 @@
 
     async def release(self, step: int) -> None:
         """Allow the held pass to begin."""
-        result = await self.sender.send(
-            self.ranks[0],
-            Release(self.epoch, step),
-            UNDO_ATTEMPTS,
+        order = Release(self.epoch, step)
+        results = await asyncio.gather(
+            *(
+                self.sender.send(rank, order, UNDO_ATTEMPTS)
+                for rank in self.holders
+            ),
         )
-        if result not in {OrderResult.UNKNOWN, OrderResult.UNREACHABLE}:
+        if _UNCONFIRMED_RESULTS.isdisjoint(results):
             self.held_step = None
 
+    async def _hold_for_undo(self, step: int) -> bool:
+        """Hold the pass at a rank other than the first, if there is one.
+
+        Returns:
+            Whether the pass cannot begin before ``release``. If not, it may
+            have begun, or no other rank responds.
+        """
+        for rank in self.ranks[1:]:
+            if rank not in self.holders:
+                self.holders.append(rank)
+            result = await self.sender.send(rank, Hold(self.epoch, step))
+            if result is OrderResult.ACCEPTED:
+                return True
+        return len(self.ranks) == 1
+
     async def _arm_and_release(
         self,
         version: int,
--- a/tests/gateway/test_group_discovery.py
+++ b/tests/gateway/test_group_discovery.py
@@ -3,15 +3,27 @@
 import asyncio
 import random
 
-from primroseyoke.gateway.engines import Arm, Hold, Order, Prepare
+import pytest
+
+from primroseyoke.gateway.engines import (
+    Arm,
+    Hold,
+    Order,
+    OrderResult,
+    Prepare,
+    RankReport,
+)
 from primroseyoke.gateway.group_discovery import GroupDiscovery
+from primroseyoke.gateway.placement_switch import PlacementSwitch
 from primroseyoke.gateway.placement_undo import VERSION_STRIDE
+from primroseyoke.gateway.upstreams import Upstream
 from tests.event_loop import run
 from tests.gateway.test_expert_rebalancing import SMALL_ENGINE
 from tests.standins.fake_rank_group import (
     EPOCH,
     PASS_SECONDS,
     PLACEMENT,
+    RANKS,
     FakeRankGroup,
     upstreams,
 )
@@ -92,3 +104,132 @@
         assert not group.inconsistent_steps
 
     run(scenario())
+
+
+def test_an_undo_begins_at_once_if_another_one_has_begun() -> None:
+    """Guards against a group that stands still while arming is tried in vain."""
+
+    async def scenario() -> None:
+        group = reliable_group()
+        hold_and_arm(group, 2, 3)
+        undo = Prepare(EPOCH, VERSION + VERSION_STRIDE, PLACEMENT)
+        execute(group, undo, 0, 1)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        discovery = GroupDiscovery(group, lambda name: True)
+        await discovery.discover(upstreams(), SMALL_ENGINE, ())
+        assert not any(rank.armed for rank in group.ranks)
+        assert not any(rank.held_step for rank in group.ranks)
+        assert loop.time() - started_at < 5 * PASS_SECONDS
+
+    run(scenario())
+
+
+def test_an_undo_holds_the_pass_at_a_rank_that_is_free_to() -> None:
+    """Guards against a group held for good if a late order held a rank."""
+
+    async def scenario() -> None:
+        group = reliable_group()
+        step = hold_and_arm(group, 2)
+        execute(group, Hold(EPOCH, step + 7), 1)
+        passes = asyncio.ensure_future(group.run_passes())
+        await discover_until_open(group)
+        await asyncio.sleep(10 * PASS_SECONDS)
+        passes.cancel()
+        assert group.step > step + 7
+        assert not group.inconsistent_steps
+
+    run(scenario())
+
+
+def test_a_pass_held_for_an_undo_is_not_completed() -> None:
+    """Guards against a change that one host completes and another undoes.
+
+    A host that undoes a change holds the pass at a second rank first. Here it
+    ended before it disarmed any rank.
+    """
+
+    async def scenario() -> None:
+        group = reliable_group()
+        step = hold_and_arm(group, 0, 1, 2, 3)
+        execute(group, Hold(EPOCH, step), 2)
+        passes = asyncio.ensure_future(group.run_passes())
+        await discover_until_open(group)
+        await asyncio.sleep(4 * PASS_SECONDS)
+        passes.cancel()
+        assert group.step > step
+        assert {rank.version for rank in group.ranks} == {0}
+        assert not group.inconsistent_steps
+
+    run(scenario())
+
+
+class SuspendableEngines:
+    """Engines as a host sees them that stands still while not ``running``."""
+
+    def __init__(self, group: FakeRankGroup) -> None:
+        self.group = group
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def order(
+        self,
+        upstream: Upstream,
+        order: Order,
+        timeout: float,
+    ) -> OrderResult:
+        await self.running.wait()
+        result = await self.group.order(upstream, order, timeout)
+        await self.running.wait()
+        return result
+
+    async def report(self, upstream: Upstream) -> RankReport | None:
+        await self.running.wait()
+        return await self.group.report(upstream)
+
+
+@pytest.mark.parametrize('seed', range(80))
+def test_a_suspended_leader_never_causes_inconsistent_placements(
+    seed: int,
+) -> None:
+    """Guards against a leader that resumes while another one undoes its change.
+
+    One rank is unreachable at times, so the undo takes long.
+    """
+
+    async def scenario() -> None:
+        generator = random.Random(seed)
+        group = FakeRankGroup(
+            generator,
+            loss_probability=0.1,
+            late_probability=0.1,
+        )
+        passes = asyncio.ensure_future(group.run_passes())
+        engines = SuspendableEngines(group)
+        leader = PlacementSwitch(engines, upstreams(), EPOCH)
+        execute(group, Prepare(EPOCH, VERSION, OTHER_PLACEMENT), 0, 1, 2, 3)
+        switching = asyncio.ensure_future(
+            leader.switch(VERSION, PLACEMENT, group.step + 3)
+        )
+        armed_count = generator.randint(0, RANKS)
+        while sum(bool(rank.armed) for rank in group.ranks) < armed_count:
+            await asyncio.sleep(0.001)
+        engines.running.clear()
+        ending = asyncio.ensure_future(discover_until_open(group))
+        await asyncio.sleep(generator.uniform(0, 0.01))
+        group.unreachable = {generator.randrange(RANKS)}
+        await asyncio.sleep(generator.uniform(0, 3))
+        engines.running.set()
+        await asyncio.sleep(generator.uniform(0, 1))
+        group.unreachable.clear()
+        await switching
+        await ending
+        await asyncio.sleep(4)
+        await discover_until_open(group)
+        before = group.step
+        await asyncio.sleep(1)
+        passes.cancel()
+        assert group.step > before
+        assert not group.inconsistent_steps
+
+    run(scenario())
--- a/tests/gateway/test_placement_switch.py
+++ b/tests/gateway/test_placement_switch.py
@@ -159,6 +159,23 @@
     run(scenario())
 
 
+def test_change_of_a_group_with_one_rank_is_undone() -> None:
+    """Guards against an undo that needs a second rank for its hold."""
+
+    async def scenario() -> None:
+        group = FakeRankGroup(
+            random.Random(1),
+            loss_probability=0,
+            late_probability=0,
+        )
+        switch = PlacementSwitch(group, upstreams()[:1], EPOCH)
+        outcome = await switch.switch(VERSION_STRIDE, PLACEMENT, group.step + 3)
+        assert outcome is SwitchOutcome.UNDONE
+        assert group.ranks[0].held_step is None
+
+    run(scenario())
+
+
 def test_delayed_arm_order_conflicts_after_undo() -> None:
     async def scenario() -> None:
         group = FakeRankGroup(
