Wait for a restarted agent that has no configuration yet

Callers got 503, not_run, within 20 ms while an agent restarted, although the entry waits up to 3 s for one that reconnects.

Cause: a restarted agent is linked before it has a configuration, and refuses requests until then. The entry took a linked agent that refuses for one that does so on purpose.

The load now tells whether the agent is starting, and the entry waits while a link is not ready: down, or its agent starting. A link counts as ready only after the routing has its load, and readiness is read before and after the choice, so no request falls between the two.

The new test_request_waits_for_an_agent_without_a_configuration fails if the entry looks only at whether the link is up.

--- a/primroseyoke/attempts.py
+++ b/primroseyoke/attempts.py
@@ -322,6 +322,7 @@
             len(admission.waiting),
             admission.current_limit,
             not self.refusal_reason(),
+            starting=self.configuration is None and not self.draining,
         )
 
     def refusal_reason(self) -> str:
--- a/primroseyoke/dispatch.py
+++ b/primroseyoke/dispatch.py
@@ -304,32 +304,36 @@
         request: CallerRequest,
         deadline: float,
     ) -> str | None:
-        """Choose an upstream; wait briefly for lost links to reconnect.
+        """Choose an upstream; wait briefly for restarted agents.
 
-        A restarted agent reconnects within seconds. There is no wait for an
-        agent that is linked and refuses requests, since it does so on purpose.
+        A restarted agent reconnects and has a configuration within seconds.
+        There is no wait for an agent that refuses requests for another reason,
+        since it does so on purpose.
         """
         reconnect_deadline = min(
             deadline, time.monotonic() + _RECONNECT_TIMEOUT_SECONDS
         )
-        has_lost_link = self._has_lost_link(request.service)
+        has_restarted = self._has_restarted_agent(request.service)
         upstream = self._choose_upstream(request, ())
-        while upstream is None and has_lost_link:
+        # An agent may have been lost or become ready during the choice.
+        if upstream is None and not has_restarted:
+            has_restarted = self._has_restarted_agent(request.service)
+        while upstream is None and has_restarted:
             if time.monotonic() + _RETRY_DELAY_SECONDS >= reconnect_deadline:
                 break
             time.sleep(_RETRY_DELAY_SECONDS)
             upstream = self._choose_upstream(request, (), repeated=True)
         return upstream
 
-    def _has_lost_link(self, service: str) -> bool:
-        """Return whether the link to an upstream of the service is down."""
+    def _has_restarted_agent(self, service: str) -> bool:
+        """Return whether an agent of the service is not linked or not ready."""
         configuration = self.configuration
         if configuration is None:
             return False
         return any(
             upstream.service == service
             and configuration.accepts_requests(name)
-            and not self.pool.is_linked(name)
+            and not self.pool.is_ready(name)
             for name, upstream in configuration.parts_of_kind(
                 'upstream'
             ).items()
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -139,7 +139,11 @@
 
 
 class Link:
-    """Connection of an entry to one agent, restored until it is closed."""
+    """Connection of an entry to one agent, restored until it is closed.
+
+    Attributes:
+        is_ready: whether the link is up and its agent has a configuration.
+    """
 
     def __init__(self, pool: 'LinkPool', upstream: str, address: str) -> None:
         """Connect to the agent of ``upstream`` at ``address``."""
@@ -148,6 +152,7 @@
         self.address = address
         self.attempts: dict[int, Attempt] = {}
         self.outgoing: asyncio.Queue[Message] | None = None
+        self.is_ready = False
         self.task = pool.event_loop.loop.create_task(self._keep_connected())
 
     def send(self, message: Message) -> None:
@@ -225,15 +230,14 @@
         self, websocket: Any, welcome: Welcome
     ) -> None:
         self.outgoing = asyncio.Queue()
-        self.pool.on_message(self, welcome)
+        self._pass_on(welcome)
         writer = asyncio.create_task(self._send_queued(websocket))
         try:
             async for frame in websocket:
                 self._handle_message(decode(frame))
         finally:
-            self.outgoing = None
             writer.cancel()
-            self._fail_attempts()
+            self._mark_lost()
             self.pool.report_lost(self)
 
     async def _send_queued(self, websocket: Any) -> None:
@@ -251,7 +255,7 @@
 
     def _handle_message(self, message: Message) -> None:
         if not isinstance(message, Reply):
-            self.pool.on_message(self, message)
+            self._pass_on(message)
             return
         attempt = self.attempts.get(message.attempt)
         if attempt is None:
@@ -261,10 +265,20 @@
         if isinstance(message, Body):
             attempt.received_bytes += len(message.content)
         else:
-            self.pool.on_message(self, message)
+            self._pass_on(message)
         attempt.replies.put(message)
 
-    def _fail_attempts(self) -> None:
+    def _pass_on(self, message: Message) -> None:
+        self.pool.on_message(self, message)
+        load = getattr(message, 'load', None)
+        if load is not None:
+            # After the callback, so that whoever finds the link ready can use
+            # the upstream.
+            self.is_ready = not load.starting
+
+    def _mark_lost(self) -> None:
+        self.outgoing = None
+        self.is_ready = False
         for attempt in self.attempts.values():
             attempt.replies.put(LinkLost(attempt.sent))
         self.attempts.clear()
@@ -313,6 +327,11 @@
         link = self.links.get(upstream)
         return link is not None and link.outgoing is not None
 
+    def is_ready(self, upstream: str) -> bool:
+        """Tell whether the link is up and its agent has a configuration."""
+        link = self.links.get(upstream)
+        return link is not None and link.is_ready
+
     def broadcast(self, message: Message) -> None:
         """Send a message over every link that is up."""
         for link in tuple(self.links.values()):
--- a/primroseyoke/messages.py
+++ b/primroseyoke/messages.py
@@ -46,13 +46,15 @@
 
     ``running`` and ``waiting`` count requests, ``limit`` is the current maximum
     of running requests, ``accepting`` is false while the agent refuses new
-    ones.
+    ones, ``starting`` is true while it does so only because it has no
+    configuration yet.
     """
 
     running: int = 0
     waiting: int = 0
     limit: int = 0
     accepting: bool = True
+    starting: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,9 +1,11 @@
 """Overload, crashes and removal of upstreams in separate processes."""
 
 import json
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+import xxhash
 from result import Err
 
 from primroseyoke.attempts import AttemptsActor, Drain, MessageReceived
@@ -13,11 +15,21 @@
 from primroseyoke.executions import ExecutionEnded
 from primroseyoke.idempotency_keys import StoredResponse
 from primroseyoke.jobs import outcome_of
-from primroseyoke.messages import Hello, LoadReport
+from primroseyoke.links import LinkServer
+from primroseyoke.messages import (
+    End,
+    Head,
+    Hello,
+    Load,
+    LoadReport,
+    Start,
+    Welcome,
+)
 from primroseyoke.response_buffering import BufferLimits
+from primroseyoke.settings import Address
 from primroseyoke.verdicts import Verdict
 from tests.configurations import build_configuration
-from tests.conftest import accepts_all
+from tests.conftest import accepts_all, is_linked
 from tests.fleet import HTTP, Fleet, call, chat, chat_text, wait_for
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -120,6 +132,42 @@
     assert chat(fleet.entries[0], 'draft', 'after').status == 200
 
 
+def test_request_waits_for_an_agent_without_a_configuration(fleet):
+    """Guards against refusals while a restarted agent gets its configuration.
+
+    It is linked before, and refused all requests that came in between.
+    """
+    fleet.add_service('draft', 'model', ZONES[:1])
+    start_entries(fleet, entries=1)
+    fleet.processes['draft-1'].kill()
+    wait_for(lambda: not accepts_all(fleet.entries[0]))
+
+    def reply(peer, message):
+        if isinstance(message, Start):
+            empty_digest = xxhash.xxh3_64_intdigest(b'')
+            peer.send(Head(message.attempt, 200, (), False, Load()))
+            peer.send(End(message.attempt, 0, empty_digest, Load()))
+
+    host, _, port = fleet.processes['draft-1'].address.partition(':')
+    agent = LinkServer(
+        Address(host, int(port)),
+        lambda: Welcome('draft-1', 'i', Load(accepting=False, starting=True)),
+        reply,
+        lambda peer: None,
+        dict,
+    )
+    agent.start()
+    try:
+        wait_for(lambda: is_linked(fleet.entries[0]))
+        with ThreadPoolExecutor(1) as pool:
+            response = pool.submit(chat, fleet.entries[0], 'draft', 'after')
+            time.sleep(0.5)
+            agent.broadcast(LoadReport(Load(limit=4)))
+            assert response.result().status == 200
+    finally:
+        agent.stop()
+
+
 @pytest.mark.parametrize('removed', ['zone', 'upstream', 'part'])
 def test_removed_upstream_gets_no_new_requests(fleet, removed):
     """Guards against new requests after a removal and against cut responses.
