Test the stop of a gateway without a race against its deadline

Nothing of this reached callers.

Cause, in the test: it waited for two responses of 0.8 s, one after the other, and a stand-in with 2 s of grace rejects new requests from 1 s after the signal and answers all others at 1.6 s. There was no time left.

The response is now held by the test until it has checked readiness and sent another request, in place of 0.8 s. What is checked stays: not ready, the request in progress completes with Connection: close, and a request after it is served. New: one during it is served too.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -23,15 +23,6 @@
 from tests.standins.platform import StandInUpstream, answer_ok
 
 
-async def respond_slowly(
-    upstream: StandInUpstream,
-    request: CallerRequest,
-    response: ResponseWriter,
-) -> None:
-    await asyncio.sleep(0.8)
-    response.respond(200, upstream.signature_headers(request), b'done')
-
-
 async def respond_large(
     upstream: StandInUpstream,
     request: CallerRequest,
@@ -61,8 +52,24 @@
 
 
 def test_sigterm_finishes_requests_and_turns_readiness_off() -> None:
+    """Guards against requests that a stop cuts off or rejects too early.
+
+    The load balancer in front still sends requests after the signal.
+    """
+
     async def scenario() -> None:
-        async with deployment(app=(respond_slowly,)) as system:
+        is_done = asyncio.Event()
+
+        async def finish_posting_when_done(
+            upstream: StandInUpstream,
+            request: CallerRequest,
+            response: ResponseWriter,
+        ) -> None:
+            if request.method == 'POST':
+                await is_done.wait()
+            response.respond(200, upstream.signature_headers(request), b'done')
+
+        async with deployment(app=(finish_posting_when_done,)) as system:
             call = asyncio.ensure_future(system.call('/book/', 'POST'))
             await wait_until(
                 lambda: bool(system.upstreams['app-0'].received_requests)
@@ -72,11 +79,13 @@
             assert (
                 await admin_client(system).call('GET', '/ready')
             ).status == 503
+            assert (await system.call('/lookup/')).status == 200
+            assert not call.done()
+            is_done.set()
             received = await call
             assert (received.status, received.body) == (200, b'done')
             assert received.headers['connection'] == 'close'
-            late = await system.call('/lookup/')
-            assert late.status == 200
+            assert (await system.call('/lookup/')).status == 200
 
     asyncio.run(scenario())
 
