Test the end of false crash evidence with a paused clock

Nothing of this reached callers.

Cause, in the test: it refuted crashes about 1 ms after it had made them, on the real clock. Ages in messages do not count the transit, so a copy of a crash seems younger by the time that the process stood still between two hosts. A trace shows a copy 12 ms younger, hence later than the refutation, which hosts then took for a new crash. Gateways refute after seconds, for which a copy must be as late.

The test now pauses the clock, lets each datagram take 20 ms and refutes after 6 s. A second test covers what the trace suggests: a host that stood still for longer than that brings the evidence back, and it ends again at all hosts.

--- a/tests/gateway/test_evidence_sharing.py
+++ b/tests/gateway/test_evidence_sharing.py
@@ -6,6 +6,7 @@
 import cbor2
 import pytest
 
+from primroseyoke.gateway import crash_detection, evidence_sharing
 from primroseyoke.gateway.balancer import Balancer
 from primroseyoke.gateway.crash_detection import CrashDetector, request_traits
 from primroseyoke.gateway.evidence_sharing import EvidenceSharing
@@ -18,6 +19,30 @@
 # Rounds of one second in which a host that is in touch has to know of crashes.
 MAX_ROUNDS = 3
 PORT = 7340
+TRANSIT_SECONDS = 0.02
+# After this time, a crashed upstream is no longer registered.
+EXPIRY_SECONDS = 5.0
+
+
+class Clock:
+    """Boot time that tests advance."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+    def advance(self, seconds):
+        self.now += seconds
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    current = Clock()
+    monkeypatch.setattr(crash_detection, 'boot_time', current)
+    monkeypatch.setattr(evidence_sharing, 'boot_time', current)
+    return current
 
 
 class Network:
@@ -29,6 +54,9 @@
         self.loss = 0.0
         self.cut = set()
         self.received = {}
+        self.on_transit = lambda: None
+        # Datagrams that wait at suspended hosts, with their senders.
+        self.suspended = {}
 
     def add_host(self):
         number = len(self.hosts)
@@ -48,11 +76,20 @@
         if self.generator.random() < self.loss:
             return
         self.received[receiver].append(len(content))
+        self.on_transit()
+        if receiver in self.suspended:
+            self.suspended[receiver].append((content, (sender, PORT)))
+            return
         self.hosts[receiver].reporter.datagram_received(content, (sender, PORT))
 
+    def resume(self, host):
+        for content, sender in self.suspended.pop(host.address):
+            host.reporter.datagram_received(content, sender)
+
     def gossip(self):
         for host in self.hosts.values():
-            host.sharing.gossip()
+            if host.address not in self.suspended:
+                host.sharing.gossip()
 
     def know(self, *parts):
         return [host for host in self.hosts.values() if host.is_refused(*parts)]
@@ -188,17 +225,50 @@
     assert joined.is_refused('style', 'bad')
 
 
-def test_false_evidence_of_a_cut_host_ends_at_all_hosts():
-    """Guards against sound callers that are refused at all hosts."""
+def refute_and_gossip(network):
+    for host in network.hosts.values():
+        host.detector.refute_false_crashes(EXPIRY_SECONDS)
+        network.gossip()
+
+
+def test_false_evidence_of_a_cut_host_ends_at_all_hosts(clock):
+    """Guards against sound callers that are refused at all hosts.
+
+    Ages in messages do not count the transit, so each copy of a crash seems a
+    little later than the one it was made from.
+    """
     network = network_of(8)
+    network.on_transit = lambda: clock.advance(TRANSIT_SECONDS)
     cut_off = next(iter(network.hosts.values()))
     # Connections to two upstreams fail, those to others in their zones do not.
     cut_off.crash('u-1', 'style')
     cut_off.crash('u-2', 'style')
     assert len(network.know('style')) == 8
-    for host in network.hosts.values():
-        host.detector.refute_false_crashes(expiry=0)
-        network.gossip()
+    clock.advance(EXPIRY_SECONDS + 1)
+    refute_and_gossip(network)
+    assert network.know('style') == []
+
+
+def test_false_evidence_that_a_host_reads_late_ends_at_all_hosts(clock):
+    """Guards against evidence that a host which stood still brings back.
+
+    What waited in its socket seems as much too young as it stood still.
+    """
+    network = network_of(8)
+    network.on_transit = lambda: clock.advance(TRANSIT_SECONDS)
+    cut_off, *_, suspended = network.hosts.values()
+    network.suspended[suspended.address] = []
+    cut_off.crash('u-1', 'style')
+    cut_off.crash('u-2', 'style')
+    clock.advance(EXPIRY_SECONDS + 1)
+    refute_and_gossip(network)
+    assert network.know('style') == []
+    network.resume(suspended)
+    network.gossip()
+    clock.advance(EXPIRY_SECONDS + 1)
+    # A host that has just checked can get it from one that has not.
+    for _ in network.hosts:
+        refute_and_gossip(network)
     assert network.know('style') == []
 
 
