Tell crashes of different starts of an upstream apart

Cause: crashes of one upstream within a second counted as one, since reports of several hosts about a crash differ by less. An upstream that is back at once crashes of the next request within that second. Each of the two requests then seemed to have been at both crashes, so its own part excused the common one, for all requests after them as well.

An agent now records the start of the upstream that crashed: the restarts that it had seen before the request. Gateways did so already. How many upstreams a trait has crashed is still counted by their names.

The new test_requests_that_crash_upstreams_in_quick_succession_are_told_apart fails with the names of the upstreams in place of their starts.

--- a/primroseyoke/crash_detection.py
+++ b/primroseyoke/crash_detection.py
@@ -13,6 +13,7 @@
     Evidence,
     Traits,
     UNKNOWN_REQUEST,
+    start_key,
     trait,
 )
 from .suspects import Classification, SuspectTable
@@ -151,13 +152,14 @@
         return changed
 
     def _record_crash(self, crashed: list[BrokenAttempt]) -> set[int]:
+        start = max(attempt.restart_count for attempt in crashed)
         requests = [attempt.traits for attempt in crashed]
         if not all(attempt.alone for attempt in crashed):
             # The cause may be a request that was given up before.
             requests.append(UNKNOWN_REQUEST)
         return self._broadcast(
             self.suspects.record_crash(
-                self.upstream, requests, time.monotonic()
+                start_key(self.upstream, start), requests, time.monotonic()
             )
         )
 
--- a/primroseyoke/evidence.py
+++ b/primroseyoke/evidence.py
@@ -13,10 +13,14 @@
     'Crash',
     'Evidence',
     'Traits',
+    'start_key',
     'trait',
+    'upstream_of',
 )
 
 _TRAIT_BYTES = 8
+# No name of an upstream contains it.
+_START_SEPARATOR = '#'
 
 #: The traits of one request.
 Traits = frozenset[int]
@@ -31,6 +35,7 @@
 class Crash:
     """A crash of an upstream ``age`` seconds ago.
 
+    ``upstream`` is its name, or the ``start_key`` of the start that crashed.
     ``requests`` has the traits of each request that may have caused it; one
     without traits is unknown.
     """
@@ -70,6 +75,21 @@
 NO_EVIDENCE = Evidence()
 
 
+def start_key(upstream: str, start: int) -> str:
+    """Return a key that differs for each start of an upstream.
+
+    Args:
+        upstream: name of the upstream.
+        start: number of the restarts before.
+    """
+    return f'{upstream}{_START_SEPARATOR}{start}'
+
+
+def upstream_of(key: str) -> str:
+    """Return the name of the upstream that a ``start_key`` was made from."""
+    return key.partition(_START_SEPARATOR)[0]
+
+
 def trait(*texts: bytes) -> int:
     """Return a trait that identifies ``texts``; 64 bits."""
     digest = hashlib.blake2b(digest_size=_TRAIT_BYTES)
--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -13,7 +13,7 @@
 import itertools
 from collections.abc import Iterable, Mapping
 
-from .evidence import Clearance, Crash, Evidence, Traits
+from .evidence import Clearance, Crash, Evidence, Traits, upstream_of
 
 __all__ = ('Classification', 'SuspectTable')
 
@@ -54,6 +54,7 @@
 class _Blame:
     """Crashes that one trait may have caused.
 
+    ``crashed_at`` has the time by upstream, or by each of its starts.
     ``companions`` are the traits that were there at each of these crashes.
     """
 
@@ -63,7 +64,7 @@
 
     @property
     def count(self) -> int:
-        return len(self.crashed_at)
+        return len(set(map(upstream_of, self.crashed_at)))
 
     @property
     def round_count(self) -> int:
@@ -96,7 +97,7 @@
     counts that time.
 
     Attributes:
-        crashes: time of the crash by upstream and by the traits of a request
+        crashes: time of the crash by upstream, or by its start, and by the traits of a request
             that may have caused it.
         cleared_at: time of the last answer by trait.
         refuted_at: time at which an upstream was known not to have crashed.
@@ -131,7 +132,9 @@
         """Record a crash; return the evidence to broadcast.
 
         Args:
-            upstream: the upstream that crashed.
+            upstream: the upstream that crashed, or its start (``start_key``).
+                Crashes of one upstream within a second are told apart only by
+                their starts.
             requests: traits of each request that may have caused the crash.
             now: time of the crash in seconds.
         """
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from primroseyoke.crash_detection import CrashDetector
+from primroseyoke.crash_detection import (
+    BrokenAttempt,
+    CrashDetector,
+    LoadPolled,
+)
 from primroseyoke.suspects import Classification
 
 STYLE, BAD = 1, 2
@@ -56,3 +60,21 @@
     assert detector.admit(traits) is Classification.REFUSED
     clock[0] += 2
     assert detector.admit(traits) is Classification.SUSPECT
+
+
+def test_crashes_of_different_starts_are_told_apart(clock):
+    """Guards against requests that are blamed for crashes before they ran."""
+    detector = CrashDetector('draft-1', lambda: None)
+    for restart_count in (0, 1):
+        now = time.monotonic()
+        traits = frozenset({BAD, 10 + restart_count})
+        detector.defer(
+            BrokenAttempt(
+                traits, True, restart_count, lambda crashed: None, now
+            )
+        )
+        detector.resolve(LoadPolled(None, now), restart_count)
+    assert [set(crash) for crash in detector.suspects.crashes.values()] == [
+        {frozenset({BAD, 10})},
+        {frozenset({BAD, 11})},
+    ]
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -3,7 +3,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from primroseyoke.evidence import Crash, Evidence, UNKNOWN_REQUEST
+from primroseyoke.evidence import (
+    Crash,
+    Evidence,
+    UNKNOWN_REQUEST,
+    start_key,
+)
 from primroseyoke.suspects import (
     Classification,
     EVIDENCE_LIFETIME_SECONDS,
@@ -22,6 +27,7 @@
 CRASH_A_UNKNOWN = ('a', (frozenset({7}), UNKNOWN_REQUEST))
 CLEAR = ('', (frozenset({7, 8}),))
 
+CRASH_A_AGAIN = (start_key('a', 1), ALONE)
 REQUESTS = st.frozensets(st.integers(1, 3), max_size=3)
 EVENTS = st.tuples(
     st.tuples(
@@ -46,6 +52,7 @@
         ([], Classification.CLEAR),
         ([CRASH_A_ALONE], Classification.SUSPECT),
         ([CRASH_A_ALONE, CRASH_A_ALONE], Classification.SUSPECT),
+        ([CRASH_A_ALONE, CRASH_A_AGAIN], Classification.SUSPECT),
         ([CRASH_A_SHARED, CRASH_B_SHARED], Classification.SUSPECT),
         ([CRASH_A_UNKNOWN, CRASH_B_SHARED], Classification.SUSPECT),
         (
@@ -297,3 +304,23 @@
         )
     classified = table.classify(frozenset({common, third}), 40)
     assert classified is Classification.REFUSED
+
+
+@pytest.mark.parametrize('seconds', [0.1, 2])
+def test_requests_that_crash_upstreams_in_quick_succession_are_told_apart(
+    seconds,
+):
+    """Guards against a common cause that each further request excuses.
+
+    The upstreams are back at once. Crashes of the first request were taken for
+    crashes of the second one, too, so their own parts excused the common one.
+    """
+    table = SuspectTable()
+    common, now = 1, 100.0
+    for own in (2, 3):
+        for upstream in ('a', 'b'):
+            key = start_key(upstream, own)
+            table.record_crash(key, [frozenset({common, own})], now)
+            now += seconds
+    third = frozenset({common, 4})
+    assert table.classify(third, now) is Classification.REFUSED
