Do not take over the outage of a host that the store turned away

Cause: after an outage hosts keep removed upstreams for 2 s, since entries may have expired meanwhile. A host that had lost the store passed its recovery on with the records that others fetched from it, also to hosts which the store had served all the time. A reader that was turned away and confirmed by other readers counted each confirmation as a recovery.

Evidence: test_a_reader_that_the_store_turned_away_is_no_outage (3 cases) and test_a_reader_that_was_cut_off_is_no_outage_for_others failed before.

--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -76,6 +76,13 @@
         A host that is no reader reads the store from then on.
         """
 
+    @property
+    def max_takeover_delay(self) -> float:
+        """Return the age, in seconds, at which any such host reads the store.
+
+        Copies are younger as long as the store serves one of the hosts.
+        """
+
     def newer_host(self, replica: TopicReplica) -> str | None:
         """Return the address of a gateway that has newer records, if any."""
 
@@ -173,9 +180,9 @@
         ):
             return
         self.topic.eras.learn(next_position.era, boot_time())
+        self._record_success(confirmed_at)
         replica.confirm(next_position)
         replica.confirmed_at = confirmed_at
-        self._record_success(confirmed_at)
         self.on_update(TopicChanges((), _monotonic(confirmed_at)))
 
     def state(self) -> dict[str, float]:
@@ -323,7 +330,10 @@
         self.topic.eras.learn(page.era, boot_time())
         received_at = boot_time()
         recovered_at = received_at - page.recovery_age
-        if recovered_at > replica.recovered_at:
+        is_later_era = known is not None and known.era < page.era
+        if recovered_at > replica.recovered_at and (
+            is_later_era or not self._was_confirmed_before(recovered_at)
+        ):
             self._record_recovery(recovered_at)
         records = page.keyed_records()
         if page.complete:
@@ -394,10 +404,23 @@
                     'failures': self.consecutive_failures,
                 },
             )
-            self._record_recovery(recovered_at)
+            if not self._was_confirmed_before(recovered_at):
+                self._record_recovery(recovered_at)
         self.reachable = True
         self.consecutive_failures = 0
 
+    def _was_confirmed_before(self, recovered_at: float) -> bool:
+        """Tell whether the store has served other gateways until then.
+
+        It may turn some hosts away and serve the others. What it removed
+        meanwhile has not expired because it was away.
+        """
+        return (
+            self.source is not None
+            and recovered_at - self.replica.confirmed_at
+            < self.source.max_takeover_delay
+        )
+
     def _record_recovery(self, recovered_at: float) -> None:
         self.replica.recovered_at = recovered_at
         self.on_update(StoreReconnected(_monotonic(recovered_at)))
--- a/primroseyoke/gateway/topic_sharing.py
+++ b/primroseyoke/gateway/topic_sharing.py
@@ -150,6 +150,13 @@
             + min(steps, _MAX_TAKEOVER_STEPS) * _TAKEOVER_STEP_SECONDS
         )
 
+    @property
+    def max_takeover_delay(self) -> float:
+        return (
+            self.sharing.max_update_delay * _TAKEOVER_SHARE
+            + _MAX_TAKEOVER_STEPS * _TAKEOVER_STEP_SECONDS
+        )
+
     def newer_host(self, replica: TopicReplica) -> str | None:
         now = boot_time()
         self.ahead = {
--- a/tests/gateway/test_topic_sharing.py
+++ b/tests/gateway/test_topic_sharing.py
@@ -112,6 +112,48 @@
     run_system(scenario, 99)
 
 
+@pytest.mark.parametrize('seconds', [0.3, 3, 10])
+def test_a_reader_that_the_store_turned_away_is_no_outage(seconds) -> None:
+    """Guards against removed upstreams that hosts keep as after an outage.
+
+    The store served the other hosts all the time.
+    """
+
+    async def scenario(system: System) -> None:
+        system.store.away_for = {system.readers()[0]}
+        await asyncio.sleep(seconds)
+        system.store.away_for = set()
+        system.store.put('first', b'')
+        await asyncio.sleep(2)
+        for host in system.hosts.values():
+            kinds = [type(event) for event in host.events]
+            assert StoreReconnected not in kinds
+            assert 'first' not in host.values
+
+    run_system(scenario)
+
+
+def test_a_reader_that_was_cut_off_is_no_outage_for_others() -> None:
+    """Guards against the same through a reader that comes back."""
+
+    async def scenario(system: System) -> None:
+        reader = system.readers()[0]
+        system.store.away_for = system.isolated = {reader}
+        await asyncio.sleep(5)
+        system.isolated = set()
+        # The others have the next record from this reader only.
+        system.store.away_for = set(system.hosts) - {reader}
+        await asyncio.sleep(0.5)
+        system.store.put('first', b'')
+        await asyncio.sleep(2)
+        for address, host in system.hosts.items():
+            kinds = [type(event) for event in host.events]
+            assert (StoreReconnected in kinds) == (address == reader)
+            assert 'first' not in host.values
+
+    run_system(scenario)
+
+
 def test_a_host_that_starts_during_an_outage_is_told_by_its_peers() -> None:
     """Guards against a restarted host that knows nothing until the store is."""
 
