Count a store that returns from a copy as an outage at all hosts

Callers could get refusals for upstreams that run: a store that comes back from an older copy may lack entries, which are to be kept for 2 s.

Cause: hosts that list the topic, or fetch it in its new era, counted this as an outage. Hosts whose records had the same effect were only told that they were up to date, moved to the new era and counted nothing. An entry that then expired in the copy was removed at once.

--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -181,6 +181,8 @@
             return
         self.topic.eras.learn(next_position.era, boot_time())
         self._record_success(confirmed_at)
+        if next_position.era > replica.next_position.era:
+            self._record_recovery(confirmed_at)
         replica.confirm(next_position)
         replica.confirmed_at = confirmed_at
         self.on_update(TopicChanges((), _monotonic(confirmed_at)))
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -9,6 +9,7 @@
 from primroseyoke.gateway.peer_reports import decode_message
 from primroseyoke.gateway.topic_replica import TopicReplica
 from primroseyoke.gateway.topic_sharing import Announcement, decode_page
+from primroseyoke.gateway.topics import StoreReconnected
 from primroseyoke.positions import Position
 from tests.standins.topic_hosts import (
     MAX_UPDATE_DELAY_SECONDS,
@@ -46,6 +47,28 @@
     run_system(scenario)
 
 
+@pytest.mark.parametrize('kept', [1, 2])
+@pytest.mark.parametrize('keeps_lost', [True, False])
+def test_all_hosts_know_that_the_store_is_a_copy(
+    kept: int, keeps_lost: bool
+) -> None:
+    """Guards against entries that count as removed since the copy lacks them.
+
+    The store does not fail any read, and the copy may lack nothing.
+    """
+
+    async def scenario(system: System) -> None:
+        for host in system.hosts.values():
+            host.consumer.replica.keeps_lost = keeps_lost
+        await system.update_delay('second')
+        system.store.restore(kept)
+        await asyncio.sleep(3)
+        for host in system.hosts.values():
+            assert StoreReconnected in map(type, host.events)
+
+    run_system(scenario)
+
+
 def test_records_between_are_not_skipped() -> None:
     """Guards against offsets that pass the old ones before the next read.
 
