--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -81,3 +81,13 @@
     assert [event.event_id for event in splitter.take()] == ['1']
     with pytest.raises(ResponseInvalid):
         splitter.take()
+
+
+def test_large_events_are_taken_a_few_at_a_time() -> None:
+    """Guards against a turn, and a copy, as large as what was received."""
+    splitter = EventSplitter(2**20)
+    event = b'data: ' + b'x' * 16384 + b'\n\n'
+    splitter.feed(event * 32)
+    taken = splitter.take()
+    assert 0 < len(taken) * len(event) < 2**17
+    assert len(taken) + len(take_all(splitter)) == 32
