--- a/primroseyoke/gateway/topic_consumers.py
+++ b/primroseyoke/gateway/topic_consumers.py
@@ -78,7 +78,7 @@
 
     @property
     def max_takeover_delay(self) -> float:
-        """Return the age, in seconds, at which any such host reads the store.
+        """Return the age, in seconds, at which all such hosts read the store.
 
         Copies are younger as long as the store serves one of the hosts.
         """
@@ -334,7 +334,7 @@
         recovered_at = received_at - page.recovery_age
         is_later_era = known is not None and known.era < page.era
         if recovered_at > replica.recovered_at and (
-            is_later_era or not self._was_confirmed_before(recovered_at)
+            is_later_era or not self._was_served_before(recovered_at)
         ):
             self._record_recovery(recovered_at)
         records = page.keyed_records()
@@ -406,15 +406,15 @@
                     'failures': self.consecutive_failures,
                 },
             )
-            if not self._was_confirmed_before(recovered_at):
+            if not self._was_served_before(recovered_at):
                 self._record_recovery(recovered_at)
         self.reachable = True
         self.consecutive_failures = 0
 
-    def _was_confirmed_before(self, recovered_at: float) -> bool:
-        """Tell whether the store has served other gateways until then.
+    def _was_served_before(self, recovered_at: float) -> bool:
+        """Tell whether the store served any gateway shortly before a recovery.
 
-        It may turn some hosts away and serve the others. What it removed
+        It may turn this host away and serve the others. What it removed
         meanwhile has not expired because it was away.
         """
         return (
--- a/primroseyoke/links.py
+++ b/primroseyoke/links.py
@@ -230,7 +230,7 @@
         self, websocket: Any, welcome: Welcome
     ) -> None:
         self.outgoing = asyncio.Queue()
-        self._pass_on(welcome)
+        self._deliver(welcome)
         writer = asyncio.create_task(self._send_queued(websocket))
         try:
             async for frame in websocket:
@@ -255,7 +255,7 @@
 
     def _handle_message(self, message: Message) -> None:
         if not isinstance(message, Reply):
-            self._pass_on(message)
+            self._deliver(message)
             return
         attempt = self.attempts.get(message.attempt)
         if attempt is None:
@@ -265,10 +265,10 @@
         if isinstance(message, Body):
             attempt.received_bytes += len(message.content)
         else:
-            self._pass_on(message)
+            self._deliver(message)
         attempt.replies.put(message)
 
-    def _pass_on(self, message: Message) -> None:
+    def _deliver(self, message: Message) -> None:
         self.pool.on_message(self, message)
         load = getattr(message, 'load', None)
         if load is not None:
--- a/primroseyoke/suspects.py
+++ b/primroseyoke/suspects.py
@@ -97,8 +97,8 @@
     counts that time.
 
     Attributes:
-        crashes: time of the crash by upstream, or by its start, and by the traits of a request
-            that may have caused it.
+        crashes: time of the crash by upstream, or by its start, and by the
+            traits of a request that may have caused it.
         cleared_at: time of the last answer by trait.
         refuted_at: time at which an upstream was known not to have crashed.
         answered_at: time at which a request with a trait was last answered, as
