Do not disarm the next change in an undo that goes on

Cause: two hosts undo a change, and one of them cannot reach a rank. The other one ends the undo and begins the next change. Once the first one reaches the rank, it disarms what the rank reports to be armed with, which since may be the next change.

An undo now disarms no version that is later than all it knew as it began, and ends once the held pass has begun.

--- a/primroseyoke/gateway/placement_switch.py
+++ b/primroseyoke/gateway/placement_switch.py
@@ -151,7 +151,12 @@
         undone = await asyncio.gather(
             *(
                 RankUndo(
-                    self.sender, self.ranks, rank, self.epoch, version
+                    self.sender,
+                    self.ranks,
+                    rank,
+                    self.epoch,
+                    version,
+                    self.held_step,
                 ).run(current)
                 for rank in self.ranks
             ),
--- a/primroseyoke/gateway/placement_undo.py
+++ b/primroseyoke/gateway/placement_undo.py
@@ -2,7 +2,8 @@
 
 A rank is certain not to switch once it has prepared a newer version, which it
 refuses while it is armed, or once it has ended or its group has another epoch.
-A rank that is merely unreachable may run, and may be armed.
+A rank that is merely unreachable may run, and may be armed. Another host may end
+the undo meanwhile, and begin the next change.
 """
 
 import asyncio
@@ -49,6 +50,7 @@
         rank: Upstream,
         epoch: int,
         version: int,
+        step: int | None,
     ) -> None:
         """Undo a change of ``rank`` in the given epoch.
 
@@ -58,12 +60,15 @@
             rank: the rank to disarm.
             epoch: epoch of the group.
             version: the highest version that any rank of the group has had.
+            step: the held pass, None if there is none.
         """
         self.sender = sender
         self.engines: EngineClient = sender.engines
         self.ranks = ranks
         self.rank = rank
         self.epoch = epoch
+        self.version = version
+        self.step = step
         self.armed_version = version
         self.newest_version = version
 
@@ -79,7 +84,7 @@
             if result in {OrderResult.ACCEPTED, OrderResult.GONE}:
                 return True
             await asyncio.sleep(RETRY_SECONDS)
-            if await self._has_epoch_ended(attempt):
+            if await self._has_ended(attempt):
                 return True
         log.warning(
             'rank did not confirm the undo; the pass stays held',
@@ -106,22 +111,31 @@
                 break
         return result
 
-    async def _has_epoch_ended(self, attempt: int) -> bool:
-        """Ask the rank for its state; tell whether its epoch has ended.
+    async def _has_ended(self, attempt: int) -> bool:
+        """Ask the rank for its state; tell whether the change is over.
 
-        It may be armed with a version other than the one that was disarmed,
-        after an undo that ended early or an order that was executed late.
+        The rank may be armed with a version other than the one that was
+        disarmed, after an undo that ended early or an order that was executed
+        late. A version that is later than all of them belongs to the next
+        change: another host has ended this one.
         """
         report = await self._report(self.rank)
         if report is None:
             # Any other rank can tell the epoch.
             report = await self._report(self.ranks[attempt % len(self.ranks)])
         else:
-            self.armed_version = report.armed_version or self.armed_version
+            if report.armed_version and report.armed_version <= self.version:
+                self.armed_version = report.armed_version
             self.newest_version = max(
                 self.newest_version, report.highest_version
             )
-        return report is not None and report.epoch != self.epoch
+        return report is not None and (
+            report.epoch != self.epoch or self._has_begun(report)
+        )
+
+    def _has_begun(self, report: RankReport) -> bool:
+        """Tell whether another host has let the held pass begin."""
+        return self.step is not None and report.step >= self.step
 
     async def _report(self, rank: Upstream) -> RankReport | None:
         try:
--- a/tests/gateway/test_group_discovery.py
+++ b/tests/gateway/test_group_discovery.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from primroseyoke.exceptions import ServiceUnavailable
 from primroseyoke.gateway.engines import (
     Arm,
     Hold,
@@ -12,6 +13,7 @@
     OrderResult,
     Prepare,
     RankReport,
+    Release,
 )
 from primroseyoke.gateway.group_discovery import GroupDiscovery
 from primroseyoke.gateway.placement_switch import PlacementSwitch
@@ -233,3 +235,69 @@
         assert not group.inconsistent_steps
 
     run(scenario())
+
+
+class PartitionedEngines:
+    """Engines as a host sees them that cannot reach one rank."""
+
+    def __init__(self, group: FakeRankGroup, cut_off: str) -> None:
+        self.group = group
+        self.cut_off = cut_off
+
+    async def order(
+        self,
+        upstream: Upstream,
+        order: Order,
+        timeout: float,
+    ) -> OrderResult:
+        if upstream.name == self.cut_off:
+            return OrderResult.UNREACHABLE
+        return await self.group.order(upstream, order, timeout)
+
+    async def report(self, upstream: Upstream) -> RankReport | None:
+        if upstream.name == self.cut_off:
+            raise ServiceUnavailable(f'rank {upstream.name}: refused')
+        return await self.group.report(upstream)
+
+
+@pytest.mark.parametrize('is_idle', [False, True])
+def test_an_undo_does_not_disarm_a_later_change(is_idle: bool) -> None:
+    """Guards against an undo that goes on after another host has ended it.
+
+    It could not reach one rank. Once it can, that rank is armed for the next
+    change, whose pass is about to be released. An idle group has begun no pass
+    meanwhile.
+    """
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        group = reliable_group()
+        step = hold_and_arm(group, 1, 2)
+        engines = PartitionedEngines(group, '3')
+        cut_off = PlacementSwitch(engines, upstreams(), EPOCH)
+        cut_off.held_step = step
+        undoing = asyncio.ensure_future(cut_off.undo(VERSION, PLACEMENT))
+        await discover_until_open(group)
+        passes = asyncio.ensure_future(group.run_passes())
+        if is_idle:
+            passes.cancel()
+        await asyncio.sleep(2 * PASS_SECONDS)
+        later_version = group.ranks[0].highest_version + 10 * VERSION_STRIDE
+        later_step = group.step + 1
+        prepare = Prepare(EPOCH, later_version, OTHER_PLACEMENT)
+        execute(group, prepare, 0, 1, 2, 3)
+        execute(group, Hold(EPOCH, later_step), 0)
+        execute(group, Arm(EPOCH, later_version, later_step), 0, 1, 2, 3)
+        engines.cut_off = ''
+        reached_at = loop.time()
+        await undoing
+        assert is_idle or loop.time() - reached_at < 4 * PASS_SECONDS
+        execute(group, Release(EPOCH, later_step), 0)
+        passes.cancel()
+        passes = asyncio.ensure_future(group.run_passes())
+        await asyncio.sleep(4 * PASS_SECONDS)
+        passes.cancel()
+        assert {rank.version for rank in group.ranks} == {later_version}
+        assert not group.inconsistent_steps
+
+    run(scenario())
