--- a/review/lib-3/ranks3.py
+++ b/review/lib-3/ranks3.py
@@ -273,16 +273,15 @@
 
 async def stream(rank, request, writer):
     group = rank.group
-    writer.write(
-        encode(
-            'HTTP/1.1 200 OK',
-            [
-                *signed(request),
-                ('Content-Type', 'text/event-stream'),
-                ('Transfer-Encoding', 'chunked'),
-            ],
-            length=False,
-        )
+    # A request begins to run with its first token: so does its answer.
+    head = encode(
+        'HTTP/1.1 200 OK',
+        [
+            *signed(request),
+            ('Content-Type', 'text/event-stream'),
+            ('Transfer-Encoding', 'chunked'),
+        ],
+        length=False,
     )
     group.streams += 1
     try:
@@ -290,7 +289,8 @@
             async with group.pass_begun:
                 await group.pass_begun.wait()
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
-            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            writer.write(head + b'%x\r\n%s\r\n' % (len(event), event))
+            head = b''
             await writer.drain()
     finally:
         group.streams -= 1
--- a/review/lib-3/standins3.py
+++ b/review/lib-3/standins3.py
@@ -103,12 +103,25 @@
         self.port = 0
         self.changed = asyncio.Condition()
         self.era = 1
+        self.is_away = False
+        self.writers = set()
 
     async def start(self):
         server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
         self.server = server
         self.port = server.sockets[0].getsockname()[1]
 
+    async def restore(self, counts, away_seconds):
+        """Be away for a moment; come back from a copy with fewer records."""
+        self.is_away = True
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(away_seconds)
+        for topic, count in counts.items():
+            del self.topics[topic][count:]
+        self.era += 1
+        self.is_away = False
+
     async def put(self, topic, key, value):
         content = value if isinstance(value, bytes) else json.dumps(value).encode()
         await self.append(topic, [(key, content)])
@@ -122,7 +135,8 @@
         with contextlib.suppress(
             ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
-            while True:
+            self.writers.add(writer)
+            while not self.is_away:
                 request = await read_message(reader)
                 status, body = await self.answer(request)
                 writer.write(
@@ -133,6 +147,7 @@
                     )
                 )
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
     async def answer(self, request):
@@ -236,7 +251,8 @@
 
     async def beat(self, store):
         while True:
-            await store.put('keyed.servers', self.name, self.entry())
+            if not store.is_away:
+                await store.put('keyed.servers', self.name, self.entry())
             await asyncio.sleep(BEAT_SECONDS)
 
     async def serve(self, reader, writer):
@@ -385,7 +401,7 @@
             self.gateway.address, self.gateway.front, limit=2**22
         )
 
-    def send(self, identity, method, path, body=b'', timeout_ms=1500, extra=()):
+    def send(self, identity, method, path, body=b'', timeout_ms=1500, extra=(), key=True):
         self.record.add('client', f'sends {identity} {method} {path}')
         self.writer.write(
             encode(
@@ -394,7 +410,7 @@
                     ('Host', HOST),
                     ('X-Primroseyoke-Request-Id', identity),
                     ('X-Primroseyoke-Request-Timeout-Ms', str(timeout_ms)),
-                    ('Authorization', f'Bearer {KEY}'),
+                    *([('Authorization', f'Bearer {KEY}')] if key else ()),
                     *extra,
                 ],
                 body,
