--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,8 @@
-"""A rank's entry lapses while its streams go on; see claim.txt."""
+"""A rank's entry is removed while its streams go on; see claim.txt.
+
+The rank is cut off from the store for some seconds. With ``TROUBLE=leave`` it is
+replaced instead and never reports ``draining``; with ``TROUBLE=drain`` it does.
+"""
 
 import asyncio
 import os
@@ -25,7 +29,13 @@
     signed,
 )
 
-TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+TROUBLE = os.environ.get('TROUBLE', '1')
+# A leaving rank serves this long after its entry has gone (drainMs, and more).
+LEAVING_SECONDS = 3.0
+# Work that depends on a rank that has ended stalls for stall_ms.
+STALL_SECONDS = 1.5
+# The group is open again this long after a rank has ended.
+FORM_SECONDS = 3.0
 # srv_cut: the default length of 5 s; one of the five workers (share .2).
 CUT_SECONDS = 5.0
 EVENT_SECONDS = 0.1
@@ -49,24 +59,33 @@
 }
 
 
+class Group:
+    """The group: its epoch, and the rank that it lacks, if any."""
+
+    def __init__(self):
+        self.epoch = 1
+        self.missing = ''
+
+
 async def rank_answer(worker, request, reader, writer):
     """Answer as a rank: reports, counts, orders and streams."""
     await read_body(request, reader)
     path = request.first.split()[1]
+    group = worker.group
     if path.startswith(('/report', '/picked', '/order')):
         report = model_report(
             worker,
             group={
                 'name': 'g1',
-                'epoch': 1,
+                'epoch': group.epoch,
                 'rank': worker.rank,
-                'state': 'open',
+                'state': 'broken' if group.missing else 'open',
             },
             size=2,
             step=100,
             placement=0,
         )
-        picked = {'step': 100, 'epoch': 1, 'counts': [1, 1, 1, 1]}
+        picked = {'step': 100, 'epoch': group.epoch, 'counts': [1, 1, 1, 1]}
         body, status = report, '200 OK'
         if path.startswith('/picked'):
             body = picked
@@ -75,6 +94,18 @@
         writer.write(json_answer(status, body, request))
         return True
     identity = request.headers['x-primroseyoke-request-id']
+    if group.missing:
+        missing = group.missing
+        await asyncio.sleep(STALL_SECONDS)
+        worker.record.add(worker.name, f'turns {identity} away')
+        reason = [
+            ('X-Primroseyoke-Not-Executed', '1'),
+            ('At-Server', missing),
+        ]
+        writer.write(
+            encode('HTTP/1.1 503 Unavailable', signed(request, extra=reason))
+        )
+        return True
     events = int(path.split('events=')[1])
     worker.record.add(worker.name, f'begins {identity}, {events} events')
     writer.write(
@@ -90,6 +121,11 @@
     )
     for number in range(1, events + 1):
         await asyncio.sleep(EVENT_SECONDS)
+        if group.missing:
+            await asyncio.sleep(STALL_SECONDS)
+            worker.record.add(worker.name, f'cuts off {identity}')
+            writer.transport.abort()
+            return False
         event = f'id: {number}\ndata: piece {number}\n\n'.encode()
         writer.write(b'%x\r\n%s\r\n' % (len(event), event))
         await writer.drain()
@@ -128,7 +164,7 @@
             status = answer.status
             detail = answer.body[:160] if status != 200 else b'whole'
             self.record.add('client', f'{identity} is answered {status} {detail!r}')
-        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+        except (OSError, EOFError, TimeoutError, ValueError) as error:
             self.record.add('client', f'{identity} gets no answer: {error!r}')
         finally:
             client.close()
@@ -162,10 +198,41 @@
     for number, zone in enumerate(('za', 'zb', 'zc')):
         workers.append(Worker(record, f'i-plain{number}', 'birou', zone, plain_answer))
     ranks = []
-    for number, zone in enumerate(('za', 'zb')):
-        rank = Worker(record, f'i-rank{number}', 'model', zone, rank_answer)
+    group = Group()
+
+    def add_rank(name, number):
+        rank = Worker(record, name, 'model', ('za', 'zb')[number], rank_answer)
         rank.rank = number
+        rank.group = group
         ranks.append(rank)
+        return rank
+
+    async def replace(left):
+        """Replace a rank; it reports ``draining`` with ``TROUBLE=drain``."""
+        beats[left.name].cancel()
+        entry = b''
+        if TROUBLE == 'drain':
+            left.state = 'draining'
+            entry = left.entry()
+        record.add('store', f'entry of {left.name}, which leaves: {entry}')
+        await store.put('keyed.servers', left.name, entry)
+        await asyncio.sleep(LEAVING_SECONDS)
+        if TROUBLE == 'drain':
+            await store.put('keyed.servers', left.name, b'')
+        record.add('trouble', f'{left.name} ends')
+        group.missing = left.name
+        left.server.close()
+        left.reset_all()
+        await asyncio.sleep(FORM_SECONDS)
+        new = add_rank('i-rank2', left.rank)
+        await new.start()
+        group.missing = ''
+        group.epoch = 2
+        beats[new.name] = asyncio.create_task(new.beat(store))
+        record.add('trouble', f'{new.name} is in its place, the group is open')
+
+    for number in range(2):
+        add_rank(f'i-rank{number}', number)
     beats = {}
     for worker in (*workers, *ranks):
         await worker.start()
@@ -193,15 +260,17 @@
         before = asyncio.create_task(drafts('before', 14, 0.5, 20))
         await asyncio.sleep(1)
         cut = ranks[1]
-        if TROUBLE:
+        if TROUBLE in {'leave', 'drain'}:
+            await replace(cut)
+        elif TROUBLE == '1':
             record.add('trouble', f'{cut.name} is cut off from the store')
             beats[cut.name].cancel()
         await asyncio.sleep(3 * BEAT_SECONDS)
-        if TROUBLE:
+        if TROUBLE == '1':
             await store.put('keyed.servers', cut.name, b'')
             record.add('store', f'removes the entry of {cut.name}')
         await asyncio.sleep(CUT_SECONDS - 3 * BEAT_SECONDS)
-        if TROUBLE:
+        if TROUBLE == '1':
             record.add('trouble', f'{cut.name} reaches the store again')
             beats[cut.name] = asyncio.create_task(cut.beat(store))
         await before
@@ -222,7 +291,7 @@
     looked_up = run.served('lookup-steady')
     started = run.served('before')
     text = (
-        f'drafts served before and during the cut {started}, in steady state '
+        f'drafts served before and during the trouble {started}, in steady state '
         f'{drafted}; lookups in steady state {looked_up}'
     )
     record.add('result', text)
