--- a/review/13/case.py
+++ b/review/13/case.py
@@ -26,7 +26,8 @@
 # applied_late: an order is carried out 2 to 12 s later.
 LATE_SECONDS = 3.0
 CONTACT_SECONDS = 3.0
-FIRST_EVENTS = 14
+# They end before the held pass: the change begins 0.25 to 0.5 s after their start.
+FIRST_EVENTS = 11
 # Clients abandon a stream after a gap of 4 x 503 ms; these are short.
 PATIENCE_SECONDS = 2.1
 STEADY_COUNT = 30
