Count streams in the group that they were started in

Cause: the start and the end of a stream each looked up the rank group by the name of the rank. A rank whose entry is removed leaves its group at once, so streams that went on there ended in no group and stayed in its count. At the next quiet moment the group counted as stalled. It got no streams then, so that no event could end that. Events of such streams were lost alike, and a stream from before its group was known ended the count of another one, which hid a real stall.

Change: the start of a stream returns the status of its group, and the events and the end of the stream are recorded there. A stream whose group is not known yet counts from its first event after that.

The test that replaces two methods of RankGroupMonitor now replaces the start and the end that the start returns, and expects the same calls.

--- a/primroseyoke/gateway/attempts.py
+++ b/primroseyoke/gateway/attempts.py
@@ -6,6 +6,7 @@
 from .connection_pool import UpstreamConnection
 from .crash_detection import Candidate
 from .events import EventSplitter
+from .rank_groups import GroupStatus
 from .requests import ResponseHead
 from .upstreams import Upstream
 
@@ -21,9 +22,9 @@
     unless the answer is a stream, ``body`` is what was received of any other
     answer. ``event_count`` is the number of events sent to the caller.
     ``may_have_run`` is whether it counts as an attempt that the upstream may
-    have run, which is so once it was silent for too long. ``tracked`` is
-    whether its events tell whether the group of its upstream stands still.
-    ``held_bytes`` is the memory that is held for what was received of it.
+    have run, which is so once it was silent for too long. ``group`` is the
+    status of the rank group in which it counts as a stream. It is None if the
+    group is unknown, or while the upstream is silent for too long. ``held_bytes`` is the memory that is held for what was received of it.
     """
 
     reservation: Reservation
@@ -35,7 +36,7 @@
     body: bytearray = dataclasses.field(default_factory=bytearray)
     event_count: int = 0
     may_have_run: bool = False
-    tracked: bool = False
+    group: GroupStatus | None = None
     held_bytes: int = 0
 
     @property
--- a/primroseyoke/gateway/balancer.py
+++ b/primroseyoke/gateway/balancer.py
@@ -22,7 +22,7 @@
 from .group_capacities import GroupCapacities
 from .health import HealthTracker
 from .in_flight import InFlightRequests
-from .rank_groups import RankGroupMonitor
+from .rank_groups import GroupStatus, RankGroupMonitor
 from .request_costs import RequestCosts
 from .selection import GroupCapacity, Reservation, SelectionCriteria
 from .selection_scores import selection_score
@@ -129,6 +129,7 @@
     def record_event(
         self,
         upstream: Upstream,
+        group: GroupStatus | None,
         engine: Engine | None,
         gap: float,
         now: float,
@@ -137,18 +138,19 @@
 
         Args:
             upstream: the upstream that sent the event.
+            group: status of the group that the stream was started in, if any.
             engine: the model engine of its service, if any.
             gap: time since the previous event, in seconds; 0 for the first.
             now: monotonic seconds.
         """
-        self.groups.record_event(upstream.name, now)
-        estimator = self.groups.pass_estimator(upstream.name)
-        if estimator is None:
+        if group is None:
             self.costs.record_gap(upstream.name, engine, gap, now)
             return
-        members = self.groups.ranks_of_group(upstream.name)
-        used = self.in_flight.total_of(members)
-        estimator.observe(engine, len(members), used, gap, now)
+        group.record_event(now)
+        if self.groups.status_of(upstream.name) is group:
+            members = self.groups.ranks_of_group(upstream.name)
+            used = self.in_flight.total_of(members)
+            group.estimator.observe(engine, len(members), used, gap, now)
 
     def max_in_flight(self, upstream: Upstream, service: Service) -> float:
         """Return the maximum number of requests in progress at an upstream."""
--- a/primroseyoke/gateway/rank_groups.py
+++ b/primroseyoke/gateway/rank_groups.py
@@ -18,7 +18,7 @@
 from .routing_state import RoutingState
 from .upstreams import Upstream
 
-__all__ = ('RankGroupMonitor', 'RankGroupPoller')
+__all__ = ('GroupStatus', 'RankGroupMonitor', 'RankGroupPoller')
 
 log = logging.getLogger(__name__)
 
@@ -41,8 +41,12 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _GroupStatus:
-    """State of one group; times in monotonic seconds."""
+class GroupStatus:
+    """State of one group; times in monotonic seconds.
+
+    Each stream keeps the status of the group that it was started in: its rank
+    may leave the group, or join another one, before the stream ends.
+    """
 
     stream_count: int = 0
     last_event_at: float = 0
@@ -59,6 +63,22 @@
             and now - self.last_event_at > _STALL_TIMEOUT_SECONDS
         )
 
+    def record_start(self, now: float) -> None:
+        """Record that a stream has started."""
+        self.stream_count += 1
+        self.last_event_at = now
+
+    def record_event(self, now: float) -> None:
+        """Record an event of a stream; the group is no longer broken."""
+        if self.is_stalled(now):
+            self.recovered_at = now
+        self.last_event_at = now
+        self.broken_until = 0
+
+    def record_end(self) -> None:
+        """Record that a stream has ended."""
+        self.stream_count -= 1
+
 
 class RankGroupMonitor:
     """Detects stalled and broken groups from the streams of this host.
@@ -73,7 +93,7 @@
         """Start without groups."""
         self.group_by_upstream: dict[str, str] = {}
         self.ranks_by_group: dict[str, list[str]] = {}
-        self.status_by_group: dict[str, _GroupStatus] = {}
+        self.status_by_group: dict[str, GroupStatus] = {}
         self.version = 0
 
     def ranks_of_group(self, upstream: str) -> list[str]:
@@ -87,31 +107,35 @@
         self.group_by_upstream[upstream] = group
         self.ranks_by_group.setdefault(group, []).append(upstream)
 
-    def record_stream_start(self, upstream: str, now: float) -> None:
-        """Record that a stream has started."""
-        status = self._status(upstream)
-        if status is not None:
-            status.stream_count += 1
-            status.last_event_at = now
+    def status_of(self, upstream: str) -> GroupStatus | None:
+        """Return the status of an upstream's group, None if it is unknown."""
+        group = self.group_by_upstream.get(upstream)
+        if group is None:
+            return None
+        return self.status_by_group.setdefault(group, GroupStatus())
 
-    def record_event(self, upstream: str, now: float) -> None:
-        """Record an event of a stream; the group is no longer broken."""
-        status = self._status(upstream)
-        if status is None:
-            return
-        if status.is_stalled(now):
-            status.recovered_at = now
-        status.last_event_at = now
-        status.broken_until = 0
+    def record_stream_start(
+        self, upstream: str, now: float
+    ) -> GroupStatus | None:
+        """Record that a stream has started.
+
+        Returns:
+            The status that the events and the end of the stream are to be
+            recorded in, None if the group is unknown.
+        """
+        status = self.status_of(upstream)
+        if status is not None:
+            status.record_start(now)
+        return status
 
     def pass_estimator(self, upstream: str) -> PassTimeEstimator | None:
         """Return the pass time estimator of an upstream's group, if any."""
-        status = self._status(upstream)
+        status = self.status_of(upstream)
         return status.estimator if status else None
 
     def group_estimator(self, group: str) -> PassTimeEstimator:
         """Return the pass time estimator of a group."""
-        return self.status_by_group.setdefault(group, _GroupStatus()).estimator
+        return self.status_by_group.setdefault(group, GroupStatus()).estimator
 
     def is_group_avoided(self, group: str, now: float) -> bool:
         """Tell whether a group is stalled or broken."""
@@ -163,12 +187,6 @@
             status.is_stalled(now) for status in self.status_by_group.values()
         )
 
-    def record_stream_end(self, upstream: str) -> None:
-        """Record that a stream has ended."""
-        status = self._status(upstream)
-        if status is not None:
-            status.stream_count = max(status.stream_count - 1, 0)
-
     def record_rejection(self, upstream: str, now: float) -> None:
         """Record that a rank rejected a request because of another rank."""
         group = self.group_by_upstream.get(upstream)
@@ -177,7 +195,7 @@
 
     def mark_broken(self, group: str, now: float) -> None:
         """Mark a group as broken until the timeout or until it is open."""
-        status = self.status_by_group.setdefault(group, _GroupStatus())
+        status = self.status_by_group.setdefault(group, GroupStatus())
         if now >= status.broken_until:
             log.warning(
                 'rank group broken; no requests are sent to it',
@@ -187,7 +205,7 @@
 
     def mark_open(self, group: str) -> None:
         """Mark a group as open after a report of one of its ranks."""
-        status = self.status_by_group.setdefault(group, _GroupStatus())
+        status = self.status_by_group.setdefault(group, GroupStatus())
         if status.broken_until:
             status.recovered_at = time.monotonic()
         status.broken_until = 0
@@ -213,7 +231,7 @@
 
     def is_broken(self, upstream: str, now: float) -> bool:
         """Tell whether the group of an upstream is known to be broken."""
-        status = self._status(upstream)
+        status = self.status_of(upstream)
         return status is not None and now < status.broken_until
 
     def broken_groups(self, now: float) -> list[str]:
@@ -232,16 +250,6 @@
             if status.is_stalled(now) and now >= status.broken_until
         ]
 
-    def _status(self, upstream: str) -> _GroupStatus | None:
-        group = self.group_by_upstream.get(upstream)
-        if group is None:
-            return None
-        status = self.status_by_group.get(group)
-        if status is None:
-            status = _GroupStatus()
-            self.status_by_group[group] = status
-        return status
-
 
 class RankGroupPoller:
     """Queries ranks for their group and for whether it is open."""
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -182,18 +182,16 @@
             self._end(attempt)
 
     def _track(self, attempt: Attempt) -> None:
-        if not attempt.tracked:
-            attempt.tracked = True
-            self.context.balancer.groups.record_stream_start(
+        if attempt.group is None:
+            groups = self.context.balancer.groups
+            attempt.group = groups.record_stream_start(
                 attempt.upstream.name, time.monotonic()
             )
 
     def _untrack(self, attempt: Attempt) -> None:
-        if attempt.tracked:
-            attempt.tracked = False
-            self.context.balancer.groups.record_stream_end(
-                attempt.upstream.name
-            )
+        if attempt.group is not None:
+            attempt.group.record_end()
+            attempt.group = None
 
     def _end(self, attempt: Attempt) -> None:
         self._untrack(attempt)
@@ -366,7 +364,7 @@
         gap = now - progress.last_event_at if progress.last_event_at else 0
         balancer = self.context.balancer
         engine = self.authorized.engine
-        balancer.record_event(attempt.upstream, engine, gap, now)
+        balancer.record_event(attempt.upstream, attempt.group, engine, gap, now)
         balancer.costs.record_events(attempt.reservation.job, engine, count)
         progress.longest_gap = max(progress.longest_gap, gap)
         progress.last_event_at = now
--- a/tests/gateway/test_balancer.py
+++ b/tests/gateway/test_balancer.py
@@ -112,10 +112,10 @@
     """Guards against a recovery whose slots all go to a heavy account."""
     above = SelectionCriteria(urgency=Urgency.ABOVE_SHARE, longest_gap=0.12)
     balancer = make_rank_group(8)
-    balancer.groups.record_stream_start('u0', 1)
+    stream = balancer.groups.record_stream_start('u0', 1)
     # Events resume after a stall.
     for now in (1.1, 3):
-        balancer.groups.record_event('u0', now)
+        stream.record_event(now)
     late = len(fill_slots(balancer, 3, LATE))
     assert late == math.ceil(0.4 * 8 * ENGINE.slots)
     assert not fill_slots(balancer, 3, above)
@@ -129,18 +129,19 @@
         balancer.groups.group_by_upstream[name] = 'y'
     balancer.groups.ranks_by_group = {'x': ['u0', 'u1'], 'y': ['u2', 'u3']}
     slow = balancer.registry.upstreams['u0']
+    group = balancer.groups.status_of('u0')
     for _ in range(100):
-        balancer.record_event(slow, ENGINE, 0.2, now=1)
+        balancer.record_event(slow, group, ENGINE, 0.2, now=1)
     assert set(fill_slots(balancer)) == {'u2', 'u3'}
     assert set(fill_slots(balancer, criteria=LATE)) == {'u0', 'u1'}
 
 
 def test_slow_groups_are_used_if_all_groups_are_slow() -> None:
     balancer = make_rank_group(2)
+    upstream = balancer.registry.upstreams['u0']
+    group = balancer.groups.status_of('u0')
     for _ in range(100):
-        balancer.record_event(
-            balancer.registry.upstreams['u0'], ENGINE, 0.2, now=1
-        )
+        balancer.record_event(upstream, group, ENGINE, 0.2, now=1)
     assert fill_slots(balancer)
 
 
@@ -205,11 +206,10 @@
 def test_long_passes_lower_the_limit_of_a_group() -> None:
     balancer = make_rank_group(2)
     balancer.in_flight.apply_report('other', {'u0': 3, 'u1': 3}, now=1)
-    balancer.groups.record_stream_start('u0', now=1)
+    upstream = balancer.registry.upstreams['u0']
+    stream = balancer.groups.record_stream_start('u0', now=1)
     for _ in range(100):
-        balancer.record_event(
-            balancer.registry.upstreams['u0'], ENGINE, 0.11, now=1
-        )
+        balancer.record_event(upstream, stream, ENGINE, 0.11, now=1)
     assert len(fill_slots(balancer, now=1)) < 2
 
 
--- a/tests/gateway/test_rank_groups.py
+++ b/tests/gateway/test_rank_groups.py
@@ -29,18 +29,17 @@
 
 def test_event_from_one_rank_counts_for_the_whole_group() -> None:
     monitor = make_monitor()
-    monitor.record_stream_start('u0', now=1)
+    stream = monitor.record_stream_start('u0', now=1)
     assert not monitor.is_avoided('u1', now=1.3)
     assert monitor.is_avoided('u1', now=2)
-    monitor.record_event('u0', now=2)
+    stream.record_event(now=2)
     assert not monitor.is_avoided('u1', now=2.1)
     assert not monitor.is_avoided('u2', now=2)
 
 
 def test_group_without_streams_is_not_stalled() -> None:
     monitor = make_monitor()
-    monitor.record_stream_start('u0', now=1)
-    monitor.record_stream_end('u0')
+    monitor.record_stream_start('u0', now=1).record_end()
     assert not monitor.is_avoided('u0', now=100)
 
 
@@ -58,10 +57,10 @@
 def test_group_has_recovered_for_some_seconds() -> None:
     """Guards against late requests that fill a group as soon as it is back."""
     monitor = make_monitor()
-    monitor.record_stream_start('u0', now=1)
-    monitor.record_event('u0', now=1.1)
+    stream = monitor.record_stream_start('u0', now=1)
+    stream.record_event(now=1.1)
     assert not monitor.has_recovered(['x'], now=1.1)
-    monitor.record_event('u0', now=3)
+    stream.record_event(now=3)
     assert monitor.has_recovered(['y', 'x'], now=5)
     assert not monitor.has_recovered(['y'], now=5)
     assert not monitor.has_recovered(['x'], now=8)
@@ -165,11 +164,11 @@
         async with run_poller(engines, 'u0', 'u1') as monitor:
             await wait_until(lambda: len(monitor.group_by_upstream) == 2)
             engines.is_open = False
-            monitor.record_stream_start('u0', time.monotonic())
+            stream = monitor.record_stream_start('u0', time.monotonic())
             await wait_until(
                 lambda: monitor.is_broken('u0', time.monotonic()), 2
             )
-            monitor.record_stream_end('u0')
+            stream.record_end()
             assert monitor.is_avoided('u1', time.monotonic())
 
     asyncio.run(scenario())
--- a/tests/gateway/test_stream_progress.py
+++ b/tests/gateway/test_stream_progress.py
@@ -5,6 +5,7 @@
 import time
 
 from primroseyoke.gateway.listeners import ResponseWriter
+from primroseyoke.gateway.rank_groups import GroupStatus
 from primroseyoke.gateway.requests import CallerRequest
 from tests.gateway.deployment import (
     API_KEY,
@@ -343,8 +344,16 @@
         async with deployment(model=(pausing_stream(2, 6, 1.7),)) as system:
             groups = system.gateway.balancer.groups
             calls = []
-            groups.record_stream_start = lambda name, now: calls.append('start')
-            groups.record_stream_end = lambda name: calls.append('end')
+
+            class RecordedStatus(GroupStatus):
+                def record_end(self) -> None:
+                    calls.append('end')
+
+            def record_start(name: str, now: float) -> GroupStatus:
+                calls.append('start')
+                return RecordedStatus()
+
+            groups.record_stream_start = record_start
             call = asyncio.ensure_future(
                 system.call('/draft/', 'POST', timeout_ms=4000)
             )
--- a/tests/standins/routed_streams.py
+++ b/tests/standins/routed_streams.py
@@ -238,7 +238,11 @@
             if not last:
                 outcome.first_event.append(now - started)
             self.balancer.record_event(
-                upstream, ROUTED_ENGINE, now - last if last else 0, now
+                upstream,
+                self.balancer.groups.status_of(upstream.name),
+                ROUTED_ENGINE,
+                now - last if last else 0,
+                now,
             )
             self.balancer.costs.record_events(reservation.job, ROUTED_ENGINE, 1)
             last = now
