Tell the leader which rank groups are silent

Requests waited until their callers left.

Cause: only streams show that a group stands still, and a request that waits for a held pass has not begun one. A host that does not lead could not tell the leader even if its streams had stopped.

Change: an attempt counts as waiting in its group until its first event. A group is silent for a host if the oldest one has waited for 1 s and no event has come from the group, or if it has stalled. A silent group still gets requests: it may merely have much to do.

--- a/primroseyoke/gateway/attempts.py
+++ b/primroseyoke/gateway/attempts.py
@@ -24,7 +24,8 @@
     ``may_have_run`` is whether it counts as an attempt that the upstream may
     have run, which is so once it was silent for too long. ``group`` is the
     status of the rank group in which it counts as a stream. It is None if the
-    group is unknown, or while the upstream is silent for too long. ``held_bytes`` is the memory that is held for what was received of it.
+    group is unknown, or while the upstream is silent for too long. ``waits_in`` is the status
+    of the group in which it waits for its first event. ``held_bytes`` is the memory that is held for what was received of it.
     """
 
     reservation: Reservation
@@ -37,8 +38,15 @@
     event_count: int = 0
     may_have_run: bool = False
     group: GroupStatus | None = None
+    waits_in: GroupStatus | None = None
     held_bytes: int = 0
 
+    def end_waiting(self) -> None:
+        """Record that it no longer waits for its first event."""
+        if self.waits_in is not None:
+            self.waits_in.waiting.pop(self, None)
+            self.waits_in = None
+
     @property
     def upstream(self) -> Upstream:
         """Return the upstream that it was sent to."""
--- a/primroseyoke/gateway/expert_rebalancing.py
+++ b/primroseyoke/gateway/expert_rebalancing.py
@@ -158,7 +158,7 @@
         """Change placements of a service where the skew falls enough."""
         await self._refresh_groups(service, engine)
         for found in self._groups_of(service):
-            await self._check_late_orders(found)
+            await self._check_held(found)
         groups = self._groups_of(service)
         for group in groups:
             await self._refresh_slowdowns(group, engine)
@@ -202,28 +202,39 @@
             self.groups[found_group.name] = found_group
             self.last_counts.update(initial_counts(found_group, engine))
 
-    async def _check_late_orders(self, group: RankGroup) -> None:
-        """Discover a group anew if a late order has changed it.
+    async def _check_held(self, group: RankGroup) -> None:
+        """Discover a group anew if a pass is held, or some ranks are armed.
 
-        Only a group without streams on this host is asked: others show by
-        their streams that they stand still.
+        An order that was executed late can cause that. Streams of this host
+        show that a group works or stands still, so it is asked if there are
+        none, or if it is silent for any host.
         """
         now = time.monotonic()
+        is_silent = self.group_monitor.is_silent(group.name, now)
         if (
             group.is_changing
-            or self.group_monitor.has_streams(group.name)
             or now - group.checked_at < _DISCOVERY_INTERVAL_SECONDS
-            or not any(map(self.late_orders.may_follow, group.ranks))
+            or not (is_silent or self._may_follow_order(group))
         ):
             return
         group.checked_at = now
         if await self.discovery.has_unfinished_change(group):
             log.info(
-                'late order changed an idle rank group; discovering it again',
-                extra={'group': group.name, 'epoch': group.epoch},
+                'rank group held by an order; discovering it again',
+                extra={
+                    'group': group.name,
+                    'epoch': group.epoch,
+                    'silent': is_silent,
+                },
             )
             self.groups.pop(group.name, None)
 
+    def _may_follow_order(self, group: RankGroup) -> bool:
+        """Tell whether a late order may hold a group without being noticed."""
+        return not self.group_monitor.has_streams(group.name) and any(
+            map(self.late_orders.may_follow, group.ranks)
+        )
+
     async def _refresh_slowdowns(
         self,
         group: RankGroup,
--- a/primroseyoke/gateway/group_discovery.py
+++ b/primroseyoke/gateway/group_discovery.py
@@ -38,8 +38,8 @@
         step: the last pass that was reported.
         slowdowns: time that each rank takes for its work, relative to normal.
         slowdowns_read_at: when ``slowdowns`` was read, in monotonic seconds.
-        checked_at: when the ranks were last asked for late orders, in monotonic
-            seconds.
+        checked_at: when the ranks were last asked whether they are held, in
+            monotonic seconds.
         is_changing: whether a placement change is in progress.
         failed_changes: changes that failed since the last successful one.
     """
@@ -170,6 +170,7 @@
             placement=await self._placement(first, upstreams, engine),
             step=first.step,
             slowdowns=tuple(report.slowdown for _, report in members),
+            checked_at=time.monotonic(),
         )
         reports = [report for _, report in members]
         return (
--- a/primroseyoke/gateway/peer_reports.py
+++ b/primroseyoke/gateway/peer_reports.py
@@ -60,7 +60,9 @@
     have it. ``work`` has the
     work left of its requests in progress by upstream, in milliseconds at
     reference speed. ``pass_costs`` has the time that a request adds to a pass
-    of a rank group, in microseconds; only heartbeats have it.
+    of a rank group, in microseconds; only heartbeats have it. ``silent_groups``
+    has the rank groups from which the sender receives no events although its
+    requests wait for some; only heartbeats have it.
     """
 
     host: str
@@ -77,6 +79,7 @@
     clients: Mapping[str, _Count] = {}
     work: Mapping[str, _Count] = {}
     pass_costs: Mapping[str, _Count] = {}
+    silent_groups: tuple[str, ...] = ()
 
 
 class RelayedReport(msgspec.Struct, array_like=True, frozen=True):
--- a/primroseyoke/gateway/peers.py
+++ b/primroseyoke/gateway/peers.py
@@ -213,6 +213,7 @@
             limits=told_limits(balancer.limits.notices, time.monotonic()),
             clients=balancer.shares.top_clients(time.monotonic()),
             pass_costs=balancer.groups.pass_costs(),
+            silent_groups=balancer.groups.silent_groups(time.monotonic()),
         )
         if sharing and (is_direct or sharing.is_announcing):
             report = msgspec.structs.replace(
@@ -349,6 +350,7 @@
             report.host, report.running, now, report.work
         )
         balancer.groups.adopt_pass_costs(report.pass_costs, now)
+        balancer.groups.adopt_silence(report.silent_groups, now)
         self.backlog.apply_report(report.host, report.waiting, sent_at)
         if report.clients:
             balancer.shares.apply_report(report.host, report.clients, now)
--- a/primroseyoke/gateway/rank_groups.py
+++ b/primroseyoke/gateway/rank_groups.py
@@ -10,7 +10,14 @@
 import logging
 import math
 import time
-from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Hashable,
+    Iterable,
+    Mapping,
+)
 
 from ..exceptions import ServiceUnavailable
 from .capacity import PassTimeEstimator
@@ -29,6 +36,12 @@
 # stalled: callers have left by then, and a group that is avoided gets no stream
 # that could show the opposite.
 _MAX_STALL_SECONDS = 10.0
+# A group is silent if a request has waited for its first event, and no other has
+# received one, for this time. A request in a working group waits about half of it.
+_SILENCE_TIMEOUT_SECONDS = 1.0
+# Heartbeats that say that a group is silent count for this time; the next one is
+# due after 0.35 s.
+_TOLD_SILENCE_SECONDS = 1.0
 # A group is avoided for this time after the last sign that it is broken, unless
 # a rank reports it open.
 _BROKEN_TIMEOUT_SECONDS = 2.0
@@ -48,6 +61,10 @@
 class GroupStatus:
     """State of one group; times in monotonic seconds.
 
+    ``waiting`` has the requests of this host that wait for their first event,
+    oldest first, and when each was sent. ``told_silent_at`` is when another host
+    last told that the group is silent.
+
     Each stream keeps the status of the group that it was started in: its rank
     may leave the group, or join another one, before the stream ends.
     """
@@ -56,6 +73,8 @@
     last_event_at: float = 0
     broken_until: float = 0
     recovered_at: float = -math.inf
+    told_silent_at: float = -math.inf
+    waiting: dict[Hashable, float] = dataclasses.field(default_factory=dict)
     estimator: PassTimeEstimator = dataclasses.field(
         default_factory=PassTimeEstimator
     )
@@ -68,6 +87,15 @@
             and _STALL_TIMEOUT_SECONDS < silence < _MAX_STALL_SECONDS
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether nothing on this host shows that the group works.
+
+        Unlike a stalled group, it may be one that merely has much to do.
+        """
+        oldest = next(iter(self.waiting.values()), math.inf)
+        silence = now - max(oldest, self.last_event_at)
+        return silence > _SILENCE_TIMEOUT_SECONDS or self.is_stalled(now)
+
     def record_start(self, now: float) -> None:
         """Record that a stream has started."""
         self.stream_count += 1
@@ -119,6 +147,20 @@
             return None
         return self.status_by_group.setdefault(group, GroupStatus())
 
+    def record_request(
+        self, upstream: str, request: Hashable, now: float
+    ) -> GroupStatus | None:
+        """Record that a request waits for its first event.
+
+        Returns:
+            The status whose ``waiting`` has the request until it is removed,
+            None if the group is unknown.
+        """
+        status = self.status_of(upstream)
+        if status is not None:
+            status.waiting[request] = now
+        return status
+
     def record_stream_start(
         self, upstream: str, now: float
     ) -> GroupStatus | None:
@@ -174,6 +216,29 @@
                     cost / _MICROSECONDS_PER_SECOND, now
                 )
 
+    def silent_groups(self, now: float) -> tuple[str, ...]:
+        """Return the groups that are silent for this host."""
+        return tuple(
+            group
+            for group, status in self.status_by_group.items()
+            if status.is_silent(now)
+        )
+
+    def adopt_silence(self, groups: Iterable[str], now: float) -> None:
+        """Record that groups are silent for another host."""
+        for group in groups:
+            if group in self.ranks_by_group:
+                status = self.status_by_group.setdefault(group, GroupStatus())
+                status.told_silent_at = now
+
+    def is_silent(self, group: str, now: float) -> bool:
+        """Tell whether a group is silent for this host or for another one."""
+        status = self.status_by_group.get(group)
+        return status is not None and (
+            status.is_silent(now)
+            or now - status.told_silent_at < _TOLD_SILENCE_SECONDS
+        )
+
     def has_streams(self, group: str) -> bool:
         """Tell whether this host has streams of a group."""
         status = self.status_by_group.get(group)
--- a/primroseyoke/gateway/report_relay.py
+++ b/primroseyoke/gateway/report_relay.py
@@ -138,5 +138,6 @@
         report.waiting,
         report.pass_costs,
     )
-    entry_count = len(report.limits) + sum(map(len, mappings))
+    entry_count = len(report.limits) + len(report.silent_groups)
+    entry_count += sum(map(len, mappings))
     return _REPORT_BYTES + _ENTRY_BYTES * entry_count
--- a/primroseyoke/gateway/response_forwarding.py
+++ b/primroseyoke/gateway/response_forwarding.py
@@ -119,6 +119,9 @@
             self.authorized.client.name if self.authorized.client else '',
         )
         attempt = Attempt(reservation, connection, candidate, sent_at)
+        attempt.waits_in = self.context.balancer.groups.record_request(
+            upstream.name, attempt, sent_at
+        )
         self.attempts.append(attempt)
         return attempt
 
@@ -182,6 +185,7 @@
             self._end(attempt)
 
     def _track(self, attempt: Attempt) -> None:
+        attempt.end_waiting()
         if attempt.group is None:
             groups = self.context.balancer.groups
             attempt.group = groups.record_stream_start(
@@ -194,6 +198,7 @@
             attempt.group = None
 
     def _end(self, attempt: Attempt) -> None:
+        attempt.end_waiting()
         self._untrack(attempt)
         self.attempts.remove(attempt)
         self.response.memory.release_response(attempt.held_bytes)
--- a/tests/gateway/test_group_streams.py
+++ b/tests/gateway/test_group_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -61,6 +62,7 @@
         if request.path == '/report':
             response.respond(200, (), json.dumps(self.report()).encode())
             return
+        await self.may_stream.wait()
         response.start(200, upstream.signature_headers(request))
         for number in range(1, EVENT_COUNT + 1):
             await self.may_stream.wait()
@@ -185,3 +187,38 @@
             assert not groups.has_streams('g')
 
     asyncio.run(scenario())
+
+
+def test_request_that_waits_for_its_first_event_shows_a_silent_group() -> None:
+    """Guards against a held group that looks idle, as no stream has begun."""
+
+    async def scenario() -> None:
+        async with running_rank('g') as (system, rank):
+            rank.may_stream.clear()
+            call = start_stream(system)
+            groups = system.gateway.balancer.groups
+            await wait_until(
+                lambda: groups.silent_groups(time.monotonic()) == ('g',), 2
+            )
+            rank.may_stream.set()
+            assert (await call).complete
+            assert not groups.status_of('model-0').waiting
+
+    asyncio.run(scenario())
+
+
+def test_request_that_its_caller_gives_up_no_longer_waits() -> None:
+    """Guards against a group that is asked for its state for good."""
+
+    async def scenario() -> None:
+        async with running_rank('g') as (system, rank):
+            rank.may_stream.clear()
+            call = start_stream(system)
+            waiting = system.gateway.balancer.groups.status_of(
+                'model-0'
+            ).waiting
+            await wait_until(lambda: waiting)
+            call.cancel()
+            await wait_until(lambda: not waiting)
+
+    asyncio.run(scenario())
--- a/tests/gateway/test_late_orders.py
+++ b/tests/gateway/test_late_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -122,6 +123,38 @@
     run_with_clock(scenario())
 
 
+@pytest.mark.parametrize('is_told', [False, True])
+def test_held_group_of_which_the_leader_has_no_streams_is_released(
+    is_told: bool,
+) -> None:
+    """Guards against a held group whose requests wait where nobody looks.
+
+    The order comes later than any that the leader knows of. Requests wait at
+    the leader, or at another host, which tells it in its heartbeats.
+    """
+
+    async def scenario() -> None:
+        group = FakeRankGroup(
+            random.Random(1), loss_probability=0, late_probability=0
+        )
+        group.is_idle = True
+        async with running_rebalancer(group) as rebalancer:
+            await asyncio.sleep(3 * MAX_LATENESS_SECONDS)
+            group.execute(group.ranks[0], Hold(EPOCH, group.step + 1))
+            await asyncio.sleep(2 * MAX_HELD_SECONDS)
+            assert is_held(group)
+            monitor = rebalancer.group_monitor
+            now = time.monotonic()
+            if is_told:
+                monitor.adopt_silence(['g'], now)
+            else:
+                monitor.record_request('1', 'request', now)
+            await wait_until(lambda: not is_held(group), MAX_HELD_SECONDS + 1)
+            await await_passes(group)
+
+    run_with_clock(scenario())
+
+
 def test_idle_group_is_asked_only_while_an_order_may_be_late() -> None:
     """Guards against endless reports of idle groups, each of which is billed."""
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -557,3 +557,25 @@
         assert counts == [0, 0, 0, 1, 2]
 
     run_network(scenario)
+
+
+def test_heartbeats_tell_which_groups_are_silent() -> None:
+    """Guards against a held group of which the leader does not learn."""
+
+    async def scenario(network: Network) -> None:
+        loop = asyncio.get_running_loop()
+        monitors = [
+            reporter.balancer.groups for reporter in network.hosts.values()
+        ]
+        for monitor in monitors:
+            monitor.add_rank('u0', 'x')
+        monitors[3].record_request('u0', 'request', loop.time())
+        await asyncio.sleep(0.9)
+        assert not monitors[0].is_silent('x', loop.time())
+        await asyncio.sleep(0.6)
+        assert monitors[0].is_silent('x', loop.time())
+        monitors[3].status_of('u0').waiting.clear()
+        await asyncio.sleep(1.5)
+        assert not monitors[0].is_silent('x', loop.time())
+
+    run_network(scenario)
--- a/tests/gateway/test_rank_groups.py
+++ b/tests/gateway/test_rank_groups.py
@@ -57,6 +57,37 @@
     assert monitor.is_avoided('u1', now=21)
 
 
+def test_group_is_silent_while_a_request_waits_and_no_event_comes() -> None:
+    """Guards against a held group that looks idle, as no stream has begun."""
+    monitor = make_monitor()
+    stream = monitor.record_stream_start('u0', now=1)
+    status = monitor.record_request('u1', 'first', now=1)
+    for now in (1.3, 1.6, 1.9, 2.2):
+        stream.record_event(now)
+        assert not monitor.silent_groups(now + 0.1)
+    stream.record_end()
+    monitor.record_request('u1', 'second', now=3)
+    assert not monitor.silent_groups(now=3.1)
+    assert monitor.silent_groups(now=3.3) == ('x',)
+    assert not monitor.is_avoided('u1', now=3.3)
+    assert status is not None
+    status.waiting.pop('first')
+    assert not monitor.silent_groups(now=3.9)
+    assert monitor.silent_groups(now=4.1) == ('x',)
+    status.waiting.pop('second')
+    assert not monitor.silent_groups(now=100)
+
+
+def test_silence_that_another_host_tells_counts_for_a_short_time() -> None:
+    monitor = make_monitor()
+    monitor.adopt_silence(['x', 'unknown'], now=5)
+    assert monitor.is_silent('x', now=5.5)
+    assert not monitor.is_silent('x', now=7)
+    assert not monitor.is_silent('y', now=5.5)
+    assert not monitor.is_silent('unknown', now=5.5)
+    assert not monitor.silent_groups(now=5.5)
+
+
 def test_broken_group_is_avoided_until_open_or_timed_out() -> None:
     monitor = make_monitor()
     monitor.record_rejection('u0', now=1)
