Identify the responses to orders and reports

One rank of a group did not switch to a new expert placement, so all later passes began with two.

Cause: a rank sent its answer to an order once more, where the next answer on the connection is expected. The leader took the copy for the answer to its order to arm, which the rank had left unanswered, and released the held pass. Responses to requests of callers are matched by their ID; calls of engines had none.

Change: each call of an engine has an ID. A response with another one, or without one after a response that had one, closes the connection, and the outcome of the call is unknown, as after a lost response.

--- a/primroseyoke/gateway/http_client.py
+++ b/primroseyoke/gateway/http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import uuid
 from collections.abc import Callable, Mapping
 
 import h11
@@ -32,7 +33,13 @@
 
 
 class HttpClient:
-    """Calls one address over a persistent connection, one call at a time."""
+    """Calls one address over a persistent connection, one call at a time.
+
+    Attributes:
+        id_header: name of the header that identifies a call and its response;
+            empty if there is none.
+        echoes_ids: whether a response on this connection had that header.
+    """
 
     def __init__(
         self,
@@ -40,13 +47,18 @@
         port: int,
         resets: bool = False,
         max_body_bytes: int = _MAX_BODY_BYTES,
+        id_header: str = '',
     ) -> None:
         """Call the service at ``host`` and ``port``; connect on first use.
 
         With ``resets``, closing the connection discards what the kernel has not
         yet sent, so that a call that timed out is not delivered later. A
-        response with a body over ``max_body_bytes`` is a failure.
+        response with a body over ``max_body_bytes`` is a failure. With
+        ``id_header``, each call has an ID of its own, and so must its response;
+        responses without an ID are accepted from a service that sends none.
         """
+        self.id_header = id_header
+        self.echoes_ids = False
         self.host = host
         self.max_body_bytes = max_body_bytes
         self.resets = resets
@@ -105,11 +117,14 @@
     ) -> HttpResponse:
         """Make a call while holding the lock of the connection."""
         complete = False
+        if self.id_header:
+            headers = {**headers, self.id_header: uuid.uuid4().hex}
         try:
             await self._open()
             response = await self._send_and_receive(
                 method, target, body, headers, before_send
             )
+            self._check_id(response, headers)
             complete = True
         except (ConnectionError, h11.ProtocolError) as error:
             raise ServiceUnavailable(f'{target}: {error!r}') from error
@@ -119,6 +134,17 @@
                 self.close()
         return response
 
+    def _check_id(
+        self, response: HttpResponse, sent: Mapping[str, str]
+    ) -> None:
+        """Raise ConnectionResetError for the response to another call."""
+        found = response.headers.get(self.id_header.lower())
+        if found is None and not self.echoes_ids:
+            return
+        if found != sent.get(self.id_header):
+            raise ConnectionResetError(f'response to another call: {found}')
+        self.echoes_ids = True
+
     async def _open(self) -> None:
         if self.connection is not None and self.connection.idle:
             return
@@ -136,6 +162,7 @@
         if self.resets:
             self.connection.reset_on_close()
         self.parser = h11.Connection(h11.CLIENT)
+        self.echoes_ids = False
 
     async def _send_and_receive(
         self,
--- a/primroseyoke/platform/engines.py
+++ b/primroseyoke/platform/engines.py
@@ -30,6 +30,7 @@
 # The counts of hundreds of experts in each of hundreds of layers.
 _MAX_REPORT_BYTES = 2**20
 _EXPECTED_UPSTREAM_HEADER = 'X-Primroseyoke-Expect-Instance'
+_ID_HEADER = 'X-Primroseyoke-Request-Id'
 _RESULT_BY_STATUS = types.MappingProxyType(
     {
         200: OrderResult.ACCEPTED,
@@ -209,6 +210,7 @@
             upstream.host,
             upstream.port,
             max_body_bytes=_MAX_REPORT_BYTES,
+            id_header=_ID_HEADER,
         )
         connections[upstream.name] = connection
     return connection
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -6,7 +6,7 @@
 import pytest
 
 from primroseyoke.exceptions import ServiceUnavailable
-from primroseyoke.gateway.engines import OrderResult, Release
+from primroseyoke.gateway.engines import Arm, Hold, OrderResult, Release
 from primroseyoke.gateway.listeners import ResponseWriter
 from primroseyoke.gateway.requests import CallerRequest
 from primroseyoke.gateway.upstreams import Upstream
@@ -14,6 +14,7 @@
 from tests.gateway.deployment import deployment, wait_until
 from tests.gateway.test_endless_messages import EndlessUpstream
 from tests.standins.platform import StandInUpstream, answer_ok
+from tests.standins.raw_upstreams import RawUpstream
 
 # Far more than a rank reports; sockets and buffers hold the rest.
 MAX_REPORT_BYTES = 2 * 2**20
@@ -28,7 +29,7 @@
     response.respond(200, (), REPORT)
 
 
-def known(upstream: StandInUpstream) -> Upstream:
+def known(upstream: StandInUpstream | RawUpstream) -> Upstream:
     return Upstream(
         name=upstream.name,
         service='model',
@@ -147,3 +148,107 @@
         upstream.stop()
 
     asyncio.run(scenario())
+
+
+class RepeatingRank:
+    """Sends each response again where the next one is expected.
+
+    The next request on the connection is not answered.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+
+    async def respond(
+        self,
+        upstream: RawUpstream,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        fields = await upstream.read_fields(reader)
+        identity = fields.get('x-primroseyoke-request-id')
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(self.body)}\r\n'
+        if identity:
+            head += f'X-Primroseyoke-Request-Id: {identity}\r\n'
+        response = f'{head}\r\n'.encode() + self.body
+        writer.write(response)
+        await upstream.read_fields(reader)
+        writer.write(response)
+        await reader.read()
+
+
+def test_a_copy_of_a_response_is_not_that_of_the_next_order() -> None:
+    """Guards against a pass that begins although a rank is not armed."""
+
+    async def scenario() -> None:
+        rank = RawUpstream('rank-0', RepeatingRank(b'{}').respond)
+        await rank.start()
+        engines = HttpEngines()
+        hold, arm = Hold(epoch=1, step=2), Arm(epoch=1, version=3, step=2)
+        first = await engines.order(known(rank), hold, 1)
+        assert first is OrderResult.ACCEPTED
+        second = await engines.order(known(rank), arm, 1)
+        assert second is OrderResult.UNKNOWN
+        # A new connection has no copies.
+        third = await engines.order(known(rank), arm, 1)
+        assert third is OrderResult.ACCEPTED
+        rank.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_copy_of_a_report_is_not_the_next_report() -> None:
+    """Guards against a state of a rank from before the last orders."""
+
+    async def scenario() -> None:
+        rank = RawUpstream('rank-0', RepeatingRank(REPORT).respond)
+        await rank.start()
+        engines = HttpEngines()
+        await engines.report(known(rank))
+        with pytest.raises(ServiceUnavailable, match='another call'):
+            await engines.report(known(rank))
+        rank.stop()
+
+    asyncio.run(scenario())
+
+
+def test_responses_without_ids_are_accepted_from_a_rank_that_sends_none() -> (
+    None
+):
+    """Guards against a rank that cannot be asked as it names no request."""
+
+    async def scenario() -> None:
+        upstream = StandInUpstream('rank-0', report)
+        await upstream.start()
+        engines = HttpEngines()
+        for _ in range(2):
+            assert await engines.report(known(upstream)) is None
+        assert len(upstream.listener.connections) == 1
+        upstream.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_response_without_an_id_is_not_accepted_after_one_with_an_id() -> (
+    None
+):
+    async def scenario() -> None:
+        async def name_first(
+            upstream: StandInUpstream,
+            request: CallerRequest,
+            response: ResponseWriter,
+        ) -> None:
+            is_first = len(upstream.received_requests) == 1
+            headers = upstream.signature_headers(request) if is_first else ()
+            response.respond(200, headers, REPORT)
+
+        upstream = StandInUpstream('rank-0', name_first)
+        await upstream.start()
+        engines = HttpEngines()
+        await engines.report(known(upstream))
+        with pytest.raises(ServiceUnavailable, match='another call'):
+            await engines.report(known(upstream))
+        await engines.report(known(upstream))
+        upstream.stop()
+
+    asyncio.run(scenario())
--- a/tests/standins/raw_upstreams.py
+++ b/tests/standins/raw_upstreams.py
@@ -35,7 +35,13 @@
             self.server.close()
 
     async def read_request(self, reader: asyncio.StreamReader) -> str:
-        """Read a request; return its ID."""
+        """Read a request, which must have an ID; return the ID."""
+        fields = await self.read_fields(reader)
+        self.request_ids.append(fields['x-primroseyoke-request-id'])
+        return self.request_ids[-1]
+
+    async def read_fields(self, reader: asyncio.StreamReader) -> dict[str, str]:
+        """Read a request; return its headers by lower-case name."""
         head = await reader.readuntil(b'\r\n\r\n')
         fields = dict(
             line.lower().split(': ', 1)
@@ -43,8 +49,7 @@
             if line
         )
         await reader.readexactly(int(fields.get('content-length', 0)))
-        self.request_ids.append(fields['x-primroseyoke-request-id'])
-        return self.request_ids[-1]
+        return fields
 
     def entry(self, service: str) -> dict[str, object]:
         return {
