--- a/primroseyoke/gateway/membership.py
+++ b/primroseyoke/gateway/membership.py
@@ -78,7 +78,10 @@
         """Add addresses; return whether any was not yet known."""
         known_count = len(self.peers)
         now = time.monotonic()
-        for address in set(addresses) - {self.address} - set(self.peers):
+        # In a fixed order, so that seeded choices of peers can be repeated.
+        for address in sorted(
+            set(addresses) - {self.address} - set(self.peers)
+        ):
             if not is_ip_address(address):
                 # Sending to it would look up a name, or end the transport.
                 log.warning(
