--- a/tests/gateway/test_usage_gateway.py
+++ b/tests/gateway/test_usage_gateway.py
@@ -59,7 +59,13 @@
             assert sum(each.get('workshop', 0) for each in counted) == 30
             assert all(set(each) <= {'workshop'} for each in counted)
             assert all(len(each) == 1 for each in received.values())
-            assert usage.reporter.outcomes['reported'] == len(received)
+            # A report counts once it has been answered.
+            await wait_until(
+                lambda: (
+                    usage.reporter.outcomes['reported'] == len(reports(api))
+                ),
+                WINDOW_SECONDS / 2,
+            )
             metrics = system.gateway.proxy.metrics.render()
             assert b'gateway_usage_windows_total{outcome="reported"}' in metrics
             signal.raise_signal(signal.SIGTERM)
