--- a/primroseyoke/gateway/attempts.py
+++ b/primroseyoke/gateway/attempts.py
@@ -22,10 +22,13 @@
     unless the answer is a stream, ``body`` is what was received of any other
     answer. ``event_count`` is the number of events sent to the caller.
     ``may_have_run`` is whether it counts as an attempt that the upstream may
-    have run, which is so once it was silent for too long. ``group`` is the
-    status of the rank group in which it counts as a stream. It is None if the
-    group is unknown, or while the upstream is silent for too long. ``waits_in`` is the status
-    of the group in which it waits for its first event. ``held_bytes`` is the memory that is held for what was received of it.
+    have run, which is so once it was silent for too long. ``held_bytes`` is the
+    memory that is held for what was received of it.
+
+    ``waits_in`` is the status of the rank group in which it waits for its first
+    event, and ``group`` that of the group in which it counts as a stream from
+    then on. Both are None if the group is unknown, and ``group`` also while the
+    upstream has been silent for too long.
     """
 
     reservation: Reservation
--- a/primroseyoke/gateway/expert_rebalancing.py
+++ b/primroseyoke/gateway/expert_rebalancing.py
@@ -214,7 +214,7 @@
         if (
             group.is_changing
             or now - group.checked_at < _DISCOVERY_INTERVAL_SECONDS
-            or not (is_silent or self._may_follow_order(group))
+            or not (is_silent or self._may_be_held_unseen(group))
         ):
             return
         group.checked_at = now
@@ -229,10 +229,10 @@
             )
             self.groups.pop(group.name, None)
 
-    def _may_follow_order(self, group: RankGroup) -> bool:
+    def _may_be_held_unseen(self, group: RankGroup) -> bool:
         """Tell whether a late order may hold a group without being noticed."""
         return not self.group_monitor.has_streams(group.name) and any(
-            map(self.late_orders.may_follow, group.ranks)
+            map(self.late_orders.may_execute, group.ranks)
         )
 
     async def _refresh_slowdowns(
--- a/primroseyoke/gateway/late_orders.py
+++ b/primroseyoke/gateway/late_orders.py
@@ -55,7 +55,7 @@
         """Assume that other hosts have sent orders until now."""
         self.assumed_at = time.monotonic()
 
-    def may_follow(self, upstream: Upstream) -> bool:
+    def may_execute(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may still execute an order late."""
         sent_at = self.unanswered_at.get(upstream.name, -math.inf)
         latest = max(sent_at, self.assumed_at)
--- a/tests/gateway/test_late_orders.py
+++ b/tests/gateway/test_late_orders.py
@@ -181,13 +181,13 @@
         first, second, *_ = upstreams()
         late_orders.record(first, Hold(EPOCH, 1))
         await asyncio.sleep(MAX_LATENESS_SECONDS)
-        assert late_orders.may_follow(first)
-        assert not late_orders.may_follow(second)
+        assert late_orders.may_execute(first)
+        assert not late_orders.may_execute(second)
         await asyncio.sleep(MAX_LATENESS_SECONDS)
-        assert not late_orders.may_follow(first)
+        assert not late_orders.may_execute(first)
         late_orders.record(second, Hold(EPOCH, 2))
         assert late_orders.unanswered_at.keys() == {second.name}
         late_orders.assume()
-        assert late_orders.may_follow(first)
+        assert late_orders.may_execute(first)
 
     run_with_clock(scenario())
