Pass the group to a recorded event in the test of costs, too

test_slower_upstream_gets_less_work failed since with a TypeError: the call has had one more argument since then. The upstreams of that test are in no rank group.

--- a/tests/gateway/test_request_costs.py
+++ b/tests/gateway/test_request_costs.py
@@ -99,7 +99,9 @@
     for reservation in (acquire(balancer, LONG), acquire(balancer, LONG)):
         gap = 0.2 if reservation.upstream.name == names[0] else 0.025
         for _ in range(60):
-            balancer.record_event(reservation.upstream, ROUTED_ENGINE, gap, 1)
+            balancer.record_event(
+                reservation.upstream, None, ROUTED_ENGINE, gap, 1
+            )
     chosen = [acquire(balancer, LONG).upstream.name for _ in range(3)]
     assert chosen.count(names[1]) == 3
 
